--- /dev/null
+++ b/juniperlanding/choice.py
@@ -0,0 +1,628 @@
+"""All decisions of one dispatcher.
+
+How to use it: build `Dispatcher(host, settings, seed, now)` with a host as in `interface.Host`; call
+`start()`; then, for each moment, set `now`, hand in the events (`listed`, `notification`, `outcome`,
+`withdrawn`, `probed`, `noted`, `wake`) and call `turn()` once all are in.  Settings are a plain map in the
+project's words (README); records are in `state.py`; docs/design.md has the design and each exception.
+"""
+
+from statistics import fmean, median
+from zlib import crc32
+
+from juniperlanding.state import Call, Destination, Endpoint, Instance, Notification, Push, Route
+
+MS, SEC = 1_000_000, 1_000_000_000
+
+FACTOR = 2  # of the root of the MSE, in the time-out
+START_TIMEOUT = 45 * SEC
+LEAST_TIMEOUT = 1 * SEC
+SAMPLES = 3  # delivered pushes before a forecast counts
+SPAN = 10  # latencies that the sliding predictors look at
+SMOOTHING = 0.2
+MOST_DOUBLINGS = 4  # of the time-out while nothing is delivered
+SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
+TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
+OVERDUE_FACTOR, LEAST_OVERDUE, NEW_OVERDUE = 4, 1500 * MS, 3 * SEC
+TROUBLE_STEP, TROUBLE_DOWN = 0.4, 0.7  # three bad outcomes in a row set an endpoint aside
+ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
+SHORT_OUTAGE = 1500 * MS
+SHUT_AFTER = 2500 * MS
+RAMP_SHARE = 0.8
+REST, MOST_REST = 250 * MS, 2 * SEC
+SLOWER, FASTER, SLOW_GAP = 0.7, 0.1, 500 * MS
+BURST = 0.5  # seconds of the pace that may go at once
+FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
+BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
+ENOUGH = 2  # calls out before the next endpoint in rank is taken
+CEILING_FOR = 5 * SEC
+SHED_AT = 0.9
+PASS, KEEP, END = "pass", "keep", "end"
+SILENT = ("timeout", "reset", "cancelled")
+NEVER_RAN = ("throttled", "unreachable", "moot")
+
+
+# ---- the forecaster: one series of delivered latencies for each destination
+
+PREDICTORS = (
+    lambda d: d.series[-1],
+    lambda d: d.mean,
+    lambda d: d.smooth,
+    lambda d: fmean(d.series),
+    lambda d: median(d.series),
+)
+
+
+def learn(dest, latency):
+    if dest.samples:
+        missed = [(predict(dest) - latency) ** 2 for predict in PREDICTORS]
+        dest.errors = [a + b for a, b in zip(dest.errors or [0.0] * len(missed), missed, strict=True)]
+    dest.samples += 1
+    dest.series = [*dest.series[1 - SPAN:], latency]
+    dest.mean += (latency - dest.mean) / dest.samples
+    dest.smooth += (latency - dest.smooth) * (SMOOTHING if dest.samples > 1 else 1)
+    if dest.errors:
+        best = min(range(len(PREDICTORS)), key=dest.errors.__getitem__)
+        dest.forecast = int(PREDICTORS[best](dest))
+        dest.miss = int((dest.errors[best] / (dest.samples - 1)) ** 0.5)
+
+
+def forecast(dest):
+    """The expected latency, or 0 while there are too few samples."""
+    return dest.forecast if dest.samples >= SAMPLES else 0
+
+
+# ---- what a notification is worth, and what may still be done with it
+
+def benefit(ntf, at):
+    topic = ntf.topic
+    whole, objective, ttl = topic.get("benefit", 1), topic.get("objective", 0), topic.get("ttl", 0)
+    late = at - (ntf.ttl_at - ttl) - objective
+    if late <= 0:
+        return whole
+    least = topic.get("late_share", 0)
+    if topic.get("fades") == "halves":
+        return whole * max(least, 0.5 ** (late / max(objective, 1)))
+    return whole * max(least, 1 - (1 - least) * late / max(ttl - objective, 1))
+
+
+def in_window(ntf, now):
+    """Threat: a repeat that arrives after the destination forgot the key; so travel time is taken off."""
+    window = ntf.topic.get("window", 0)
+    return now < ntf.may_have_run.sent_at + window - window // TRAVEL_SHARE
+
+
+def may_go_again(ntf, now):
+    kind = ntf.topic.get("kind")
+    return ntf.may_have_run is None or kind == "repeatable" or (kind == "collapsible" and in_window(ntf, now))
+
+
+def harmless(ntf, now):
+    """Whether the client may be told that trying again does no harm."""
+    everywhere = ntf.topic.get("kind") != "collapsible" or ntf.topic.get("group", "all") == "all"
+    return ntf.out is None and (ntf.may_have_run is None or (everywhere and may_go_again(ntf, now)))
+
+
+# ---- the stages, in the order in which a push passes them; `back` runs the other way
+
+class Stage:
+    def __init__(self, dispatcher):
+        self.at, self.me = dispatcher, dispatcher.me
+
+    def out(self, push):
+        return PASS
+
+    def back(self, push, ending, latency, wait, report):
+        pass
+
+
+class Ttl(Stage):
+    """Ends what is too late to arrive, or may not go again."""
+
+    def out(self, push):
+        return END if self.hopeless(push.ntf) else PASS
+
+    def hopeless(self, ntf):
+        now, settings = self.at.now, self.me.settings
+        least = max(forecast(ntf.destination), 2 * settings.get("tick", 0))
+        return (ntf.ttl_at - now <= least or ntf.pushes >= settings.get("most_pushes", 1 << 30)
+                or not may_go_again(ntf, now))
+
+    def back(self, push, ending, latency, wait, report):
+        ntf, now = push.ntf, self.at.now
+        ntf.out = None
+        if ending not in NEVER_RAN and ntf.may_have_run is None:
+            ntf.may_have_run = push
+        if ntf.over:
+            return
+        if self.hopeless(ntf):
+            self.at.give_up(ntf)
+            return
+        if ending not in ("throttled", "moot"):
+            # Threat: a down endpoint fails at once and burns every push in moments.
+            ntf.not_before = now + min(SPACING << (ntf.pushes - 1), MOST_SPACING)
+            self.at.wake_at(ntf.not_before)
+        ntf.destination.waiting.append(ntf)
+
+
+class Order(Stage):
+    """One at a time, in the order taken, for topic types that ask for it."""
+
+    def out(self, push):
+        ntf = push.ntf
+        if not ntf.key or not ntf.topic.get("ordered"):
+            return PASS
+        until, by = self.me.key_rest.get(ntf.key, (0, None))
+        if self.me.keys[ntf.key][0] is not ntf or (until > self.at.now and by is not ntf):
+            return KEEP
+        return PASS
+
+    def back(self, push, ending, latency, wait, report):
+        ntf = push.ntf
+        if ntf.key and ntf.topic.get("ordered") and ending in SILENT:
+            until = self.at.now + self.me.settings.get("order_pause", 0)
+            self.me.key_rest[ntf.key] = (until, ntf)
+            self.at.wake_at(until)
+
+
+class Slots(Stage):
+    """Never a push that comes back moot for want of a slot, nor one destination with all slots."""
+
+    def out(self, push):
+        slots = self.me.settings.get("slots", 1 << 30)
+        dest = push.ntf.destination
+        # Threat: once-only pushes to a silent destination hold slots until their TTL.
+        most = max(2, slots // 3) if slots > 2 else 1
+        if self.me.slots_out >= slots or dest.calls_out >= most:
+            return KEEP
+        ready = [e for e in dest.endpoints if e.state == "ready"]
+        held = push.ntf.may_have_run
+        if held and push.ntf.topic.get("group") == "zone":
+            ready = [e for e in ready if e.zone == held.endpoint.zone]
+        push.options = ready
+        return PASS if ready else KEEP
+
+
+class Waits(Stage):
+    """A wait that was told, or that follows from throttling, holds the whole route."""
+
+    def out(self, push):
+        now = self.at.now
+        free = [e for e in push.options if e.route.wait_until <= now]
+        if not free:
+            self.at.idle_until(push, min(e.route.wait_until for e in push.options))
+            return KEEP
+        push.options = free
+        return PASS
+
+    def back(self, push, ending, latency, wait, report):
+        route, now = push.endpoint.route, self.at.now
+        if ending == "throttled":
+            rest = min(REST << min(route.refusals, 4), MOST_REST)
+            rest += int(rest * self.at.chance(push.ntf.id) / 2)
+            route.wait_until = max(route.wait_until, now + (wait or rest))
+            route.refusals += 1
+            route.refused_since = route.refused_since or now
+        elif ending == "delivered":
+            route.refusals = route.refused_since = 0
+
+
+class Health(Stage):
+    """Sets endpoints aside, gives them single trials, and lets them warm up."""
+
+    def out(self, push):
+        now, sound, trials = self.at.now, [], []
+        later = []
+        for endpoint in push.options:
+            if endpoint.down:
+                quiet = all(p.overdue for call in endpoint.calls for p in call.pushes)
+                if now >= endpoint.trial_at and quiet and len(endpoint.calls) < 3:
+                    trials.append(endpoint)
+                else:
+                    later.append(endpoint.trial_at)
+            elif endpoint.bad_since and endpoint.calls:
+                continue  # single file until one is delivered
+            elif endpoint.back_at and not self.warm(endpoint):
+                later.append(now + 100 * MS)
+            else:
+                sound.append(endpoint)
+        if trials and (not sound or push.ntf.topic.get("kind") != "once-only"):
+            push.options, push.trial = trials, True
+        else:
+            push.options = sound
+        if not push.options:
+            self.at.idle_until(push, min((t for t in later if t > now), default=0))
+        return PASS if push.options else KEEP
+
+    def budget(self, endpoint):
+        """This dispatcher's own share of what a cold endpoint stands, in calls a second.
+
+        Threat: held work pushes a destination over as it comes back; trials and throttled calls count."""
+        get = self.me.settings.get
+        start, warm = get("start_capacity", 1.0), get("warm_within", 0)
+        level = start + (1 - start) * min(1.0, (self.at.now - endpoint.back_at) / max(warm, 1))
+        whole = endpoint.route.limit or endpoint.route.scale or FIRST_PACE
+        mates = sum(e.state == "ready" and e.route is endpoint.route for e in endpoint.destination.endpoints)
+        return whole / max(mates, 1) * level * get("overload_factor", 1.0) * RAMP_SHARE / self.me.dispatchers
+
+    def warm(self, endpoint):
+        now = self.at.now
+        if now - endpoint.back_at >= self.me.settings.get("warm_within", 0):
+            endpoint.back_at = 0
+            self.at.log(f"endpoint {endpoint.id} warm")
+            return True
+        gained = self.budget(endpoint) * (now - endpoint.filled_at) / SEC
+        endpoint.tokens = min(1.0, endpoint.tokens + gained)
+        endpoint.filled_at = now
+        return endpoint.tokens >= 1.0
+
+    def back(self, push, ending, latency, wait, report):
+        endpoint, now = push.endpoint, self.at.now
+        if ending == "delivered":
+            self.good(endpoint)
+        elif push.call.judged or ending == "moot" or push.overdue:
+            if endpoint.down and ending != "moot":
+                self.aside(endpoint)
+        elif ending == "throttled":
+            # Threat: a shut destination throttles everything and comes back cold.
+            since = endpoint.route.refused_since
+            if endpoint.down or (since and now - since > SHUT_AFTER):
+                self.strike(endpoint, ending, since or now)
+        elif ending == "unreachable" and endpoint.good_at > push.sent_at - SEC and len(endpoint.calls) > 1:
+            pass  # connections are all taken: the pick learns a ceiling from it
+        elif ending != "cancelled":
+            self.strike(endpoint, ending, push.sent_at)
+        push.call.judged = True
+
+    def good(self, endpoint):
+        now = self.at.now
+        if endpoint.bad_since and now - endpoint.bad_since >= SHORT_OUTAGE:
+            endpoint.back_at = endpoint.filled_at = now
+            endpoint.tokens = 0.0
+            self.at.log(f"endpoint {endpoint.id} back after {(now - endpoint.bad_since) // MS} ms, warming")
+        endpoint.down, endpoint.bad_since, endpoint.good_at = False, 0, now
+        endpoint.trouble *= 1 - TROUBLE_STEP
+
+    def strike(self, endpoint, why, since):
+        endpoint.trouble += (1 - endpoint.trouble) * TROUBLE_STEP
+        endpoint.bad_since = endpoint.bad_since or since
+        if endpoint.down:
+            self.aside(endpoint)
+        elif endpoint.trouble > TROUBLE_DOWN:
+            endpoint.down = True
+            endpoint.back_at = 0
+            self.aside(endpoint)
+            self.at.log(f"endpoint {endpoint.id} set aside: {why}, trouble {endpoint.trouble:.2f}")
+
+    def aside(self, endpoint):
+        """A fixed time with a random part, then this dispatcher's own turn."""
+        at = self.at.now + ASIDE + int(ASIDE_RANDOM * self.at.chance(endpoint.id))
+        slices = at // TURN_SLICE
+        slices += (self.me.rank - slices) % self.me.dispatchers
+        endpoint.trial_at = max(at, slices * TURN_SLICE)
+        self.at.wake_at(endpoint.trial_at)
+
+    def overdue(self, push):
+        push.overdue = True
+        if not push.call.judged and push.endpoint.good_at < push.sent_at:
+            push.call.judged = True
+            self.strike(push.endpoint, "overdue", push.sent_at)
+
+
+class Rate(Stage):
+    """What this dispatcher may offer a route, paced evenly."""
+
+    def out(self, push):
+        free = [e for e in push.options if self.filled(e.route) >= 1.0]
+        if not free:
+            soonest = min((1 - e.route.tokens) / e.route.pace for e in push.options)
+            self.at.idle_until(push, self.at.now + int(soonest * SEC) + 1)
+            return KEEP
+        push.options = free
+        return PASS
+
+    def top(self, route):
+        if route.limit:
+            return route.limit
+        if self.me.settings.get("scale_kind") == "nominal":
+            return route.scale
+        return 2 * route.scale if route.scale else float("inf")
+
+    def filled(self, route):
+        now = self.at.now
+        known = route.limit or route.scale
+        if not route.pace:
+            route.pace = min(known, 1.5 * known / self.me.dispatchers) if known else FIRST_PACE
+            route.filled_at = now
+        gone = (now - route.filled_at) / SEC
+        route.pace = min(self.top(route), route.pace + gone * FASTER * (known or route.pace))
+        route.tokens = min(max(1.0, BURST * route.pace), route.tokens + gone * route.pace)
+        route.filled_at = now
+        return route.tokens
+
+    def back(self, push, ending, latency, wait, report):
+        route, now = push.endpoint.route, self.at.now
+        if report.get("limit"):
+            route.limit = report["limit"]
+        if ending == "throttled":
+            self.filled(route)
+            if now - route.slowed_at > SLOW_GAP:
+                known = route.limit or route.scale
+                route.pace = max(route.pace * SLOWER, known / (4 * self.me.dispatchers), 0.2)
+                route.slowed_at = now
+                if not route.throttled:
+                    self.at.log(f"destination {push.ntf.destination.id} throttles: pace {route.pace:.2f}")
+            route.throttled = True
+            route.tokens = min(route.tokens, 1.0)
+        elif ending == "delivered" and route.throttled and now - route.slowed_at > 5 * SEC:
+            route.throttled = False
+
+
+class Pick(Stage):
+    """First in rank; the next when that has enough."""
+
+    def out(self, push):
+        now = self.at.now
+        free = [e for e in push.options if e.ceiling_until <= now or len(e.calls) < e.ceiling]
+        if not free:
+            return KEEP
+        free.sort(key=lambda e: e.rank)
+        push.endpoint = next((e for e in free if len(e.calls) < ENOUGH), None)
+        if push.endpoint is None:
+            push.endpoint = min(free, key=lambda e: len(e.calls))
+        return PASS
+
+    def back(self, push, ending, latency, wait, report):
+        endpoint, call = push.endpoint, push.call
+        if ending == "unreachable" and endpoint.good_at > push.sent_at - SEC and len(endpoint.calls) > 1:
+            # Threat: few connections, others' idle ones counted; it shows beside successes.
+            endpoint.ceiling = len(endpoint.calls) - 1
+            endpoint.ceiling_until = self.at.now + CEILING_FOR
+        call.pushes.remove(push)
+        if not call.pushes:
+            endpoint.calls.remove(call)
+            endpoint.destination.calls_out -= 1
+            self.me.slots_out -= 1
+
+
+class Timeout(Stage):
+    """Forecast + FACTOR x root of MSE, for what may go again; all its time left for the rest."""
+
+    def out(self, push):
+        ntf, dest, now = push.ntf, push.ntf.destination, self.at.now
+        limit = START_TIMEOUT
+        push.overdue_at = now + NEW_OVERDUE
+        if dest.samples >= SAMPLES:
+            limit = max(dest.forecast + FACTOR * dest.miss, LEAST_TIMEOUT) << dest.back_off
+            push.overdue_at = now + max(dest.forecast + OVERDUE_FACTOR * dest.miss, LEAST_OVERDUE)
+        left = ntf.ttl_at - now
+        push.timeout = 0 if ntf.topic.get("kind") not in ("repeatable", "collapsible") else min(limit, left)
+        return PASS
+
+    def back(self, push, ending, latency, wait, report):
+        dest = push.ntf.destination
+        if ending == "delivered":
+            learn(dest, latency)
+            dest.back_off = 0
+        elif ending == "timeout" and 0 < push.timeout < push.ntf.ttl_at - push.sent_at:
+            # Threat: answers jump past the time-out for good and leave no sample; so it doubles.
+            dest.back_off = min(dest.back_off + 1, MOST_DOUBLINGS)
+
+
+class Dispatcher:
+    """One instance: the door, where ids become objects, and the turn of decisions."""
+
+    def __init__(self, host, settings, seed, now):
+        self.host, self.now = host, now
+        self.me = Instance(settings, seed, settings.get("rank", 0), max(1, settings.get("dispatchers", 1)))
+        self.stages = [stage(self) for stage in (Ttl, Order, Slots, Waits, Health, Rate, Pick, Timeout)]
+        self.ttl, self.health, self.rate = self.stages[0], self.stages[4], self.stages[5]
+
+    def chance(self, number):
+        """A number from 0 up to 1, the same for equal events."""
+        self.me.counter += 1
+        return crc32(f"{self.me.seed}/{self.me.rank}/{number}/{self.me.counter}".encode()) / 2 ** 32
+
+    def log(self, text):
+        self.host.log(text)
+
+    def wake_at(self, at):
+        if at > self.now and at not in self.me.wakes:
+            self.me.wakes.add(at)
+            self.host.timer(at - self.now, at)
+
+    def idle_until(self, push, at):
+        """Nothing goes to this destination before then, unless news of it comes first."""
+        if at > self.now:
+            push.ntf.destination.idle_until = at
+            self.wake_at(at)
+
+    # -- events
+
+    def start(self):
+        if self.me.settings.get("list_mode") == "ask":
+            self.host.subscribe(True)
+
+    def wake(self, tok):
+        self.me.wakes.discard(tok)
+        if tok == self.me.subscribe_at:
+            self.host.subscribe(True)
+
+    def listed(self, news, entries):
+        """List news: (endpoint, destination, kind, scale, zone, state) for each entry."""
+        me = self.me
+        if news == "failed":
+            # Threat: discovery in trouble; a growing pause keeps the subscription up without a flood.
+            me.list_failures += 1
+            pause = min(SEC << min(me.list_failures, 4), me.settings.get("must_ask_in", 10 * SEC))
+            me.subscribe_at = self.now + pause // 2 + int(pause / 2 * self.chance(me.rank))
+            self.wake_at(me.subscribe_at)
+            self.log(f"list news failed {me.list_failures} times, asking again")
+            return
+        me.list_failures = 0
+        named = {entry[0] for entry in entries}
+        for endpoint in me.endpoints.values():
+            if news != "changes" and endpoint.id not in named:
+                endpoint.state = "gone"
+        for number, destination, kind, scale, zone, state in entries:
+            dest = self.destination(destination)
+            endpoint = me.endpoints.get(number)
+            if endpoint is None:
+                apart = me.settings.get("routes_apart", [])
+                route = Route() if kind < len(apart) and apart[kind] else dest.route
+                endpoint = me.endpoints[number] = Endpoint(number, dest, route, kind, zone, 0)
+                endpoint.rank = crc32(f"{destination}/{number}".encode())
+                dest.endpoints.append(endpoint)
+            endpoint.state = state
+            if me.settings.get("scale_kind") in ("nominal", "rough"):
+                endpoint.route.scale = scale
+            dest.idle_until = 0
+
+    def destination(self, number):
+        dest = self.me.destinations.get(number)
+        if dest is None:
+            dest = self.me.destinations[number] = Destination(number)
+        return dest
+
+    def notification(self, ntf_id, topic, destination, ttl_at=0, key=0):
+        topics = self.me.settings.get("topic_types", [])
+        topic = topics[topic] if topic < len(topics) else {}
+        dest = self.destination(destination)
+        ntf = Notification(ntf_id, topic, dest, self.now, ttl_at or self.now + topic.get("ttl", 0), key)
+        self.me.notifications[ntf_id] = ntf
+        if key and topic.get("ordered"):
+            self.me.keys.setdefault(key, []).append(ntf)
+        dest.waiting.append(ntf)
+        dest.idle_until = 0
+        self.wake_at(ntf.ttl_at - 2 * self.me.settings.get("tick", 0))
+
+    def outcome(self, ntf_id, number, ending, latency=0, wait=0, over=False, report=None):
+        push = self.me.pushes.pop((ntf_id, number), None)
+        if push is None:
+            return
+        ntf = push.ntf
+        if over or ending == "delivered":
+            self.close(ntf)
+        for stage in reversed(self.stages):
+            stage.back(push, ending, latency, wait, report or {})
+        ntf.destination.idle_until = 0
+        if ntf.over:
+            self.release(ntf)
+
+    def withdrawn(self, ntf_id):
+        ntf = self.me.notifications.get(ntf_id)
+        if ntf:
+            self.close(ntf)
+
+    def probed(self, endpoint_id, ending, latency):
+        """No probe is sent as yet."""
+
+    def noted(self, rank, body):
+        """No note is sent as yet."""
+
+    # -- endings
+
+    def close(self, ntf):
+        if not ntf.over:
+            ntf.over = True
+            del self.me.notifications[ntf.id]
+            if ntf in ntf.destination.waiting:
+                ntf.destination.waiting.remove(ntf)
+            self.release(ntf)
+
+    def release(self, ntf):
+        queue = self.me.keys.get(ntf.key)
+        if queue and ntf.out is None and ntf in queue:
+            queue.remove(ntf)
+            if not queue:
+                del self.me.keys[ntf.key]
+
+    def give_up(self, ntf):
+        """The final answer, at once: throttled where trying again is harmless, else expired."""
+        if harmless(ntf, self.now):
+            again = max(ntf.destination.route.wait_until - self.now, 0)
+            advised = self.me.settings.get("advises_again")
+            again = min(again, self.me.settings.get("most_again_in", 0)) if advised else 0
+            self.host.throttled(ntf.id, again)
+        else:
+            self.host.expired(ntf.id)
+        self.close(ntf)
+
+    # -- the turn
+
+    def turn(self):
+        now = self.now
+        for push in list(self.me.pushes.values()):
+            if not push.overdue and now >= push.overdue_at:
+                self.health.overdue(push)
+        waiting = [d for d in self.me.destinations.values() if d.waiting]
+        for dest in waiting:
+            for ntf in [n for n in dest.waiting if self.ttl.hopeless(n)]:
+                self.give_up(ntf)
+        self.shed(waiting)
+        ready = [d for d in waiting if d.waiting and d.idle_until <= now]
+        while ready:
+            dest = min(ready, key=lambda d: (d.calls_out, d.served_at))
+            if not self.serve(dest) or not dest.waiting:
+                ready.remove(dest)
+
+    def shed(self, waiting):
+        """Threat: held places run out, and what comes next is turned away whatever it is worth."""
+        most = self.me.settings.get("most_held", 1 << 30) * SHED_AT
+        while len(self.me.notifications) > most:
+            least = [n for d in waiting for n in d.waiting if harmless(n, self.now)]
+            if not least:
+                return
+            self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
+
+    def serve(self, dest):
+        """Send the best of what waits for one destination; False if nothing may go now."""
+        now = self.now
+        ready = [n for n in dest.waiting if n.not_before <= now]
+        if all(e.down for e in dest.endpoints):
+            # a trial takes what can best afford the loss
+            ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", benefit(n, now), n.pushes))
+        else:
+            ready.sort(key=lambda n: (-benefit(n, now + forecast(dest)), n.ttl_at))
+        for ntf in ready[:4]:
+            push = Push(ntf, ntf.pushes)
+            if all(stage.out(push) == PASS for stage in self.stages):
+                self.send(push, ready)
+                return True
+        return False
+
+    def send(self, push, ready):
+        endpoint, dest, call = push.endpoint, push.ntf.destination, Call()
+        sizes = self.me.settings.get("batch_by_kind", [])
+        most = sizes[endpoint.kind] if endpoint.kind < len(sizes) else 1
+        # Threat: a batch shares one fate, so a trial and a doubtful endpoint get a single notification.
+        if push.trial or endpoint.bad_since or endpoint.back_at:
+            most = 1
+        order, timeout = self.stages[1], self.stages[7]
+        self.launch(push, endpoint, call)
+        for ntf in ready:
+            if len(call.pushes) >= most:
+                break
+            mate = Push(ntf, ntf.pushes)
+            zoned = ntf.may_have_run and ntf.topic.get("group") == "zone"
+            if ntf.out or ntf.over or zoned or order.out(mate) != PASS:
+                continue
+            timeout.out(mate)
+            self.launch(mate, endpoint, call)
+        endpoint.calls.append(call)
+        self.me.turns += 1
+        dest.served_at = self.me.turns
+        dest.calls_out += 1
+        self.me.slots_out += 1
+        endpoint.route.tokens -= 1 + BATCH_WEIGHT * (len(call.pushes) - 1)
+        if endpoint.back_at:
+            endpoint.tokens -= 1
+
+    def launch(self, push, endpoint, call):
+        ntf = push.ntf
+        push.endpoint, push.call, push.sent_at = endpoint, call, self.now
+        ntf.out, ntf.pushes = push, ntf.pushes + 1
+        ntf.destination.waiting.remove(ntf)
+        call.pushes.append(push)
+        self.me.pushes[ntf.id, push.number] = push
+        self.host.push(ntf.id, endpoint.id, push.timeout)
+        self.wake_at(push.overdue_at)
--- /dev/null
+++ b/juniperlanding/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The drill adapter: the decision module on the bench's wire."""
--- /dev/null
+++ b/juniperlanding/drill/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from juniperlanding.drill.host import main
+
+sys.exit(main())
--- /dev/null
+++ b/juniperlanding/drill/host.py
@@ -0,0 +1,150 @@
+"""Hosts many dispatchers in one process and turns decoded fields into calls; nothing is shared among them."""
+
+import json
+import sys
+
+from juniperlanding.choice import Dispatcher
+from juniperlanding.drill import codec
+from juniperlanding.drill.settings import in_our_words, report_names
+
+
+class DrillHost:
+    """What one dispatcher asks for, written as actions in the order asked."""
+
+    def __init__(self, number, actions):
+        self.number, self.actions = number, actions
+
+    def act(self, name, *fields, text=None):
+        self.actions.append(codec.action(name, self.number, *fields, text=text))
+
+    def push(self, ntf_id, endpoint_id, timeout):
+        self.act("try", ntf_id, endpoint_id, timeout)
+
+    def cancel(self, ntf_id, number):
+        self.act("abort_attempt", ntf_id, number)
+
+    def throttled(self, ntf_id, again_in):
+        self.act("not_now", ntf_id, again_in)
+
+    def expired(self, ntf_id):
+        self.act("end_failed", ntf_id)
+
+    def timer(self, delay, tok):
+        self.act("after", delay, tok)
+
+    def probe(self, endpoint_id):
+        self.act("inspect", endpoint_id)
+
+    def close_idle(self, endpoint_id):
+        self.act("disconnect", endpoint_id)
+
+    def subscribe(self, on):
+        self.act("track", int(on))
+
+    def fetch_list(self):
+        self.act("snapshot")
+
+    def note(self, rank, body):
+        self.act("say", codec.EVERYONE if rank is None else rank, text=body)
+
+    def log(self, text):
+        self.act("trace", text=text.encode())
+
+
+class Drill:
+    def __init__(self):
+        self.dispatchers, self.lists, self.actions = {}, {}, []
+
+    def batch(self, now, count, body):
+        """All events of a batch, then one turn for each dispatcher that had one."""
+        self.actions.clear()  # the hosts write into this one list
+        touched = {}
+        for name, fields in codec.records(count, body):
+            if name == "directory":
+                self.lists[fields[0]] = fields[1]
+                continue
+            number = fields[0]
+            try:
+                if name == "enlist":
+                    settings = in_our_words(json.loads(fields[2]))
+                    host = DrillHost(number, self.actions)
+                    self.dispatchers[number] = Dispatcher(host, settings, seed=fields[1], now=now)
+                elif name == "stop":
+                    self.dispatchers.pop(number, None)
+                    touched.pop(number, None)
+                    continue
+                if number in self.dispatchers:
+                    touched[number] = self.dispatchers[number]
+                    touched[number].now = now
+                    getattr(self, name)(touched[number], *fields[1:])
+            except codec.Malformed:
+                raise
+            except Exception as error:  # the wire has one way to say that the decision code failed
+                self.give_in(number, error)
+        for number, dispatcher in touched.items():
+            try:
+                dispatcher.turn()
+            except Exception as error:
+                self.give_in(number, error)
+        return self.actions
+
+    def give_in(self, number, error):
+        text = f"{type(error).__name__}: {error}"
+        self.actions.append(codec.action("give_in", number, text=text.encode()))
+
+    def enlist(self, dispatcher, seed, settings):
+        dispatcher.start()
+
+    def established(self, dispatcher, ntf, hop, endpoint, spent):
+        pass  # streams are not part of these deployments: nothing waits on the start of an answer
+
+    def pong(self, dispatcher, endpoint, code, spent, report):
+        dispatcher.probed(endpoint, self.outcome(code), spent)
+
+    def wake(self, dispatcher, tok):
+        dispatcher.wake(tok)
+
+    def datagram(self, dispatcher, sender, body):
+        dispatcher.noted(sender, body)
+
+    def topology(self, dispatcher, kind, stamp, number):
+        if kind not in codec.NEWS:
+            raise codec.Malformed(f"unknown kind of list news {kind}")
+        news = codec.NEWS[kind]
+        if news != "failed" and number not in self.lists:
+            raise codec.Malformed(f"no list {number}")
+        entries = [] if news == "failed" else self.lists[number]
+        dispatcher.listed(news, [
+            (endpoint, destination, kind, scale, zone, codec.STATES.get(state, "gone"))
+            for kind, endpoint, scale, zone, since, state, destination in entries])
+
+    def finished(self, dispatcher, ntf, endpoint, hop, detail, spent, complete, code, report):
+        dispatcher.outcome(ntf, hop, self.outcome(code), latency=spent, wait=detail * 1_000_000,
+                           over=bool(complete),
+                           report=dict(zip(report_names(dispatcher.me.settings), report, strict=False)))
+
+    def vanished(self, dispatcher, ntf):
+        dispatcher.withdrawn(ntf)
+
+    def incoming(self, dispatcher, ntf, grade, tenant, key, ttl_at, work, destination, bits):
+        dispatcher.notification(ntf, grade, int(destination), ttl_at=ttl_at, key=key)
+
+    @staticmethod
+    def outcome(code):
+        if code not in codec.OUTCOMES:
+            raise codec.Malformed(f"unknown outcome {code}")
+        return codec.OUTCOMES[code]
+
+
+def main(source=None, sink=None):
+    source, sink = source or sys.stdin.buffer, sink or sys.stdout.buffer
+    drill = Drill()
+    try:
+        while batch := codec.read_batch(source):
+            number, now, count, body = batch
+            sink.write(codec.reply(number, drill.batch(now, count, body)))
+            sink.flush()
+    except codec.Malformed as fault:
+        print(f"juniperlanding.drill: {fault}", file=sys.stderr)
+        return 2
+    return 0
--- /dev/null
+++ b/juniperlanding/drill/settings.py
@@ -0,0 +1,43 @@
+"""The wire's settings under the project's names; a pure renaming, and what is absent stays absent."""
+
+NAMES = {
+    "rank": "rank", "n_instances": "dispatchers", "tick_ns": "tick", "registry_mode": "list_mode",
+    "weight_kind": "scale_kind",
+    "family_info.workers": "slots", "family_info.batch_by_kind": "batch_by_kind",
+    "family_info.routes_apart": "routes_apart",
+    "permissions.most_held": "most_held", "permissions.max_attempts": "most_pushes",
+    "permissions.retry_after": "advises_again", "permissions.max_retry_after_ns": "most_again_in",
+    "permissions.probes": "may_probe", "permissions.peer_messages": "may_note",
+    "permissions.cancel": "may_cancel", "permissions.connect_timeout_ns": "connect_timeout",
+    "permissions.conn_idle_ns": "idle_closes",
+    "report.fields": "report",
+    "safety.must_ask_in_ns": "must_ask_in", "safety.start_capacity": "start_capacity",
+    "safety.warm_within_ns": "warm_within", "safety.overload_factor": "overload_factor",
+    "safety.fall_ns": "fall_within", "safety.order_pause_ns": "order_pause",
+}
+TOPIC_NAMES = {
+    "name": "name", "aim_ns": "objective", "deadline_ns": "ttl", "effect": "kind", "group": "group",
+    "repeat_window_ns": "window", "worth": "benefit", "late_worth": "late_share", "fifo_by_key": "ordered",
+}
+KINDS = {"safe": "repeatable", "keyed": "collapsible", "unsafe": "once-only"}
+REPORTED = {"x0": "limit_left", "x1": "limit"}
+
+
+def in_our_words(wire):
+    settings = {}
+    for path, name in NAMES.items():
+        value = wire
+        for part in path.split("."):
+            value = value.get(part) if isinstance(value, dict) else None
+        if value is not None:
+            settings[name] = value
+    fades = (wire.get("family_info") or {}).get("fades")
+    topics = settings["topic_types"] = []
+    for entry in wire.get("request_classes") or []:
+        topic = {name: entry[key] for key, name in TOPIC_NAMES.items() if entry.get(key) is not None}
+        topics.append(topic | {"kind": KINDS.get(topic.get("kind")), "fades": fades})
+    return settings
+
+
+def report_names(settings):
+    return [REPORTED.get(name, name) for name in settings.get("report", [])]
--- /dev/null
+++ b/juniperlanding/interface.py
@@ -0,0 +1,43 @@
+"""What the decision module asks of its host.
+
+A host owns the way in and the way out: it hands the module notifications, outcomes, list news and wakes
+(the public methods of `choice.Dispatcher`), and carries out what the module asks for through this protocol.
+Ids cross here and nowhere else.  All times are whole nanoseconds.
+"""
+
+from typing import Protocol
+
+
+class Host(Protocol):
+    def push(self, ntf_id: int, endpoint_id: int, timeout: int) -> None:
+        """Send a notification to an endpoint; after `timeout` it is cancelled (0: at its TTL)."""
+
+    def cancel(self, ntf_id: int, number: int) -> None:
+        """Stop waiting for a push; its outcome still comes."""
+
+    def throttled(self, ntf_id: int, again_in: int) -> None:
+        """End a notification: trying again is harmless, after `again_in` (0: no advice)."""
+
+    def expired(self, ntf_id: int) -> None:
+        """End a notification with no promise about its effect."""
+
+    def timer(self, delay: int, tok: int) -> None:
+        """Call `Dispatcher.wake(tok)` once `delay` has passed."""
+
+    def probe(self, endpoint_id: int) -> None:
+        """Check an endpoint; `Dispatcher.probed` brings the answer."""
+
+    def close_idle(self, endpoint_id: int) -> None:
+        """Close the idle connections to an endpoint."""
+
+    def subscribe(self, on: bool) -> None:
+        """Begin or cease to follow the list of destinations."""
+
+    def fetch_list(self) -> None:
+        """Ask once for the whole list."""
+
+    def note(self, rank: int | None, body: bytes) -> None:
+        """Send a short note to one dispatcher, or to all of them (None)."""
+
+    def log(self, text: str) -> None:
+        """One line for the staff."""
