--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,371 @@
+"""One rule or one strain a test: the state is built, one thing happens, what was asked for is looked at."""
+
+import pytest
+from conftest import COLLAPSIBLE, ONCE_ONLY, ORDERED, REPEATABLE, Bed
+
+from juniperlanding.choice import MS, SEC, benefit, harmless, learn
+from juniperlanding.state import Destination
+
+
+def fed(*latencies):
+    dest = Destination(1)
+    for latency in latencies:
+        learn(dest, latency)
+    return dest
+
+
+# ---- the forecaster and the time-out
+
+def test_forecast_takes_the_predictor_with_the_least_error():
+    steady = fed(*[100 * MS] * 10)
+    assert (steady.forecast, steady.miss) == (100 * MS, 0)
+    spiked = fed(*[100 * MS] * 9, 900 * MS, 100 * MS)
+    assert spiked.forecast == 100 * MS and spiked.miss > 200 * MS
+
+
+def test_timeout_starts_generous_then_follows_forecast_and_floor(bed):
+    bed.take(ttl=60)
+    bed.turn()
+    assert bed.pushed[0][2] == 45 * SEC
+    bed.end(1, "delivered")
+    bed.deliver(5)
+    assert bed.pushed[-1][2] == 1 * SEC
+
+
+def test_once_only_has_all_its_time(bed):
+    bed.deliver()
+    bed.take(ONCE_ONLY)
+    bed.turn()
+    assert bed.pushed[-1][2] == 0
+
+
+def test_timeout_doubles_until_one_is_delivered_again(bed):
+    bed.deliver()
+    ntf = bed.take()
+    bed.turn()
+    bed.end(ntf, "timeout", after=1)
+    bed.turn(1)
+    assert bed.pushed[-1][2] == 2 * SEC
+    bed.end(ntf, "delivered", number=1)
+    assert bed.at.destination(1).back_off == 0
+
+
+# ---- TTL and endings
+
+def test_late_drop_ends_unsent_once_samples_exist(bed):
+    bed.take(ttl=0.05)
+    assert bed.turn() == 1
+    bed.end(1, "delivered", after=0.04)
+    bed.deliver(4, after=1)
+    sent = len(bed.pushed)
+    bed.take(ttl=0.5)
+    assert bed.turn() == sent
+    assert bed.host.all("throttled") == [[bed.count, 0]]
+
+
+def test_held_notification_is_answered_once_before_its_ttl(bed):
+    ntf = bed.take(destination=2)
+    bed.turn(19.9)
+    assert not bed.host.all("throttled")
+    bed.turn(0.09)
+    bed.turn(1)
+    assert bed.host.all("throttled") == [[ntf, 0]]
+
+
+def test_ttl_already_past_or_absent(bed):
+    bed.take(ttl=-1)
+    bed.at.notification(99, REPEATABLE, 1)
+    assert bed.turn() == 1 and bed.pushed[0][0] == 99
+    assert bed.host.all("throttled") == [[1, 0]]
+
+
+@pytest.mark.parametrize("topic, ending, again, answer", [
+    (ONCE_ONLY, "timeout", 0, "expired"), (ONCE_ONLY, "error", 0, "expired"),
+    (ONCE_ONLY, "reset", 0, "expired"),
+    (ONCE_ONLY, "unreachable", 1, None), (ONCE_ONLY, "throttled", 1, None), (ONCE_ONLY, "moot", 1, None),
+    (REPEATABLE, "error", 1, None), (COLLAPSIBLE, "error", 1, None)])
+def test_what_an_ending_proves(bed, topic, ending, again, answer):
+    ntf = bed.take(topic)
+    bed.turn()
+    bed.end(ntf, ending)
+    bed.turn(2)
+    assert len(bed.pushed) == 1 + again
+    assert (bed.host.all("expired") == [[ntf]]) is (answer == "expired")
+
+
+def test_collapsible_rests_on_its_window_from_the_first_push(bed):
+    ntf = bed.take(COLLAPSIBLE)
+    bed.turn()
+    bed.end(ntf, "unreachable", after=5)
+    bed.turn(1)
+    bed.end(ntf, "error", after=5, number=1)
+    held = bed.at.me.notifications[ntf]
+    assert harmless(held, bed.at.now)
+    bed.at.now += 800 * MS  # 5.8 s of the 6: travel might take it past the window
+    assert not harmless(held, bed.at.now)
+    bed.turn()
+    assert bed.host.all("expired") == [[ntf]] and len(bed.pushed) == 2
+
+
+def test_late_outcomes_and_unknown_ids_are_passed_over(bed):
+    ntf = bed.take()
+    bed.turn()
+    bed.at.withdrawn(ntf)
+    bed.at.withdrawn(12345)
+    bed.end(ntf, "error")
+    bed.end(ntf, "error")
+    bed.turn()
+    assert bed.at.me.slots_out == 0 and len(bed.pushed) == 1
+    assert not bed.host.all("expired") + bed.host.all("throttled")
+
+
+def test_never_two_pushes_at_once_nor_more_than_allowed():
+    bed = Bed(most_pushes=2)
+    ntf = bed.take()
+    assert bed.turn() == 1 and bed.turn(5) == 1
+    bed.end(ntf, "error")
+    assert bed.turn(2) == 2
+    bed.end(ntf, "error", number=1)
+    assert bed.host.all("throttled") == [[ntf, 0]]
+
+
+def test_benefit_fades_after_the_objective(bed):
+    ntf = bed.at.me.notifications[bed.take()]
+    assert benefit(ntf, bed.at.now + 2 * SEC) == 1
+    assert benefit(ntf, bed.at.now + 20 * SEC) == pytest.approx(0.5)
+    ntf.topic = ntf.topic | {"fades": "halves", "late_share": 0.1}
+    assert benefit(ntf, bed.at.now + 4 * SEC) == pytest.approx(0.5)
+
+
+# ---- waits, rate, slots, order, list
+
+def test_told_wait_holds_the_whole_destination():
+    bed = Bed(endpoints=3)
+    ntf = bed.take()
+    bed.turn()
+    bed.end(ntf, "throttled", wait=3 * SEC)
+    bed.take()
+    assert bed.turn() == 1 and bed.turn(2.99) == 1
+    assert bed.turn(0.02) > 1
+
+
+def test_told_wait_binds_one_endpoint_where_routes_are_apart():
+    bed = Bed(endpoints=2, routes_apart=[True])
+    ntf = bed.take()
+    bed.turn()
+    bed.end(ntf, "throttled", wait=3 * SEC)
+    bed.turn()
+    assert len(bed.pushed) == 2 and bed.pushed[0][1] != bed.pushed[1][1]
+
+
+def test_throttling_slows_the_pace_and_a_report_bounds_it(bed):
+    ntf = bed.take()
+    bed.turn()
+    pace = bed.endpoint().route.pace
+    bed.end(ntf, "throttled", after=0, report={"limit": 4.0})
+    assert bed.endpoint().route.pace < pace and bed.endpoint().route.limit == 4.0
+
+
+def test_a_clump_goes_at_the_pace():
+    bed = Bed(scale=4.0)
+    for _ in range(10):
+        bed.take()
+    assert bed.turn() <= 2
+    assert bed.turn(0.5) <= 4
+
+
+def test_slots_never_overrun_and_one_destination_leaves_some():
+    bed = Bed(slots=6)
+    bed.deliver(1)
+    bed.at.listed("changes", [(20, 2, 0, 50.0, 0, "ready")])
+    for _ in range(9):
+        bed.take(ONCE_ONLY)
+    assert bed.turn(1) == 3
+    for _ in range(9):
+        bed.take(destination=2)
+    bed.turn()
+    bed.turn(1)
+    assert sum(endpoint == 20 for _, endpoint, _ in bed.pushed) == 2
+    assert bed.at.me.slots_out <= 6
+
+
+def test_keys_keep_their_order_and_rest():
+    bed = Bed(order_pause=2 * SEC)
+    first, second = bed.take(ORDERED, key=5), bed.take(ORDERED, key=5)
+    assert bed.turn() == 1
+    bed.end(first, "delivered")
+    assert bed.turn() == 2
+    third = bed.take(ORDERED, key=5)
+    bed.end(second, "timeout")
+    bed.at.withdrawn(second)
+    assert bed.turn(1.5) == 2
+    assert bed.turn(1) == 3 and bed.pushed[-1][0] == third
+
+
+def test_batches_share_a_slot_but_never_to_a_doubtful_endpoint():
+    bed = Bed(batch_by_kind=[4])
+    for _ in range(4):
+        bed.take()
+    assert bed.turn() == 4 and bed.at.me.slots_out == 1
+    bed.endpoint().bad_since = 1
+    for n in range(1, 5):
+        bed.end(n, "unreachable", after=0)
+    assert bed.at.me.slots_out == 0
+    assert bed.turn(1) == 5
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_told_drains_bind_at_once_and_a_return_is_taken(bed, state):
+    bed.at.listed("changes", [(10, 1, 0, 5.0, 0, state)])
+    bed.take()
+    assert bed.turn() == 0
+    bed.at.listed("changes", [(10, 1, 0, 5.0, 0, "ready")])
+    assert bed.turn() == 1
+
+
+def test_whole_list_replaces_and_failure_keeps_it(bed):
+    bed.at.listed("failed", [])
+    assert bed.endpoint().state == "ready"
+    bed.at.listed("whole", [(11, 1, 0, 5.0, 0, "ready")])
+    assert bed.endpoint().state == "gone"
+
+
+def test_subscription_is_kept_up_without_a_flood():
+    bed = Bed(list_mode="ask", must_ask_in=10 * SEC)
+    assert bed.host.all("subscribe") == [[True]]
+    for _ in range(3):
+        bed.at.listed("failed", [])
+        delay, tok = bed.host.all("timer")[-1]
+        assert SEC <= delay <= 10 * SEC
+        bed.at.now += delay
+        bed.at.wake(tok)
+    assert len(bed.host.all("subscribe")) == 4
+
+
+def test_ranking_is_fixed_and_the_next_endpoint_takes_over():
+    bed = Bed(endpoints=3)
+    bed.deliver(5)
+    first = {endpoint for _, endpoint, _ in bed.pushed}
+    assert len(first) == 1
+    for _ in range(6):
+        bed.take()
+    bed.turn()
+    assert len({endpoint for _, endpoint, _ in bed.pushed}) > 1
+
+
+# ---- health
+
+def broken(bed, ending="unreachable", times=3):
+    for _ in range(times):
+        ntf = bed.take()
+        bed.turn(1)
+        bed.end(ntf, ending)
+        bed.at.withdrawn(ntf)
+    return bed.endpoint()
+
+
+@pytest.mark.parametrize("ending", ["unreachable", "reset", "timeout", "error"])
+def test_bad_outcomes_in_a_row_set_an_endpoint_aside(bed, ending):
+    bed.deliver()
+    assert broken(bed, ending).down
+    sent = len(bed.pushed)
+    for _ in range(5):
+        bed.take()
+    assert bed.turn(0.5) == sent
+    assert bed.turn(3) == sent + 1  # one trial, no burst
+
+
+def test_trial_goes_to_what_can_best_afford_the_loss(bed):
+    broken(bed)
+    bed.take(ONCE_ONLY)
+    cheap = bed.take(REPEATABLE)
+    sent = bed.turn(3)
+    assert bed.pushed[sent - 1][0] == cheap
+
+
+def test_silence_is_noticed_before_the_ttl(bed):
+    bed.deliver()
+    for _ in range(8):
+        bed.take(ONCE_ONLY)
+    bed.turn()
+    for _ in range(4):
+        bed.turn(1)
+    assert bed.endpoint().down
+
+
+def test_all_throttled_means_shut(bed):
+    bed.deliver()
+    for _ in range(12):
+        ntf = bed.take()
+        sent = len(bed.pushed)
+        if bed.turn(1) > sent:
+            bed.end(ntf, "throttled")
+        bed.at.withdrawn(ntf)
+    assert bed.endpoint().down
+
+
+def test_a_returning_endpoint_warms_under_its_budget():
+    bed = Bed(scale=5.0)
+    bed.deliver()
+    endpoint = broken(bed)
+    bed.turn(5)
+    back = bed.take()
+    bed.turn(3)
+    bed.end(back, "delivered")
+    assert endpoint.back_at == bed.at.now and not endpoint.down
+    sent = len(bed.pushed)
+    for _ in range(40):
+        bed.take()
+    for _ in range(200):
+        for n in list(bed.at.me.pushes):
+            bed.at.outcome(*n[:1], n[1], "delivered", latency=10 * MS, over=True)
+        bed.turn(0.01)
+    # half of 5/s x 0.2..0.36 x 2, for 2 s
+    assert len(bed.pushed) - sent <= 3
+    bed.turn(10)
+    assert not endpoint.back_at
+
+
+def test_few_connections_are_not_an_outage(bed):
+    bed.deliver()
+    for _ in range(4):
+        bed.take()
+    bed.turn()
+    bed.end(5, "delivered", after=0.05)
+    bed.end(6, "unreachable", after=0.05)
+    endpoint = bed.endpoint()
+    assert not endpoint.bad_since and endpoint.ceiling == 2
+
+
+def test_held_places_are_kept_for_what_is_worth_more():
+    bed = Bed(most_held=10, slots=1)
+    for n in range(10):
+        bed.take(ONCE_ONLY if n else REPEATABLE, destination=2)
+    bed.turn()
+    assert bed.host.all("throttled") == [[1, 0]]
+
+
+@pytest.mark.parametrize("settings", [{"slots": 0}, {"most_held": 0}, {"most_pushes": 0}, {"dispatchers": 0}])
+def test_zero_limits_do_not_crash(settings):
+    bed = Bed(**settings)
+    bed.take()
+    bed.take(destination=9)
+    bed.turn()
+    bed.turn(30)
+    assert not bed.at.me.notifications or bed.pushed
+
+
+def test_settings_may_miss_anything():
+    bed = Bed()
+    bed.at.me.settings.clear()
+    bed.take(topic=7)
+    assert bed.turn() == 1
+
+
+def test_equal_events_give_equal_actions():
+    beds = [Bed(), Bed()]
+    for each in beds:
+        each.deliver()
+        broken(each)
+        each.turn(5)
+    assert beds[0].host.asked == beds[1].host.asked
