--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -33,7 +33,8 @@
     def __init__(self, endpoints=1, scale=50.0, **settings):
         self.host = Host()
         basic = {"rank": 0, "dispatchers": 2, "tick": 5_000_000, "scale_kind": "nominal",
-                 "slots": 20, "most_held": 100, "most_pushes": 6, "start_capacity": 0.2, "warm_within": 10 * SEC,
+                 "slots": 20, "most_held": 100, "most_pushes": 6,
+                 "start_capacity": 0.2, "warm_within": 10 * SEC,
                  "overload_factor": 2.0, "fall_within": 2 * SEC, "topic_types": TOPICS}
         self.at = Dispatcher(self.host, basic | settings, seed=7, now=100 * SEC)
         self.at.start()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -66,7 +66,8 @@
     ("4b010300c4913a5d0542050000", "abort_attempt", (0x542055D3A91C4, 0), None),
     ("45010300192b6f0e40830e0080b2e60e00000000", "not_now", (0xE83400E6F2B19, 250000000), None),
     ("42010300c4913a5d05420500", "end_failed", (0x542055D3A91C4,), None),
-    ("41010300f211902c", "inspect", (747639282,), None), ("4a010300f211902c", "disconnect", (747639282,), None),
+    ("41010300f211902c", "inspect", (747639282,), None),
+    ("4a010300f211902c", "disconnect", (747639282,), None),
 ])
 def test_actions_of_the_page(wanted, name, fields, text):
     assert codec.action(name, 3, *fields, text=text) == bytes.fromhex(wanted.replace(" ", ""))
