Lost calls give up their slots, and only a run of failures means warming

Now overdue calls are not waited for, a slot goes to what waits, and warming needs a run of failures. May hurt: a hung destination that answers late, whose once-only calls are called off when slots run out.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -23,6 +23,7 @@
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
 OVERDUE_FACTOR, LEAST_OVERDUE, NEW_OVERDUE = 4, 1500 * MS, 3 * SEC
+LOST = 2  # times the overdue time: a call that may lose its slot
 TROUBLE_STEP, TROUBLE_DOWN = 0.4, 0.7  # three bad outcomes in a row set an endpoint aside
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
 SHORT_OUTAGE = 1500 * MS
@@ -213,14 +214,14 @@
         now, sound, trials = self.at.now, [], []
         later = []
         for endpoint in push.options:
+            quiet = all(p.overdue for call in endpoint.calls for p in call.pushes)
             if endpoint.down:
-                quiet = all(p.overdue for call in endpoint.calls for p in call.pushes)
-                if now >= endpoint.trial_at and quiet and len(endpoint.calls) < 3:
+                if now >= endpoint.trial_at and quiet:
                     trials.append(endpoint)
                 else:
                     later.append(endpoint.trial_at)
-            elif endpoint.bad_since and endpoint.calls:
-                continue  # single file until one is delivered
+            elif endpoint.bad_since and not quiet:
+                continue  # single file until one is delivered; the overdue ones are not waited for
             elif endpoint.back_at and not self.warm(endpoint):
                 later.append(now + 100 * MS)
             else:
@@ -275,7 +276,8 @@
 
     def good(self, endpoint):
         now = self.at.now
-        if endpoint.bad_since and now - endpoint.bad_since >= SHORT_OUTAGE:
+        # Threat: a path that loses single calls looks like an outage each time; a run of failures is one.
+        if endpoint.down and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at = endpoint.filled_at = now
             endpoint.tokens = 0.0
             self.at.log(f"endpoint {endpoint.id} back after {(now - endpoint.bad_since) // MS} ms, warming")
@@ -559,6 +561,7 @@
             for ntf in [n for n in dest.waiting if self.ttl.hopeless(n)]:
                 self.give_up(ntf)
         self.shed(waiting)
+        self.reclaim(waiting)
         ready = [d for d in waiting if d.waiting and d.idle_until <= now]
         while ready:
             dest = min(ready, key=lambda d: (d.calls_out, d.served_at))
@@ -574,6 +577,20 @@
                 return
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
+    def reclaim(self, waiting):
+        """Threat: calls that are never answered hold all slots until their TTL, once-only ones above all.
+
+        When something waits for want of a slot, the call longest overdue gives up its own."""
+        if self.me.slots_out < self.me.settings.get("slots", 1 << 30) or not any(d.waiting for d in waiting):
+            return
+        lost = [p for p in self.me.pushes.values()
+                if p.overdue and not p.cancelled and self.now - p.sent_at > LOST * (p.overdue_at - p.sent_at)]
+        if lost and self.me.settings.get("may_cancel"):
+            push = min(lost, key=lambda p: p.sent_at)
+            for mate in push.call.pushes:
+                mate.cancelled = True
+                self.host.cancel(mate.ntf.id, mate.number)
+
     def serve(self, dest):
         """Send the best of what waits for one destination; False if nothing may go now."""
         now = self.now
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -22,6 +22,7 @@
     timeout: int = 0
     overdue_at: int = 0
     overdue: bool = False
+    cancelled: bool = False
     trial: bool = False
 
 
