--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -6,6 +6,7 @@
 project's words (README); records are in `state.py`; docs/design.md has the design and each exception.
 """
 
+from math import ceil, log
 from statistics import fmean, median
 from zlib import crc32
 
@@ -24,7 +25,9 @@
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
 OVERDUE_FACTOR, LEAST_OVERDUE, NEW_OVERDUE = 4, 1500 * MS, 3 * SEC
 LOST = 2  # times the overdue time: a call that may lose its slot
-TROUBLE_STEP, TROUBLE_DOWN = 0.4, 0.7  # three bad outcomes in a row set an endpoint aside
+TROUBLE_STEP = 0.4  # how far one bad outcome moves an endpoint's trouble towards 1
+LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
+LOSS_STEP = 0.03  # how far one push moves the instance's share of bad outcomes
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
 SHORT_OUTAGE = 1500 * MS
 SHUT_AFTER = 2500 * MS
@@ -256,9 +259,17 @@
         endpoint.filled_at = now
         return endpoint.tokens >= 1.0
 
+    def run(self):
+        """Bad outcomes in a row that set an endpoint aside.
+
+        Threat: a path of ours that loses calls everywhere makes sound endpoints look down, so the run must be
+        longer than this instance's own share of bad outcomes explains."""
+        return max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(self.me.loss, 0.01), 0.5))))
+
     def back(self, push, ending, latency, wait, report):
         endpoint, now = push.endpoint, self.at.now
         if ending == "delivered":
+            self.me.loss *= 1 - LOSS_STEP
             self.good(endpoint)
         elif push.call.judged or ending == "moot" or push.overdue:
             if endpoint.down and ending != "moot":
@@ -286,10 +297,12 @@
 
     def strike(self, endpoint, why, since):
         endpoint.trouble += (1 - endpoint.trouble) * TROUBLE_STEP
+        if not endpoint.down:
+            self.me.loss += (1 - self.me.loss) * LOSS_STEP
         endpoint.bad_since = endpoint.bad_since or since
         if endpoint.down:
             self.aside(endpoint)
-        elif endpoint.trouble > TROUBLE_DOWN:
+        elif endpoint.trouble > 1 - (1 - TROUBLE_STEP) ** (self.run() - 0.5):
             endpoint.down = True
             endpoint.back_at = 0
             self.aside(endpoint)
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -114,6 +114,7 @@
     endpoints: dict = field(default_factory=dict)
     destinations: dict = field(default_factory=dict)
     slots_out: int = 0
+    loss: float = 0.0
     keys: dict = field(default_factory=dict)
     key_rest: dict = field(default_factory=dict)
     wakes: set = field(default_factory=set)
