Pace starts at and grows by an even share of the limit

Cause: growth by a tenth of the whole limit each second, at every dispatcher, overran limits that count throttled calls too. May hurt: one hot dispatcher needs longer to find that it is alone.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -346,10 +346,11 @@
         now = self.at.now
         known = route.limit or route.scale
         if not route.pace:
-            route.pace = min(known, 1.5 * known / self.me.dispatchers) if known else FIRST_PACE
+            route.pace = known / self.me.dispatchers or FIRST_PACE
             route.filled_at = now
         gone = (now - route.filled_at) / SEC
-        route.pace = min(self.top(route), route.pace + gone * FASTER * (known or route.pace))
+        share = known / self.me.dispatchers or route.pace
+        route.pace = min(self.top(route), route.pace + gone * FASTER * share)
         route.tokens = min(max(1.0, BURST * route.pace), route.tokens + gone * route.pace)
         route.filled_at = now
         return route.tokens
@@ -367,7 +368,7 @@
                 if not route.throttled:
                     self.at.log(f"destination {push.ntf.destination.id} throttles: pace {route.pace:.2f}")
             route.throttled = True
-            route.tokens = min(route.tokens, 1.0)
+            route.tokens = min(route.tokens, 0.0)
         elif ending == "delivered" and route.throttled and now - route.slowed_at > 5 * SEC:
             route.throttled = False
 
