--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -358,6 +358,7 @@
     def back(self, push, ending, latency, wait, report):
         route, now = push.endpoint.route, self.at.now
         if report.get("limit"):
+            route.pace = route.pace if route.limit else report["limit"] / self.me.dispatchers
             route.limit = report["limit"]
         if ending == "throttled":
             self.filled(route)
