An endpoint that throttled has enough for a while

Cause: all dispatchers rank a destination's endpoints alike, so short queues overflow at the first while the next is idle.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -38,6 +38,7 @@
 FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH = 2  # calls out before the next endpoint in rank is taken
+ENOUGH_FOR = 2 * SEC  # and for so long after one that was throttled
 CEILING_FOR = 5 * SEC
 SHED_AT = 0.9
 PASS, KEEP, END = "pass", "keep", "end"
@@ -214,8 +215,7 @@
     """Sets endpoints aside, gives them single trials, and lets them warm up."""
 
     def out(self, push):
-        now, sound, trials = self.at.now, [], []
-        later = []
+        now, sound, trials, later = self.at.now, [], [], []
         for endpoint in push.options:
             quiet = all(p.overdue for call in endpoint.calls for p in call.pushes)
             if endpoint.down:
@@ -382,10 +382,8 @@
         free = [e for e in push.options if e.ceiling_until <= now or len(e.calls) < e.ceiling]
         if not free:
             return KEEP
-        free.sort(key=lambda e: e.rank)
-        push.endpoint = next((e for e in free if len(e.calls) < ENOUGH), None)
-        if push.endpoint is None:
-            push.endpoint = min(free, key=lambda e: len(e.calls))
+        free.sort(key=lambda e: (e.enough_until > now, max(len(e.calls) + 1 - ENOUGH, 0), e.rank))
+        push.endpoint = free[0]
         return PASS
 
     def back(self, push, ending, latency, wait, report):
@@ -394,6 +392,9 @@
             # Threat: few connections, others' idle ones counted; it shows beside successes.
             endpoint.ceiling = len(endpoint.calls) - 1
             endpoint.ceiling_until = self.at.now + CEILING_FOR
+        if ending == "throttled":
+            # Threat: all dispatchers rank alike, so the first overflows while the next stands idle.
+            endpoint.enough_until = self.at.now + ENOUGH_FOR
         call.pushes.remove(push)
         if not call.pushes:
             endpoint.calls.remove(call)
@@ -556,10 +557,8 @@
     def give_up(self, ntf):
         """The final answer, at once: throttled where trying again is harmless, else expired."""
         if harmless(ntf, self.now):
-            again = max(ntf.destination.route.wait_until - self.now, 0)
-            advised = self.me.settings.get("advises_again")
-            again = min(again, self.me.settings.get("most_again_in", 0)) if advised else 0
-            self.host.throttled(ntf.id, again)
+            again = min(ntf.destination.route.wait_until - self.now, self.me.settings.get("most_again_in", 0))
+            self.host.throttled(ntf.id, max(again, 0) if self.me.settings.get("advises_again") else 0)
         else:
             self.host.expired(ntf.id)
         self.close(ntf)
@@ -585,8 +584,7 @@
 
     def shed(self, waiting):
         """Threat: held places run out, and what comes next is turned away whatever it is worth."""
-        most = self.me.settings.get("most_held", 1 << 30) * SHED_AT
-        while len(self.me.notifications) > most:
+        while len(self.me.notifications) > self.me.settings.get("most_held", 1 << 30) * SHED_AT:
             least = [n for d in waiting for n in d.waiting if harmless(n, self.now)]
             if not least:
                 return
@@ -629,16 +627,15 @@
         # Threat: a batch shares one fate, so a trial and a doubtful endpoint get a single notification.
         if push.trial or endpoint.bad_since or endpoint.back_at:
             most = 1
-        order, timeout = self.stages[1], self.stages[7]
         self.launch(push, endpoint, call)
         for ntf in ready:
             if len(call.pushes) >= most:
                 break
             mate = Push(ntf, ntf.pushes)
             zoned = ntf.may_have_run and ntf.topic.get("group") == "zone"
-            if ntf.out or ntf.over or zoned or order.out(mate) != PASS:
+            if ntf.out or ntf.over or zoned or self.stages[1].out(mate) != PASS:
                 continue
-            timeout.out(mate)
+            self.stages[7].out(mate)
             self.launch(mate, endpoint, call)
         endpoint.calls.append(call)
         self.me.turns += 1
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -70,6 +70,7 @@
     calls: list = field(default_factory=list)
     ceiling: int = 0
     ceiling_until: int = 0
+    enough_until: int = 0
     trouble: float = 0.0
     bad_since: int = 0
     good_at: int = 0
