--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -24,6 +24,7 @@
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
 OVERDUE_FACTOR, LEAST_OVERDUE, NEW_OVERDUE = 4, 1500 * MS, 3 * SEC
+FREE_SHARE = 0.5  # a destination may have as many calls out as this part of the free slots, and one more
 LOST = 2  # times the overdue time: a call that may lose its slot
 TROUBLE_STEP = 0.4  # how far one bad outcome moves an endpoint's trouble towards 1
 LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
@@ -175,9 +176,10 @@
     def out(self, push):
         slots = self.me.settings.get("slots", 1 << 30)
         dest = push.ntf.destination
-        # Threat: once-only pushes to a silent destination hold slots until their TTL.
-        most = max(2, slots // 3) if slots > 2 else 1
-        if self.me.slots_out >= slots or dest.calls_out >= most:
+        # Threat: silent and slow destinations hold slots for long; the more a destination holds, the more
+        # must stay free for the others.
+        free = slots - self.me.slots_out
+        if free <= 0 or dest.calls_out > free * FREE_SHARE:
             return KEEP
         ready = [e for e in dest.endpoints if e.state == "ready"]
         held = push.ntf.may_have_run
