--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -15,16 +15,16 @@
 MS, SEC = 1_000_000, 1_000_000_000
 
 FACTOR = 2  # of the root of the MSE, in the time-out
-START_TIMEOUT = 45 * SEC
-LEAST_TIMEOUT = 1 * SEC
+START_TIMEOUT, LEAST_TIMEOUT = 45 * SEC, 1 * SEC
 SAMPLES = 3  # delivered pushes before a forecast counts
-SPAN = 10  # latencies that the sliding predictors look at
-SMOOTHING = 0.2
+SPAN, SMOOTHING = 10, 0.2  # what the sliding and the smoothing predictor look at
 MOST_DOUBLINGS = 4  # of the time-out while nothing is delivered
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
 OVERDUE_FACTOR, LEAST_OVERDUE, NEW_OVERDUE = 4, 1500 * MS, 3 * SEC
 FREE_SHARE = 0.5  # a destination may have as many calls out as this part of the free slots, and one more
+DOUBT = 2  # so many bad outcomes short of being set aside, an endpoint is in doubt
+DOUBT_SHARE = 0.34  # of the slots, for all calls to endpoints in doubt together
 LOST = 2  # times the overdue time: a call that may lose its slot
 TROUBLE_STEP = 0.4  # how far one bad outcome moves an endpoint's trouble towards 1
 LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
@@ -32,7 +32,8 @@
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
 SHORT_OUTAGE = 1500 * MS
 SHUT_AFTER = 2500 * MS
-RAMP_SHARE = 0.8
+RAMP_SHARE = 0.8  # of what the rule allows
+TRIAL_PUSHES = 0.67  # of a notification's pushes may go into trials
 REST, MOST_REST = 250 * MS, 2 * SEC
 SLOWER, FASTER, SLOW_GAP = 0.7, 0.1, 500 * MS
 BURST = 0.5  # seconds of the pace that may go at once
@@ -40,7 +41,7 @@
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH = 2  # calls out before the next endpoint in rank is taken
 ENOUGH_FOR = 2 * SEC  # and for so long after one that was throttled
-CEILING_FOR = 5 * SEC
+CROWDED_WITHIN, CEILING_FOR = 1 * SEC, 5 * SEC
 SHED_AT = 0.9
 PASS, KEEP, END = "pass", "keep", "end"
 SILENT = ("timeout", "reset", "cancelled")
@@ -49,13 +50,8 @@
 
 # ---- the forecaster: one series of delivered latencies for each destination
 
-PREDICTORS = (
-    lambda d: d.series[-1],
-    lambda d: d.mean,
-    lambda d: d.smooth,
-    lambda d: fmean(d.series),
-    lambda d: median(d.series),
-)
+PREDICTORS = (lambda d: d.series[-1], lambda d: d.mean, lambda d: d.smooth,
+              lambda d: fmean(d.series), lambda d: median(d.series))
 
 
 def learn(dest, latency):
@@ -91,15 +87,11 @@
     return whole * max(least, 1 - (1 - least) * late / max(ttl - objective, 1))
 
 
-def in_window(ntf, now):
-    """Threat: a repeat that arrives after the destination forgot the key; so travel time is taken off."""
-    window = ntf.topic.get("window", 0)
-    return now < ntf.may_have_run.sent_at + window - window // TRAVEL_SHARE
-
-
 def may_go_again(ntf, now):
-    kind = ntf.topic.get("kind")
-    return ntf.may_have_run is None or kind == "repeatable" or (kind == "collapsible" and in_window(ntf, now))
+    """Threat: a repeat that arrives after the destination forgot the key; so travel time is taken off."""
+    kind, window = ntf.topic.get("kind"), ntf.topic.get("window", 0)
+    return (ntf.may_have_run is None or kind == "repeatable" or kind == "collapsible"
+            and now < ntf.may_have_run.sent_at + window - window // TRAVEL_SHARE)
 
 
 def harmless(ntf, now):
@@ -179,9 +171,12 @@
         # Threat: silent and slow destinations hold slots for long; the more a destination holds, the more
         # must stay free for the others.
         free = slots - self.me.slots_out
+        ready = [e for e in dest.endpoints if e.state == "ready"]
         if free <= 0 or dest.calls_out > free * FREE_SHARE:
             return KEEP
-        ready = [e for e in dest.endpoints if e.state == "ready"]
+        doubts = sum(self.doubtful(e) * len(e.calls) for e in self.me.endpoints.values())
+        if all(map(self.doubtful, ready)) and doubts >= max(1, slots * DOUBT_SHARE):
+            return KEEP
         held = push.ntf.may_have_run
         if held and push.ntf.topic.get("group") == "zone":
             ready = [e for e in ready if e.zone == held.endpoint.zone]
@@ -189,6 +184,10 @@
         return PASS if ready else KEEP
 
 
+    def doubtful(self, endpoint):
+        return bool(endpoint.bad_since) and endpoint.trouble > self.at.health.after(-DOUBT)
+
+
 class Waits(Stage):
     """A wait that was told, or that follows from throttling, holds the whole route."""
 
@@ -254,19 +253,20 @@
         now = self.at.now
         if now - endpoint.back_at >= self.me.settings.get("warm_within", 0):
             endpoint.back_at = 0
-            self.at.log(f"endpoint {endpoint.id} warm")
+            self.at.host.log(f"endpoint {endpoint.id} warm")
             return True
         gained = self.budget(endpoint) * (now - endpoint.filled_at) / SEC
         endpoint.tokens = min(1.0, endpoint.tokens + gained)
         endpoint.filled_at = now
         return endpoint.tokens >= 1.0
 
-    def run(self):
-        """Bad outcomes in a row that set an endpoint aside.
+    def after(self, more=0):
+        """The trouble after the run of bad outcomes that sets an endpoint aside, or so many more.
 
         Threat: a path of ours that loses calls everywhere makes sound endpoints look down, so the run must be
         longer than this instance's own share of bad outcomes explains."""
-        return max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(self.me.loss, 0.01), 0.5))))
+        run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(self.me.loss, 0.01), 0.5))))
+        return 1 - (1 - TROUBLE_STEP) ** (run + more - 0.5)
 
     def back(self, push, ending, latency, wait, report):
         endpoint, now = push.endpoint, self.at.now
@@ -281,9 +281,7 @@
             since = endpoint.route.refused_since
             if endpoint.down or (since and now - since > SHUT_AFTER):
                 self.strike(endpoint, ending, since or now)
-        elif ending == "unreachable" and endpoint.good_at > push.sent_at - SEC and len(endpoint.calls) > 1:
-            pass  # connections are all taken: the pick learns a ceiling from it
-        elif ending != "cancelled":
+        elif ending != "cancelled" and not (ending == "unreachable" and push.crowded):
             self.strike(endpoint, ending, push.sent_at)
         push.call.judged = True
 
@@ -293,7 +291,8 @@
         if endpoint.down and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at = endpoint.filled_at = now
             endpoint.tokens = 0.0
-            self.at.log(f"endpoint {endpoint.id} back after {(now - endpoint.bad_since) // MS} ms, warming")
+            lasted = (now - endpoint.bad_since) // MS
+            self.at.host.log(f"endpoint {endpoint.id} back after {lasted} ms, warming")
         endpoint.down, endpoint.bad_since, endpoint.good_at = False, 0, now
         endpoint.trouble *= 1 - TROUBLE_STEP
 
@@ -304,11 +303,11 @@
         endpoint.bad_since = endpoint.bad_since or since
         if endpoint.down:
             self.aside(endpoint)
-        elif endpoint.trouble > 1 - (1 - TROUBLE_STEP) ** (self.run() - 0.5):
+        elif endpoint.trouble > self.after():
             endpoint.down = True
             endpoint.back_at = 0
             self.aside(endpoint)
-            self.at.log(f"endpoint {endpoint.id} set aside: {why}, trouble {endpoint.trouble:.2f}")
+            self.at.host.log(f"endpoint {endpoint.id} set aside: {why}, trouble {endpoint.trouble:.2f}")
 
     def aside(self, endpoint):
         """A fixed time with a random part, then this dispatcher's own turn."""
@@ -369,7 +368,7 @@
                 route.pace = max(route.pace * SLOWER, known / (4 * self.me.dispatchers), 0.2)
                 route.slowed_at = now
                 if not route.throttled:
-                    self.at.log(f"destination {push.ntf.destination.id} throttles: pace {route.pace:.2f}")
+                    self.at.host.log(f"destination {push.ntf.destination.id} throttles: pace {route.pace:.2f}")
             route.throttled = True
             route.tokens = min(route.tokens, 0.0)
         elif ending == "delivered" and route.throttled and now - route.slowed_at > 5 * SEC:
@@ -390,10 +389,10 @@
 
     def back(self, push, ending, latency, wait, report):
         endpoint, call = push.endpoint, push.call
-        if ending == "unreachable" and endpoint.good_at > push.sent_at - SEC and len(endpoint.calls) > 1:
+        push.crowded = endpoint.good_at > push.sent_at - CROWDED_WITHIN and len(endpoint.calls) > 1
+        if ending == "unreachable" and push.crowded:
             # Threat: few connections, others' idle ones counted; it shows beside successes.
-            endpoint.ceiling = len(endpoint.calls) - 1
-            endpoint.ceiling_until = self.at.now + CEILING_FOR
+            endpoint.ceiling, endpoint.ceiling_until = len(endpoint.calls) - 1, self.at.now + CEILING_FOR
         if ending == "throttled":
             # Threat: all dispatchers rank alike, so the first overflows while the next stands idle.
             endpoint.enough_until = self.at.now + ENOUGH_FOR
@@ -442,9 +441,6 @@
         self.me.counter += 1
         return crc32(f"{self.me.seed}/{self.me.rank}/{number}/{self.me.counter}".encode()) / 2 ** 32
 
-    def log(self, text):
-        self.host.log(text)
-
     def wake_at(self, at):
         if at > self.now and at not in self.me.wakes:
             self.me.wakes.add(at)
@@ -476,7 +472,7 @@
             pause = min(SEC << min(me.list_failures, 4), me.settings.get("must_ask_in", 10 * SEC))
             me.subscribe_at = self.now + pause // 2 + int(pause / 2 * self.chance(me.rank))
             self.wake_at(me.subscribe_at)
-            self.log(f"list news failed {me.list_failures} times, asking again")
+            self.host.log(f"list news failed {me.list_failures} times, asking again")
             return
         me.list_failures = 0
         named = {entry[0] for entry in entries}
@@ -611,8 +607,9 @@
         now = self.now
         ready = [n for n in dest.waiting if n.not_before <= now]
         if all(e.down for e in dest.endpoints):
-            # a trial takes what can best afford the loss
-            ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", benefit(n, now), n.pushes))
+            # A trial takes what can best afford the loss.  Threat: trials burn a notification's pushes.
+            ready = [n for n in ready if n.pushes < self.me.settings.get("most_pushes", 1 << 30) * TRIAL_PUSHES]
+            ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)))
         else:
             ready.sort(key=lambda n: (-benefit(n, now + forecast(dest)), n.ttl_at))
         for ntf in ready[:4]:
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -24,6 +24,7 @@
     overdue: bool = False
     cancelled: bool = False
     trial: bool = False
+    crowded: bool = False
 
 
 @dataclass(slots=True, eq=False)
