--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -133,8 +133,7 @@
         if ntf.over:
             return
         if self.hopeless(ntf):
-            self.at.give_up(ntf)
-            return
+            return self.at.give_up(ntf)
         if ending not in ("throttled", "moot"):
             # Threat: a down endpoint fails at once and burns every push in moments.
             ntf.not_before = now + min(SPACING << (ntf.pushes - 1), MOST_SPACING)
@@ -185,7 +184,7 @@
 
 
     def doubtful(self, endpoint):
-        return bool(endpoint.bad_since) and endpoint.trouble > self.at.health.after(-DOUBT)
+        return bool(endpoint.bad_since) and endpoint.trouble > self.at.health.after(more=-DOUBT)
 
 
 class Waits(Stage):
@@ -260,12 +259,13 @@
         endpoint.filled_at = now
         return endpoint.tokens >= 1.0
 
-    def after(self, more=0):
+    def after(self, surely=False, more=0):
         """The trouble after the run of bad outcomes that sets an endpoint aside, or so many more.
 
         Threat: a path of ours that loses calls everywhere makes sound endpoints look down, so the run must be
         longer than this instance's own share of bad outcomes explains."""
-        run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(self.me.loss, 0.01), 0.5))))
+        loss = 0 if surely else self.me.loss
+        run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(loss, 0.01), 0.5))))
         return 1 - (1 - TROUBLE_STEP) ** (run + more - 0.5)
 
     def back(self, push, ending, latency, wait, report):
@@ -298,12 +298,13 @@
 
     def strike(self, endpoint, why, since):
         endpoint.trouble += (1 - endpoint.trouble) * TROUBLE_STEP
-        if not endpoint.down:
+        surely = why == "unreachable"  # no lost call: the endpoint itself is not there
+        if not endpoint.down and not surely:
             self.me.loss += (1 - self.me.loss) * LOSS_STEP
         endpoint.bad_since = endpoint.bad_since or since
         if endpoint.down:
             self.aside(endpoint)
-        elif endpoint.trouble > self.after():
+        elif endpoint.trouble > self.after(surely):
             endpoint.down = True
             endpoint.back_at = 0
             self.aside(endpoint)
@@ -368,7 +369,8 @@
                 route.pace = max(route.pace * SLOWER, known / (4 * self.me.dispatchers), 0.2)
                 route.slowed_at = now
                 if not route.throttled:
-                    self.at.host.log(f"destination {push.ntf.destination.id} throttles: pace {route.pace:.2f}")
+                    number = push.ntf.destination.id
+                    self.at.host.log(f"destination {number} throttles: pace {route.pace:.2f}")
             route.throttled = True
             route.tokens = min(route.tokens, 0.0)
         elif ending == "delivered" and route.throttled and now - route.slowed_at > 5 * SEC:
@@ -466,15 +468,13 @@
     def listed(self, news, entries):
         """List news: (endpoint, destination, kind, scale, zone, state) for each entry."""
         me = self.me
-        if news == "failed":
+        me.list_failures = me.list_failures + 1 if news == "failed" else 0
+        if me.list_failures:
             # Threat: discovery in trouble; a growing pause keeps the subscription up without a flood.
-            me.list_failures += 1
             pause = min(SEC << min(me.list_failures, 4), me.settings.get("must_ask_in", 10 * SEC))
             me.subscribe_at = self.now + pause // 2 + int(pause / 2 * self.chance(me.rank))
             self.wake_at(me.subscribe_at)
-            self.host.log(f"list news failed {me.list_failures} times, asking again")
-            return
-        me.list_failures = 0
+            return self.host.log(f"list news failed {me.list_failures} times, asking again")
         named = {entry[0] for entry in entries}
         for endpoint in me.endpoints.values():
             if news != "changes" and endpoint.id not in named:
@@ -608,7 +608,8 @@
         ready = [n for n in dest.waiting if n.not_before <= now]
         if all(e.down for e in dest.endpoints):
             # A trial takes what can best afford the loss.  Threat: trials burn a notification's pushes.
-            ready = [n for n in ready if n.pushes < self.me.settings.get("most_pushes", 1 << 30) * TRIAL_PUSHES]
+            most = self.me.settings.get("most_pushes", 1 << 30) * TRIAL_PUSHES
+            ready = [n for n in ready if n.pushes < most]
             ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)))
         else:
             ready.sort(key=lambda n: (-benefit(n, now + forecast(dest)), n.ttl_at))
