--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -23,8 +23,6 @@
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
 OVERDUE_FACTOR, LEAST_OVERDUE, NEW_OVERDUE = 4, 1500 * MS, 3 * SEC
 FREE_SHARE = 1  # a destination may have as many calls out as this times the free slots, and one more
-DOUBT = 2  # so many bad outcomes short of being set aside, an endpoint is in doubt
-DOUBT_SHARE = 0.34  # of the slots, for all calls to endpoints in doubt together
 LOST = 2  # times the overdue time: a call that may lose its slot
 TROUBLE_STEP = 0.4  # how far one bad outcome moves an endpoint's trouble towards 1
 LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
@@ -106,9 +104,6 @@
     def __init__(self, dispatcher):
         self.at, self.me = dispatcher, dispatcher.me
 
-    def out(self, push):
-        return PASS
-
     def back(self, push, ending, latency, wait, report):
         pass
 
@@ -157,6 +152,7 @@
         ntf = push.ntf
         if ntf.key and ntf.topic.get("ordered") and ending in SILENT:
             until = self.at.now + self.me.settings.get("order_pause", 0)
+            self.me.key_rest = {k: rest for k, rest in self.me.key_rest.items() if rest[0] > self.at.now}
             self.me.key_rest[ntf.key] = (until, ntf)
             self.at.wake_at(until)
 
@@ -173,9 +169,6 @@
         ready = [e for e in dest.endpoints if e.state == "ready"]
         if free <= 0 or dest.calls_out > free * FREE_SHARE:
             return KEEP
-        doubts = sum(self.doubtful(e) * len(e.calls) for e in self.me.endpoints.values())
-        if all(map(self.doubtful, ready)) and doubts >= max(1, slots * DOUBT_SHARE):
-            return KEEP
         held = push.ntf.may_have_run
         if held and push.ntf.topic.get("group") == "zone":
             ready = [e for e in ready if e.zone == held.endpoint.zone]
@@ -183,10 +176,6 @@
         return PASS if ready else KEEP
 
 
-    def doubtful(self, endpoint):
-        return bool(endpoint.bad_since) and endpoint.trouble > self.at.health.after(more=-DOUBT)
-
-
 class Waits(Stage):
     """A wait that was told, or that follows from throttling, holds the whole route."""
 
@@ -219,10 +208,13 @@
         for endpoint in push.options:
             quiet = all(p.overdue for call in endpoint.calls for p in call.pushes)
             if endpoint.down:
-                if now >= endpoint.trial_at and quiet:
+                due = now >= endpoint.trial_at and quiet
+                if due and not endpoint.answers and self.me.settings.get("may_probe"):
+                    self.aside(endpoint)  # a probe spares a notification's push
+                    self.at.host.probe(endpoint.id)
+                elif due:
                     trials.append(endpoint)
-                else:
-                    later.append(endpoint.trial_at)
+                later.append(endpoint.trial_at)
             elif endpoint.bad_since and not quiet:
                 continue  # single file until one is delivered; the overdue ones are not waited for
             elif endpoint.back_at and not self.warm(endpoint):
@@ -259,14 +251,14 @@
         endpoint.filled_at = now
         return endpoint.tokens >= 1.0
 
-    def after(self, surely=False, more=0):
-        """The trouble after the run of bad outcomes that sets an endpoint aside, or so many more.
+    def after(self, surely):
+        """The trouble after the run of bad outcomes that sets an endpoint aside.
 
         Threat: a path of ours that loses calls everywhere makes sound endpoints look down, so the run must be
         longer than this instance's own share of bad outcomes explains."""
         loss = 0 if surely else self.me.loss
         run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(loss, 0.01), 0.5))))
-        return 1 - (1 - TROUBLE_STEP) ** (run + more - 0.5)
+        return 1 - (1 - TROUBLE_STEP) ** (run - 0.5)
 
     def back(self, push, ending, latency, wait, report):
         endpoint, now = push.endpoint, self.at.now
@@ -312,6 +304,7 @@
 
     def aside(self, endpoint):
         """A fixed time with a random part, then this dispatcher's own turn."""
+        endpoint.answers = False
         at = self.at.now + ASIDE + int(ASIDE_RANDOM * self.at.chance(endpoint.id))
         slices = at // TURN_SLICE
         slices += (self.me.rank - slices) % self.me.dispatchers
@@ -476,9 +469,11 @@
             self.wake_at(me.subscribe_at)
             return self.host.log(f"list news failed {me.list_failures} times, asking again")
         named = {entry[0] for entry in entries}
-        for endpoint in me.endpoints.values():
+        for endpoint in list(me.endpoints.values()):
             if news != "changes" and endpoint.id not in named:
                 endpoint.state = "gone"
+            if endpoint.state == "gone" and not endpoint.calls and endpoint.id not in named:
+                endpoint.destination.endpoints.remove(me.endpoints.pop(endpoint.id))
         for number, destination, kind, scale, zone, state in entries:
             dest = self.destination(destination)
             endpoint = me.endpoints.get(number)
@@ -529,11 +524,11 @@
         if ntf:
             self.close(ntf)
 
-    def probed(self, endpoint_id, ending, latency):
-        """No probe is sent as yet."""
-
-    def noted(self, rank, body):
-        """No note is sent as yet."""
+    def probed(self, endpoint_id, ending):
+        endpoint = self.me.endpoints.get(endpoint_id)
+        if endpoint and ending == "delivered":
+            endpoint.answers, endpoint.trial_at = True, self.now
+            endpoint.destination.idle_until = 0
 
     # -- endings
 
--- a/juniperlanding/drill/host.py
+++ b/juniperlanding/drill/host.py
@@ -99,13 +99,13 @@
         pass  # streams are not part of these deployments: nothing waits on the start of an answer
 
     def pong(self, dispatcher, endpoint, code, spent, report):
-        dispatcher.probed(endpoint, self.outcome(code), spent)
+        dispatcher.probed(endpoint, self.outcome(code))
 
     def wake(self, dispatcher, tok):
         dispatcher.wake(tok)
 
     def datagram(self, dispatcher, sender, body):
-        dispatcher.noted(sender, body)
+        pass  # no notes are sent, so none is expected
 
     def topology(self, dispatcher, kind, stamp, number):
         if kind not in codec.NEWS:
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -77,6 +77,7 @@
     good_at: int = 0
     down: bool = False
     trial_at: int = 0
+    answers: bool = False
     back_at: int = 0
     tokens: float = 0.0
     filled_at: int = 0
