--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -16,8 +16,7 @@
 
 FACTOR = 2  # of the root of the MSE, in the time-out
 START_TIMEOUT, LEAST_TIMEOUT = 45 * SEC, 1 * SEC
-SAMPLES = 3  # delivered pushes before a forecast counts
-SPAN, SMOOTHING = 10, 0.2  # what the sliding and the smoothing predictor look at
+SAMPLES, SPAN, SMOOTHING = 3, 10, 0.2  # deliveries until a forecast counts; what the predictors look at
 MOST_DOUBLINGS = 4  # of the time-out while nothing is delivered
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
@@ -37,8 +36,7 @@
 BURST = 0.5  # seconds of the pace that may go at once
 FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
-ENOUGH = 2  # calls out before the next endpoint in rank is taken
-ENOUGH_FOR = 2 * SEC  # and for so long after one that was throttled
+ENOUGH, ENOUGH_FOR = 2, 2 * SEC  # calls out at an endpoint, or time since it throttled, to take the next
 CROWDED_WITHIN, CEILING_FOR = 1 * SEC, 5 * SEC
 SHED_AT = 0.9
 PASS, KEEP, END = "pass", "keep", "end"
@@ -406,7 +404,9 @@
         limit = START_TIMEOUT
         push.overdue_at = now + NEW_OVERDUE
         if dest.samples >= SAMPLES:
-            limit = max(dest.forecast + FACTOR * dest.miss, LEAST_TIMEOUT) << dest.back_off
+            # The floor: cutting before the objective gains nothing and repeats work that was nearly done.
+            limit = max(dest.forecast + FACTOR * dest.miss, ntf.topic.get("objective", LEAST_TIMEOUT))
+            limit <<= max(dest.back_off, ntf.cut)
             push.overdue_at = now + max(dest.forecast + OVERDUE_FACTOR * dest.miss, LEAST_OVERDUE)
         left = ntf.ttl_at - now
         push.timeout = 0 if ntf.topic.get("kind") not in ("repeatable", "collapsible") else min(limit, left)
@@ -418,8 +418,10 @@
             learn(dest, latency)
             dest.back_off = 0
         elif ending == "timeout" and 0 < push.timeout < push.ntf.ttl_at - push.sent_at:
-            # Threat: answers jump past the time-out for good and leave no sample; so it doubles.
+            # Threat: answers jump past the time-out for good and leave no sample; so it doubles.  For the
+            # notification it stays doubled: one that is heavy in itself takes as long the next time.
             dest.back_off = min(dest.back_off + 1, MOST_DOUBLINGS)
+            push.ntf.cut = min(push.ntf.cut + 1, MOST_DOUBLINGS)
 
 
 class Dispatcher:
@@ -489,10 +491,9 @@
             dest.idle_until = 0
 
     def destination(self, number):
-        dest = self.me.destinations.get(number)
-        if dest is None:
-            dest = self.me.destinations[number] = Destination(number)
-        return dest
+        if number not in self.me.destinations:
+            self.me.destinations[number] = Destination(number)
+        return self.me.destinations[number]
 
     def notification(self, ntf_id, topic, destination, ttl_at=0, key=0):
         topics = self.me.settings.get("topic_types", [])
@@ -589,8 +590,8 @@
         When something waits for want of a slot, the call longest overdue gives up its own."""
         if self.me.slots_out < self.me.settings.get("slots", 1 << 30) or not any(d.waiting for d in waiting):
             return
-        lost = [p for p in self.me.pushes.values()
-                if p.overdue and not p.cancelled and self.now - p.sent_at > LOST * (p.overdue_at - p.sent_at)]
+        lost = [p for p in self.me.pushes.values() if p.overdue and not p.cancelled
+                and self.now - p.sent_at > LOST * (p.overdue_at - p.sent_at)]
         if lost and self.me.settings.get("may_cancel"):
             push = min(lost, key=lambda p: p.sent_at)
             for mate in push.call.pushes:
@@ -598,7 +599,7 @@
                 self.host.cancel(mate.ntf.id, mate.number)
 
     def serve(self, dest):
-        """Send the best of what waits for one destination; False if nothing may go now."""
+        """Send the best of what waits for one destination, if anything may go now."""
         now = self.now
         ready = [n for n in dest.waiting if n.not_before <= now]
         if all(e.down for e in dest.endpoints):
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -37,6 +37,7 @@
     ttl_at: int
     key: int = 0
     pushes: int = 0
+    cut: int = 0
     out: Push | None = None
     not_before: int = 0
     may_have_run: Push | None = None
