The pace grows to 1.3 even shares of a known limit at most

Should also help with bursts and restarts. May hurt: one hot dispatcher at a destination near its limit.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -34,6 +34,7 @@
 REST, MOST_REST = 250 * MS, 2 * SEC
 SLOWER, FASTER, SLOW_GAP = 0.7, 0.1, 500 * MS
 BURST = 0.5  # seconds of the pace that may go at once
+MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace grows to
 FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH, ENOUGH_FOR = 2, 2 * SEC  # calls out at an endpoint, or time since it throttled, to take the next
@@ -329,10 +330,9 @@
         return PASS
 
     def top(self, route):
-        if route.limit:
-            return route.limit
-        if self.me.settings.get("scale_kind") == "nominal":
-            return route.scale
+        """Threat: paces that all grow to the whole limit overrun it together, and throttled calls use it up."""
+        if route.limit or self.me.settings.get("scale_kind") == "nominal":
+            return (route.limit or route.scale) * min(1, MOST_SHARES / self.me.dispatchers)
         return 2 * route.scale if route.scale else float("inf")
 
     def filled(self, route):
