--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -330,10 +330,9 @@
         return PASS
 
     def top(self, route):
-        """Threat: paces that all grow to the whole limit overrun it together, and throttled calls use it up."""
-        if route.limit or self.me.settings.get("scale_kind") == "nominal":
-            return (route.limit or route.scale) * min(1, MOST_SHARES / self.me.dispatchers)
-        return 2 * route.scale if route.scale else float("inf")
+        """Threat: paces that all grow to the whole limit overrun it together."""
+        known = route.limit or route.scale * (2 if self.me.settings.get("scale_kind") == "rough" else 1)
+        return known * min(1, MOST_SHARES / self.me.dispatchers) or float("inf")
 
     def filled(self, route):
         now = self.at.now
