--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -22,7 +22,7 @@
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
 OVERDUE_FACTOR, LEAST_OVERDUE, NEW_OVERDUE = 4, 1500 * MS, 3 * SEC
 FREE_SHARE = 1  # a destination may have as many calls out as this times the free slots, and one more
-LOST = 2  # times the overdue time: a call that may lose its slot
+LOST = 2  # times the overdue time: a once-only call may lose its slot; others when overdue
 TROUBLE_STEP = 0.4  # how far one bad outcome moves an endpoint's trouble towards 1
 LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
 LOSS_STEP = 0.03  # how far one push moves the instance's share of bad outcomes
@@ -590,7 +590,7 @@
         if self.me.slots_out < self.me.settings.get("slots", 1 << 30) or not any(d.waiting for d in waiting):
             return
         lost = [p for p in self.me.pushes.values() if p.overdue and not p.cancelled
-                and self.now - p.sent_at > LOST * (p.overdue_at - p.sent_at)]
+                and (p.timeout or self.now - p.sent_at > LOST * (p.overdue_at - p.sent_at))]
         if lost and self.me.settings.get("may_cancel"):
             push = min(lost, key=lambda p: p.sent_at)
             for mate in push.call.pushes:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -166,6 +166,12 @@
     assert bed.endpoint().route.pace < pace and bed.endpoint().route.limit == 4.0
 
 
+def test_pace_grows_to_its_share_of_a_known_limit():
+    bed = Bed(scale=10.0, dispatchers=4)
+    bed.deliver(60)
+    assert 2.5 < bed.endpoint().route.pace <= 10.0 * 1.3 / 4
+
+
 def test_a_clump_goes_at_the_pace():
     bed = Bed(scale=4.0)
     for _ in range(10):
@@ -190,6 +196,20 @@
     assert bed.at.me.slots_out <= 6
 
 
+@pytest.mark.parametrize("topic, after", [(REPEATABLE, 1), (ONCE_ONLY, 2)])
+def test_lost_calls_give_up_their_slot_when_something_waits(topic, after):
+    bed = Bed(slots=1, may_cancel=True)
+    ntf = bed.take(topic)
+    bed.turn()
+    for _ in range(after):
+        assert not bed.host.all("cancel")
+        bed.turn(2.9)
+    bed.take(destination=2)
+    assert bed.turn(0) == 1 and not bed.host.all("cancel")
+    bed.turn(0.3)
+    assert bed.host.all("cancel") == [[ntf, 0]]
+
+
 def test_keys_keep_their_order_and_rest():
     bed = Bed(order_pause=2 * SEC)
     first, second = bed.take(ORDERED, key=5), bed.take(ORDERED, key=5)
