--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -20,7 +20,7 @@
 MOST_DOUBLINGS = 4  # of the time-out while nothing is delivered
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
-OVERDUE_FACTOR, LEAST_OVERDUE, NEW_OVERDUE = 4, 1500 * MS, 3 * SEC
+OVERDUE_FACTOR, LEAST_OVERDUE = 4, 1500 * MS
 FREE_SHARE = 1  # a destination may have as many calls out as this times the free slots, and one more
 LOST = 2  # times the overdue time: a once-only call may lose its slot; others when overdue
 TROUBLE_STEP = 0.4  # how far one bad outcome moves an endpoint's trouble towards 1
@@ -401,7 +401,7 @@
     def out(self, push):
         ntf, dest, now = push.ntf, push.ntf.destination, self.at.now
         limit = START_TIMEOUT
-        push.overdue_at = now + NEW_OVERDUE
+        push.overdue_at = now + LEAST_OVERDUE
         if dest.samples >= SAMPLES:
             # The floor: cutting before the objective gains nothing and repeats work that was nearly done.
             limit = max(dest.forecast + FACTOR * dest.miss, ntf.topic.get("objective", LEAST_TIMEOUT))
