--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -220,10 +220,8 @@
                 later.append(now + 100 * MS)
             else:
                 sound.append(endpoint)
-        if trials and (not sound or push.ntf.topic.get("kind") != "once-only"):
-            push.options, push.trial = trials, True
-        else:
-            push.options = sound
+        push.trial = bool(trials) and (not sound or push.ntf.topic.get("kind") != "once-only")
+        push.options = trials if push.trial else sound
         if not push.options:
             self.at.idle_until(push, min((t for t in later if t > now), default=0))
         return PASS if push.options else KEEP
@@ -242,8 +240,8 @@
     def warm(self, endpoint):
         now = self.at.now
         if now - endpoint.back_at >= self.me.settings.get("warm_within", 0):
+            self.at.host.log(f"endpoint {endpoint.id} warm after {(now - endpoint.back_at) // MS} ms")
             endpoint.back_at = 0
-            self.at.host.log(f"endpoint {endpoint.id} warm")
             return True
         gained = self.budget(endpoint) * (now - endpoint.filled_at) / SEC
         endpoint.tokens = min(1.0, endpoint.tokens + gained)
@@ -296,8 +294,7 @@
         if endpoint.down:
             self.aside(endpoint)
         elif endpoint.trouble > self.after(surely):
-            endpoint.down = True
-            endpoint.back_at = 0
+            endpoint.down, endpoint.back_at = True, 0
             self.aside(endpoint)
             self.at.host.log(f"endpoint {endpoint.id} set aside: {why}, trouble {endpoint.trouble:.2f}")
 
@@ -430,7 +427,7 @@
         self.host, self.now = host, now
         self.me = Instance(settings, seed, settings.get("rank", 0), max(1, settings.get("dispatchers", 1)))
         self.stages = [stage(self) for stage in (Ttl, Order, Slots, Waits, Health, Rate, Pick, Timeout)]
-        self.ttl, self.health, self.rate = self.stages[0], self.stages[4], self.stages[5]
+        self.ttl, self.health = self.stages[0], self.stages[4]
 
     def chance(self, number):
         """A number from 0 up to 1, the same for equal events."""
@@ -577,7 +574,11 @@
 
     def shed(self, waiting):
         """Threat: held places run out, and what comes next is turned away whatever it is worth."""
-        while len(self.me.notifications) > self.me.settings.get("most_held", 1 << 30) * SHED_AT:
+        held, most = len(self.me.notifications), self.me.settings.get("most_held", 1 << 30) * SHED_AT
+        if held > most and not self.me.shedding:
+            self.host.log(f"places run out: {held} held, throttling what is worth least")
+        self.me.shedding = held > most or (self.me.shedding and held > most / 2)
+        while len(self.me.notifications) > most:
             least = [n for d in waiting for n in d.waiting if harmless(n, self.now)]
             if not least:
                 return
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -124,3 +124,4 @@
     wakes: set = field(default_factory=set)
     list_failures: int = 0
     subscribe_at: int = 0
+    shedding: bool = False
