--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -2,7 +2,7 @@
 
 How to use it: build `Dispatcher(host, settings, seed, now)` with a host as in `interface.Host`; call
 `start()`; then, for each moment, set `now`, hand in the events (`listed`, `notification`, `outcome`,
-`withdrawn`, `probed`, `noted`, `wake`) and call `turn()` once all are in.  Settings are a plain map in the
+`withdrawn`, `probed`, `wake`) and call `turn()` once all are in.  Settings are a plain map in the
 project's words (README); records are in `state.py`; docs/design.md has the design and each exception.
 """
 
@@ -97,6 +97,10 @@
     return ntf.out is None and (ntf.may_have_run is None or (everywhere and may_go_again(ntf, now)))
 
 
+def known(route):
+    return route.limit or route.scale  # what is reported before what is listed; 0 for neither
+
+
 # ---- the stages, in the order in which a push passes them; `back` runs the other way
 
 class Stage:
@@ -165,9 +169,9 @@
         # Threat: silent and slow destinations hold slots for long; the more a destination holds, the more
         # must stay free for the others.
         free = slots - self.me.slots_out
-        ready = [e for e in dest.endpoints if e.state == "ready"]
         if free <= 0 or dest.calls_out > free * FREE_SHARE:
             return KEEP
+        ready = [e for e in dest.endpoints if e.state == "ready"]
         held = push.ntf.may_have_run
         if held and push.ntf.topic.get("group") == "zone":
             ready = [e for e in ready if e.zone == held.endpoint.zone]
@@ -233,7 +237,7 @@
         get = self.me.settings.get
         start, warm = get("start_capacity", 1.0), get("warm_within", 0)
         level = start + (1 - start) * min(1.0, (self.at.now - endpoint.back_at) / max(warm, 1))
-        whole = endpoint.route.limit or endpoint.route.scale or FIRST_PACE
+        whole = known(endpoint.route) or FIRST_PACE
         mates = sum(e.state == "ready" and e.route is endpoint.route for e in endpoint.destination.endpoints)
         return whole / max(mates, 1) * level * get("overload_factor", 1.0) * RAMP_SHARE / self.me.dispatchers
 
@@ -328,18 +332,16 @@
 
     def top(self, route):
         """Threat: paces that all grow to the whole limit overrun it together."""
-        known = route.limit or route.scale * (2 if self.me.settings.get("scale_kind") == "rough" else 1)
-        return known * min(1, MOST_SHARES / self.me.dispatchers) or float("inf")
+        most = route.limit or route.scale * (2 if self.me.settings.get("scale_kind") == "rough" else 1)
+        return most * min(1, MOST_SHARES / self.me.dispatchers) or float("inf")
 
     def filled(self, route):
         now = self.at.now
-        known = route.limit or route.scale
+        share = known(route) / self.me.dispatchers
         if not route.pace:
-            route.pace = known / self.me.dispatchers or FIRST_PACE
-            route.filled_at = now
+            route.pace, route.filled_at = share or FIRST_PACE, now
         gone = (now - route.filled_at) / SEC
-        share = known / self.me.dispatchers or route.pace
-        route.pace = min(self.top(route), route.pace + gone * FASTER * share)
+        route.pace = min(self.top(route), route.pace + gone * FASTER * (share or route.pace))
         route.tokens = min(max(1.0, BURST * route.pace), route.tokens + gone * route.pace)
         route.filled_at = now
         return route.tokens
@@ -352,8 +354,7 @@
         if ending == "throttled":
             self.filled(route)
             if now - route.slowed_at > SLOW_GAP:
-                known = route.limit or route.scale
-                route.pace = max(route.pace * SLOWER, known / (4 * self.me.dispatchers), 0.2)
+                route.pace = max(route.pace * SLOWER, known(route) / (4 * self.me.dispatchers), 0.2)
                 route.slowed_at = now
                 if not route.throttled:
                     number = push.ntf.destination.id
@@ -427,7 +428,7 @@
         self.host, self.now = host, now
         self.me = Instance(settings, seed, settings.get("rank", 0), max(1, settings.get("dispatchers", 1)))
         self.stages = [stage(self) for stage in (Ttl, Order, Slots, Waits, Health, Rate, Pick, Timeout)]
-        self.ttl, self.health = self.stages[0], self.stages[4]
+        self.ttl, self.order, _, _, self.health, _, _, self.timeout = self.stages
 
     def chance(self, number):
         """A number from 0 up to 1, the same for equal events."""
@@ -629,9 +630,9 @@
                 break
             mate = Push(ntf, ntf.pushes)
             zoned = ntf.may_have_run and ntf.topic.get("group") == "zone"
-            if ntf.out or ntf.over or zoned or self.stages[1].out(mate) != PASS:
+            if ntf.out or ntf.over or zoned or self.order.out(mate) != PASS:
                 continue
-            self.stages[7].out(mate)
+            self.timeout.out(mate)
             self.launch(mate, endpoint, call)
         endpoint.calls.append(call)
         self.me.turns += 1
