Idle connections that will not be reused are closed

Cause: at full size hundreds of dispatchers that call an endpoint once in half a minute keep a connection idle for 10 s each, which fills its few places; 35 to 66% of the pushes got no connection.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -391,6 +391,11 @@
             endpoint.calls.remove(call)
             endpoint.destination.calls_out -= 1
             self.me.slots_out -= 1
+            # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
+            share = known(endpoint.route) / self.me.dispatchers
+            idle = self.me.settings.get("idle_closes", 0)
+            if not endpoint.calls and share * idle < SEC and endpoint.gap > idle:
+                self.at.host.close_idle(endpoint.id)
 
 
 class Timeout(Stage):
@@ -635,6 +640,7 @@
             self.timeout.out(mate)
             self.launch(mate, endpoint, call)
         endpoint.calls.append(call)
+        endpoint.gap, endpoint.used_at = self.now - endpoint.used_at, self.now
         self.me.turns += 1
         dest.served_at = self.me.turns
         dest.calls_out += 1
