--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -39,6 +39,7 @@
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH, ENOUGH_FOR = 2, 2 * SEC  # calls out at an endpoint, or time since it throttled, to take the next
 CROWDED_WITHIN, CEILING_FOR = 1 * SEC, 5 * SEC
+REUSES = 8  # in the time until an idle connection closes by itself: fewer are not worth a place
 SHED_AT = 0.9
 PASS, KEEP, END = "pass", "keep", "end"
 SILENT = ("timeout", "reset", "cancelled")
@@ -394,7 +395,7 @@
             # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
             share = known(endpoint.route) / self.me.dispatchers
             idle = self.me.settings.get("idle_closes", 0)
-            if not endpoint.calls and share * idle < SEC and endpoint.gap > idle:
+            if not endpoint.calls and share * idle < REUSES * SEC and endpoint.gap * REUSES > idle:
                 self.at.host.close_idle(endpoint.id)
 
 
