Endpoints in doubt are left alone for a growing pause; warming follows own traffic

Cause: at full size each of two hundred dispatchers has one failure at most and none sets the endpoint aside, while the even share of the warming budget allows no call at all.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -6,7 +6,7 @@
 project's words (README); records are in `state.py`; docs/design.md has the design and each exception.
 """
 
-from math import ceil, log
+from math import ceil, exp, log
 from statistics import fmean, median
 from zlib import crc32
 
@@ -28,6 +28,8 @@
 LOSS_STEP = 0.03  # how far one push moves the instance's share of bad outcomes
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
 SHORT_OUTAGE = 1500 * MS
+DOUBT_GROWTH = 3  # times the age of a doubt: the pause until the next push there
+USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual calls to a destination are counted
 SHUT_AFTER = 2500 * MS
 RAMP_SHARE = 0.8  # of what the rule allows
 TRIAL_PUSHES = 0.67  # of a notification's pushes may go into trials
@@ -98,6 +100,11 @@
     return ntf.out is None and (ntf.may_have_run is None or (everywhere and may_go_again(ntf, now)))
 
 
+def usual(dest, now):
+    """Calls a second that this dispatcher has lately made to a destination."""
+    return dest.load * exp((dest.served_at - now) / USUAL_SPAN) * SEC / USUAL_SPAN
+
+
 def known(route):
     return route.limit or route.scale  # what is reported before what is listed; 0 for neither
 
@@ -219,7 +226,8 @@
                 elif due:
                     trials.append(endpoint)
                 later.append(endpoint.trial_at)
-            elif endpoint.bad_since and not quiet:
+            elif endpoint.bad_since and (not quiet or now < endpoint.trial_at):
+                later.append(endpoint.trial_at)
                 continue  # single file until one is delivered; the overdue ones are not waited for
             elif endpoint.back_at and not self.warm(endpoint):
                 later.append(now + 100 * MS)
@@ -231,16 +239,24 @@
             self.at.idle_until(push, min((t for t in later if t > now), default=0))
         return PASS if push.options else KEEP
 
-    def budget(self, endpoint):
-        """This dispatcher's own share of what a cold endpoint stands, in calls a second.
+    def budget(self, endpoint, age):
+        """This dispatcher's own share of what an endpoint stands at this age of its return, in calls a second.
 
         Threat: held work pushes a destination over as it comes back; trials and throttled calls count."""
         get = self.me.settings.get
         start, warm = get("start_capacity", 1.0), get("warm_within", 0)
-        level = start + (1 - start) * min(1.0, (self.at.now - endpoint.back_at) / max(warm, 1))
+        level = start + (1 - start) * min(1.0, age / max(warm, 1))
         whole = known(endpoint.route) or FIRST_PACE
         mates = sum(e.state == "ready" and e.route is endpoint.route for e in endpoint.destination.endpoints)
-        return whole / max(mates, 1) * level * get("overload_factor", 1.0) * RAMP_SHARE / self.me.dispatchers
+        own = max(whole / self.me.dispatchers, usual(endpoint.destination, self.at.now))
+        return own / max(mates, 1) * level * get("overload_factor", 1.0) * RAMP_SHARE
+
+    def pause(self, endpoint):
+        """How long an endpoint in doubt is left alone.
+
+        Threat: each of many dispatchers tries seldom, all of them together push over what comes back.  Who
+        else saw it fail is not known, but their number grows with its age, up to all of them."""
+        return int(min(DOUBT_GROWTH * (self.at.now - endpoint.bad_since), SEC / self.budget(endpoint, 0)))
 
     def warm(self, endpoint):
         now = self.at.now
@@ -248,7 +264,7 @@
             self.at.host.log(f"endpoint {endpoint.id} warm after {(now - endpoint.back_at) // MS} ms")
             endpoint.back_at = 0
             return True
-        gained = self.budget(endpoint) * (now - endpoint.filled_at) / SEC
+        gained = self.budget(endpoint, now - endpoint.back_at) * (now - endpoint.filled_at) / SEC
         endpoint.tokens = min(1.0, endpoint.tokens + gained)
         endpoint.filled_at = now
         return endpoint.tokens >= 1.0
@@ -284,7 +300,7 @@
         # Threat: a path that loses single calls looks like an outage each time; a run of failures is one.
         if endpoint.down and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at = endpoint.filled_at = now
-            endpoint.tokens = 0.0
+            endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
             lasted = (now - endpoint.bad_since) // MS
             self.at.host.log(f"endpoint {endpoint.id} back after {lasted} ms, warming")
         endpoint.down, endpoint.bad_since, endpoint.good_at = False, 0, now
@@ -297,8 +313,10 @@
             self.me.loss += (1 - self.me.loss) * LOSS_STEP
         endpoint.bad_since = endpoint.bad_since or since
         if endpoint.down:
-            self.aside(endpoint)
-        elif endpoint.trouble > self.after(surely):
+            return self.aside(endpoint)
+        endpoint.trial_at = self.at.now + int(self.pause(endpoint) * (0.5 + self.at.chance(endpoint.id)))
+        self.at.wake_at(endpoint.trial_at)
+        if endpoint.trouble > self.after(surely):
             endpoint.down, endpoint.back_at = True, 0
             self.aside(endpoint)
             self.at.host.log(f"endpoint {endpoint.id} set aside: {why}, trouble {endpoint.trouble:.2f}")
@@ -306,10 +324,12 @@
     def aside(self, endpoint):
         """A fixed time with a random part, then this dispatcher's own turn."""
         endpoint.answers = False
-        at = self.at.now + ASIDE + int(ASIDE_RANDOM * self.at.chance(endpoint.id))
-        slices = at // TURN_SLICE
+        pause = self.pause(endpoint)
+        at = self.at.now + max(ASIDE + int(ASIDE_RANDOM * self.at.chance(endpoint.id)), pause // 2)
+        turn = min(TURN_SLICE, max(ASIDE, pause) // self.me.dispatchers)
+        slices = at // turn
         slices += (self.me.rank - slices) % self.me.dispatchers
-        endpoint.trial_at = max(at, slices * TURN_SLICE)
+        endpoint.trial_at = max(at, slices * turn)
         self.at.wake_at(endpoint.trial_at)
 
     def overdue(self, push):
@@ -575,7 +595,7 @@
         self.reclaim(waiting)
         ready = [d for d in waiting if d.waiting and d.idle_until <= now]
         while ready:
-            dest = min(ready, key=lambda d: (d.calls_out, d.served_at))
+            dest = min(ready, key=lambda d: (d.calls_out, d.turn))
             if not self.serve(dest) or not dest.waiting:
                 ready.remove(dest)
 
@@ -642,8 +662,9 @@
             self.launch(mate, endpoint, call)
         endpoint.calls.append(call)
         endpoint.gap, endpoint.used_at = self.now - endpoint.used_at, self.now
+        dest.load = 1 + dest.load * exp((dest.served_at - self.now) / USUAL_SPAN)
         self.me.turns += 1
-        dest.served_at = self.me.turns
+        dest.served_at, dest.turn = self.now, self.me.turns
         dest.calls_out += 1
         self.me.slots_out += 1
         endpoint.route.tokens -= 1 + BATCH_WEIGHT * (len(call.pushes) - 1)
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -94,6 +94,8 @@
     waiting: list = field(default_factory=list)
     route: Route = field(default_factory=Route)
     served_at: int = 0
+    turn: int = 0
+    load: float = 0.0
     samples: int = 0
     series: list = field(default_factory=list)
     mean: float = 0.0
