The ranking of endpoints is fixed at each dispatcher, not alike at all of them

Cause: hundreds of dispatchers with one call out each never find that the first in rank has enough, so all of them sat on one endpoint of each destination and filled its connections.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -506,7 +506,7 @@
                 apart = me.settings.get("routes_apart", [])
                 route = Route() if kind < len(apart) and apart[kind] else dest.route
                 endpoint = me.endpoints[number] = Endpoint(number, dest, route, kind, zone, 0)
-                endpoint.rank = crc32(f"{destination}/{number}".encode())
+                endpoint.rank = crc32(f"{me.rank}/{destination}/{number}".encode())
                 dest.endpoints.append(endpoint)
             endpoint.state = state
             if me.settings.get("scale_kind") in ("nominal", "rough"):
