--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -37,6 +37,7 @@
 SLOWER, FASTER, SLOW_GAP = 0.7, 0.1, 500 * MS
 BURST = 0.5  # seconds of the pace that may go at once
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace grows to
+SPARE = 0.25  # of a limit that any one dispatcher may use, since it mostly stands idle
 FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH, ENOUGH_FOR = 2, 2 * SEC  # calls out at an endpoint, or time since it throttled, to take the next
@@ -354,11 +355,17 @@
     def top(self, route):
         """Threat: paces that all grow to the whole limit overrun it together."""
         most = route.limit or route.scale * (2 if self.me.settings.get("scale_kind") == "rough" else 1)
-        return most * min(1, MOST_SHARES / self.me.dispatchers) or float("inf")
+        return most * min(1, MOST_SHARES * self.part()) or float("inf")
+
+    def part(self):
+        """Of a known limit: an even share, or what mostly stands idle.
+
+        Threat: among many dispatchers an even share starves those that carry much, and every clump."""
+        return max(1 / self.me.dispatchers, SPARE)
 
     def filled(self, route):
         now = self.at.now
-        share = known(route) / self.me.dispatchers
+        share = known(route) * self.part()
         if not route.pace:
             route.pace, route.filled_at = share or FIRST_PACE, now
         gone = (now - route.filled_at) / SEC
@@ -370,7 +377,7 @@
     def back(self, push, ending, latency, wait, report):
         route, now = push.endpoint.route, self.at.now
         if report.get("limit"):
-            route.pace = route.pace if route.limit else report["limit"] / self.me.dispatchers
+            route.pace = route.pace if route.limit else report["limit"] * self.part()
             route.limit = report["limit"]
         if ending == "throttled":
             self.filled(route)
