--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -203,7 +203,10 @@
     def back(self, push, ending, latency, wait, report):
         route, now = push.endpoint.route, self.at.now
         if ending == "throttled":
-            rest = min(REST << min(route.refusals, 4), MOST_REST)
+            # Threat: many dispatchers that each come back soon are together far over the limit, so the rest may
+            # grow until all of them could have had a call.
+            turns = int(SEC * self.me.dispatchers / known(route)) if known(route) else 0
+            rest = min(REST << min(route.refusals, 8), max(MOST_REST, turns))
             rest += int(rest * self.at.chance(push.ntf.id) / 2)
             route.wait_until = max(route.wait_until, now + (wait or rest))
             route.refusals += 1
