--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -207,8 +207,8 @@
             # grow until all of them could have had a call.
             turns = int(SEC * self.me.dispatchers / known(route)) if known(route) else 0
             rest = min(REST << min(route.refusals, 8), max(MOST_REST, turns))
-            rest += int(rest * self.at.chance(push.ntf.id) / 2)
-            route.wait_until = max(route.wait_until, now + (wait or rest))
+            rest = int(rest * (self.at.chance(push.ntf.id) + (0 if wait else 0.5)))
+            route.wait_until = max(route.wait_until, now + wait + rest)
             route.refusals += 1
             route.refused_since = route.refused_since or now
         elif ending == "delivered":
