Throttling cuts the pace to what the dispatcher has really used, and it regrows by even shares

Cause: a quarter of the limit at each of two hundred dispatchers, cut by 30% a time, keeps 36 to 61% of the pushes refused.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -368,9 +368,9 @@
 
     def filled(self, route):
         now = self.at.now
-        share = known(route) * self.part()
+        share = known(route) / self.me.dispatchers
         if not route.pace:
-            route.pace, route.filled_at = share or FIRST_PACE, now
+            route.pace, route.filled_at = known(route) * self.part() or FIRST_PACE, now
         gone = (now - route.filled_at) / SEC
         route.pace = min(self.top(route), route.pace + gone * FASTER * (share or route.pace))
         route.tokens = min(max(1.0, BURST * route.pace), route.tokens + gone * route.pace)
@@ -385,7 +385,10 @@
         if ending == "throttled":
             self.filled(route)
             if now - route.slowed_at > SLOW_GAP:
-                route.pace = max(route.pace * SLOWER, known(route) / (4 * self.me.dispatchers), 0.2)
+                # Threat: a quarter of the limit at each of many; back to what this one has really used.
+                even = known(route) / self.me.dispatchers
+                used = usual(push.ntf.destination, now) + even if even else route.pace
+                route.pace = max(min(route.pace, used) * SLOWER, even / 4, 0.2)
                 route.slowed_at = now
                 if not route.throttled:
                     number = push.ntf.destination.id
