--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -388,7 +388,7 @@
                 # Threat: a quarter of the limit at each of many; back to what this one has really used.
                 even = known(route) / self.me.dispatchers
                 used = usual(push.ntf.destination, now) + even if even else route.pace
-                route.pace = max(min(route.pace, used) * SLOWER, even / 4, 0.08)
+                route.pace = max(min(route.pace, used) * SLOWER, even / 2 or 0.2)
                 route.slowed_at = now
                 if not route.throttled:
                     number = push.ntf.destination.id
