--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -426,9 +426,9 @@
             endpoint.destination.calls_out -= 1
             self.me.slots_out -= 1
             # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
-            share = known(endpoint.route) / self.me.dispatchers
-            idle = self.me.settings.get("idle_closes", 0)
-            if not endpoint.calls and share * idle < REUSES * SEC and endpoint.gap * REUSES > idle:
+            dest, idle = endpoint.destination, self.me.settings.get("idle_closes", 0)
+            often = max(known(endpoint.route) / self.me.dispatchers, usual(dest, self.at.now))
+            if not endpoint.calls and not dest.waiting and often * idle < REUSES * SEC:
                 self.at.host.close_idle(endpoint.id)
 
 
@@ -674,7 +674,6 @@
             self.timeout.out(mate)
             self.launch(mate, endpoint, call)
         endpoint.calls.append(call)
-        endpoint.gap, endpoint.used_at = self.now - endpoint.used_at, self.now
         dest.load = 1 + dest.load * exp((dest.served_at - self.now) / USUAL_SPAN)
         self.me.turns += 1
         dest.served_at, dest.turn = self.now, self.me.turns
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -70,8 +70,6 @@
     rank: int
     state: str = "ready"
     calls: list = field(default_factory=list)
-    used_at: int = 0
-    gap: int = 0
     ceiling: int = 0
     ceiling_until: int = 0
     enough_until: int = 0
