The pause of an endpoint in doubt grows tenfold with each bad outcome

Cause: an unreachable endpoint took three pushes within half a second at each of two hundred dispatchers, all of them kept trying, and what came back got several times what it could do.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -28,7 +28,7 @@
 LOSS_STEP = 0.03  # how far one push moves the instance's share of bad outcomes
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
 SHORT_OUTAGE = 1500 * MS
-DOUBT_GROWTH = 3  # times the age of a doubt: the pause until the next push there
+DOUBT_GROWTH = 10  # for each bad outcome in a row: the pause until the next push there
 USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual calls to a destination are counted
 SHUT_AFTER = 2500 * MS
 RAMP_SHARE = 0.8  # of what the rule allows
@@ -259,8 +259,8 @@
         """How long an endpoint in doubt is left alone.
 
         Threat: each of many dispatchers tries seldom, all of them together push over what comes back.  Who
-        else saw it fail is not known, but their number grows with its age, up to all of them."""
-        return int(min(DOUBT_GROWTH * (self.at.now - endpoint.bad_since), SEC / self.budget(endpoint, 0)))
+        else saw it fail is not known, so the pause grows until each of them could have a turn."""
+        return int(min(SPACING * DOUBT_GROWTH ** min(endpoint.run, 9), SEC / self.budget(endpoint, 0)))
 
     def warm(self, endpoint):
         now = self.at.now
@@ -307,11 +307,12 @@
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
             lasted = (now - endpoint.bad_since) // MS
             self.at.host.log(f"endpoint {endpoint.id} back after {lasted} ms, warming")
-        endpoint.down, endpoint.bad_since, endpoint.good_at = False, 0, now
+        endpoint.down, endpoint.bad_since, endpoint.good_at, endpoint.run = False, 0, now, 0
         endpoint.trouble *= 1 - TROUBLE_STEP
 
     def strike(self, endpoint, why, since):
         endpoint.trouble += (1 - endpoint.trouble) * TROUBLE_STEP
+        endpoint.run += 1
         surely = why == "unreachable"  # no lost call: the endpoint itself is not there
         if not endpoint.down and not surely:
             self.me.loss += (1 - self.me.loss) * LOSS_STEP
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -75,6 +75,7 @@
     enough_until: int = 0
     trouble: float = 0.0
     bad_since: int = 0
+    run: int = 0
     good_at: int = 0
     down: bool = False
     trial_at: int = 0
