--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -29,6 +29,7 @@
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
 SHORT_OUTAGE = 1500 * MS
 DOUBT_GROWTH = 10  # for each bad outcome in a row: the pause until the next push there
+SILENCE = 500 * MS  # a push that fails later than this met silence
 USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual calls to a destination are counted
 SHUT_AFTER = 2500 * MS
 RAMP_SHARE = 0.8  # of what the rule allows
@@ -302,7 +303,7 @@
     def good(self, endpoint):
         now = self.at.now
         # Threat: a path that loses single calls looks like an outage each time; a run of failures is one.
-        if endpoint.down and now - endpoint.bad_since >= SHORT_OUTAGE:
+        if endpoint.run >= LEAST_RUN and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at = endpoint.filled_at = now
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
             lasted = (now - endpoint.bad_since) // MS
@@ -312,8 +313,9 @@
 
     def strike(self, endpoint, why, since):
         endpoint.trouble += (1 - endpoint.trouble) * TROUBLE_STEP
-        endpoint.run += 1
         surely = why == "unreachable"  # no lost call: the endpoint itself is not there
+        # Threat: what took its time to fail is silent, not full, and has many waiting for it to come back.
+        endpoint.run += 1 if surely and self.at.now - since < SILENCE else 2
         if not endpoint.down and not surely:
             self.me.loss += (1 - self.me.loss) * LOSS_STEP
         endpoint.bad_since = endpoint.bad_since or since
