Notes tell that an endpoint in doubt is back; connect silence pauses for a full turn

Cause: after silence a hundred dispatchers each try every ten seconds, which is more than the endpoint stands when it returns. The pause now is a full turn of all dispatchers, and the first that delivers tells the rest, who warm it together.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -103,8 +103,12 @@
 
 
 def usual(dest, now):
-    """Calls a second that this dispatcher has lately made to a destination."""
-    return dest.load * exp((dest.served_at - now) / USUAL_SPAN) * SEC / USUAL_SPAN
+    """Deliveries a second that this dispatcher has lately made at a destination."""
+    return dest.load * faded(dest, now) * SEC / USUAL_SPAN
+
+
+def faded(dest, now):
+    return exp((dest.served_at - now) / USUAL_SPAN)
 
 
 def known(route):
@@ -300,14 +304,17 @@
             self.strike(endpoint, ending, push.sent_at)
         push.call.judged = True
 
-    def good(self, endpoint):
+    def good(self, endpoint, told=False):
         now = self.at.now
         # Threat: a path that loses single calls looks like an outage each time; a run of failures is one.
-        if endpoint.run >= LEAST_RUN and now - endpoint.bad_since >= SHORT_OUTAGE:
+        if told or endpoint.run >= LEAST_RUN and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at = endpoint.filled_at = now
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
             lasted = (now - endpoint.bad_since) // MS
             self.at.host.log(f"endpoint {endpoint.id} back after {lasted} ms, warming")
+            # Threat: each of many dispatchers would find out late and at the cost of a push; a note may be lost.
+            if not told and self.me.settings.get("may_note"):
+                self.at.host.note(None, f"back {endpoint.id}".encode())
         endpoint.down, endpoint.bad_since, endpoint.good_at, endpoint.run = False, 0, now, 0
         endpoint.trouble *= 1 - TROUBLE_STEP
 
@@ -315,7 +322,7 @@
         endpoint.trouble += (1 - endpoint.trouble) * TROUBLE_STEP
         surely = why == "unreachable"  # no lost call: the endpoint itself is not there
         # Threat: what took its time to fail is silent, not full, and has many waiting for it to come back.
-        endpoint.run += 1 if surely and self.at.now - since < SILENCE else 2
+        endpoint.run += 1 if surely and self.at.now - since < SILENCE else 2 + surely
         if not endpoint.down and not surely:
             self.me.loss += (1 - self.me.loss) * LOSS_STEP
         endpoint.bad_since = endpoint.bad_since or since
@@ -455,6 +462,7 @@
         dest = push.ntf.destination
         if ending == "delivered":
             learn(dest, latency)
+            dest.load, dest.served_at = 1 + dest.load * faded(dest, self.at.now), self.at.now
             dest.back_off = 0
         elif ending == "timeout" and 0 < push.timeout < push.ntf.ttl_at - push.sent_at:
             # Threat: answers jump past the time-out for good and leave no sample; so it doubles.  For the
@@ -570,6 +578,14 @@
             endpoint.answers, endpoint.trial_at = True, self.now
             endpoint.destination.idle_until = 0
 
+    def note(self, rank, body):
+        """A note from another dispatcher: an endpoint that we hold in doubt delivers again."""
+        word, _, number = body.partition(b" ")
+        endpoint = self.me.endpoints.get(int(number)) if word == b"back" and number.isdigit() else None
+        if endpoint and endpoint.bad_since and rank != self.me.rank:
+            self.health.good(endpoint, told=True)
+            endpoint.destination.idle_until = 0
+
     # -- endings
 
     def close(self, ntf):
@@ -677,9 +693,8 @@
             self.timeout.out(mate)
             self.launch(mate, endpoint, call)
         endpoint.calls.append(call)
-        dest.load = 1 + dest.load * exp((dest.served_at - self.now) / USUAL_SPAN)
         self.me.turns += 1
-        dest.served_at, dest.turn = self.now, self.me.turns
+        dest.turn = self.me.turns
         dest.calls_out += 1
         self.me.slots_out += 1
         endpoint.route.tokens -= 1 + BATCH_WEIGHT * (len(call.pushes) - 1)
--- a/juniperlanding/drill/host.py
+++ b/juniperlanding/drill/host.py
@@ -105,7 +105,7 @@
         dispatcher.wake(tok)
 
     def datagram(self, dispatcher, sender, body):
-        pass  # no notes are sent, so none is expected
+        dispatcher.note(sender, body)
 
     def topology(self, dispatcher, kind, stamp, number):
         if kind not in codec.NEWS:
