--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -208,10 +208,8 @@
     def back(self, push, ending, latency, wait, report):
         route, now = push.endpoint.route, self.at.now
         if ending == "throttled":
-            # Threat: many dispatchers that each come back soon are together far over the limit, so the rest may
-            # grow until all of them could have had a call.
-            turns = int(SEC * self.me.dispatchers / known(route)) if known(route) else 0
-            rest = min(REST << min(route.refusals, 8), max(MOST_REST, turns))
+            rest = min(REST << min(route.refusals, 4), MOST_REST)
+            # Threat: all that were told to wait come back at once; a random part spreads them.
             rest = int(rest * (self.at.chance(push.ntf.id) + (0 if wait else 0.5)))
             route.wait_until = max(route.wait_until, now + wait + rest)
             route.refusals += 1
@@ -249,7 +247,7 @@
         return PASS if push.options else KEEP
 
     def budget(self, endpoint, age):
-        """This dispatcher's own share of what an endpoint stands at this age of its return, in calls a second.
+        """This dispatcher's share of what an endpoint stands at this age of its return, in calls a second.
 
         Threat: held work pushes a destination over as it comes back; trials and throttled calls count."""
         get = self.me.settings.get
@@ -312,7 +310,7 @@
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
             lasted = (now - endpoint.bad_since) // MS
             self.at.host.log(f"endpoint {endpoint.id} back after {lasted} ms, warming")
-            # Threat: each of many dispatchers would find out late and at the cost of a push; a note may be lost.
+            # Threat: each of many dispatchers would find out late, at the cost of a push.  It may get lost.
             if not told and self.me.settings.get("may_note"):
                 self.at.host.note(None, f"back {endpoint.id}".encode())
         endpoint.down, endpoint.bad_since, endpoint.good_at, endpoint.run = False, 0, now, 0
