--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -42,7 +42,6 @@
 FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH, ENOUGH_FOR = 2, 2 * SEC  # calls out at an endpoint, or time since it throttled, to take the next
-CROWDED_WITHIN, CEILING_FOR = 1 * SEC, 5 * SEC
 REUSES = 8  # in the time until an idle connection closes by itself: fewer are not worth a place
 SHED_AT = 0.9
 PASS, KEEP, END = "pass", "keep", "end"
@@ -298,7 +297,7 @@
             since = endpoint.route.refused_since
             if endpoint.down or (since and now - since > SHUT_AFTER):
                 self.strike(endpoint, ending, since or now)
-        elif ending != "cancelled" and not (ending == "unreachable" and push.crowded):
+        elif ending != "cancelled":
             self.strike(endpoint, ending, push.sent_at)
         push.call.judged = True
 
@@ -412,19 +411,12 @@
 
     def out(self, push):
         now = self.at.now
-        free = [e for e in push.options if e.ceiling_until <= now or len(e.calls) < e.ceiling]
-        if not free:
-            return KEEP
-        free.sort(key=lambda e: (e.enough_until > now, max(len(e.calls) + 1 - ENOUGH, 0), e.rank))
-        push.endpoint = free[0]
+        push.endpoint = min(push.options, key=lambda e: (
+            e.enough_until > now, max(len(e.calls) + 1 - ENOUGH, 0), e.rank))
         return PASS
 
     def back(self, push, ending, latency, wait, report):
         endpoint, call = push.endpoint, push.call
-        push.crowded = endpoint.good_at > push.sent_at - CROWDED_WITHIN and len(endpoint.calls) > 1
-        if ending == "unreachable" and push.crowded:
-            # Threat: few connections, others' idle ones counted; it shows beside successes.
-            endpoint.ceiling, endpoint.ceiling_until = len(endpoint.calls) - 1, self.at.now + CEILING_FOR
         if ending == "throttled":
             # Threat: all dispatchers rank alike, so the first overflows while the next stands idle.
             endpoint.enough_until = self.at.now + ENOUGH_FOR
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -24,7 +24,6 @@
     overdue: bool = False
     cancelled: bool = False
     trial: bool = False
-    crowded: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -70,8 +69,6 @@
     rank: int
     state: str = "ready"
     calls: list = field(default_factory=list)
-    ceiling: int = 0
-    ceiling_until: int = 0
     enough_until: int = 0
     trouble: float = 0.0
     bad_since: int = 0
