--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -410,16 +410,11 @@
     """First in rank; the next when that has enough."""
 
     def out(self, push):
-        now = self.at.now
-        push.endpoint = min(push.options, key=lambda e: (
-            e.enough_until > now, max(len(e.calls) + 1 - ENOUGH, 0), e.rank))
+        push.endpoint = min(push.options, key=lambda e: (max(len(e.calls) + 1 - ENOUGH, 0), e.rank))
         return PASS
 
     def back(self, push, ending, latency, wait, report):
         endpoint, call = push.endpoint, push.call
-        if ending == "throttled":
-            # Threat: all dispatchers rank alike, so the first overflows while the next stands idle.
-            endpoint.enough_until = self.at.now + ENOUGH_FOR
         call.pushes.remove(push)
         if not call.pushes:
             endpoint.calls.remove(call)
