--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -37,11 +37,11 @@
 REST, MOST_REST = 250 * MS, 2 * SEC
 SLOWER, FASTER, SLOW_GAP = 0.7, 0.1, 500 * MS
 BURST = 0.5  # seconds of the pace that may go at once
-MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace grows to
+MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
 SPARE = 0.25  # of a limit that any one dispatcher may use, since it mostly stands idle
 FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
-ENOUGH, ENOUGH_FOR = 2, 2 * SEC  # calls out at an endpoint, or time since it throttled, to take the next
+ENOUGH = 2  # calls out at an endpoint to take the next in rank
 REUSES = 8  # in the time until an idle connection closes by itself: fewer are not worth a place
 SHED_AT = 0.9
 PASS, KEEP, END = "pass", "keep", "end"
@@ -362,24 +362,20 @@
         push.options = free
         return PASS
 
-    def top(self, route):
-        """Threat: paces that all grow to the whole limit overrun it together."""
-        most = route.limit or route.scale * (2 if self.me.settings.get("scale_kind") == "rough" else 1)
-        return most * min(1, MOST_SHARES * self.part()) or float("inf")
+    def most(self, route):
+        """Of a known limit: somewhat over an even share, or what mostly stands idle.
 
-    def part(self):
-        """Of a known limit: an even share, or what mostly stands idle.
-
-        Threat: among many dispatchers an even share starves those that carry much, and every clump."""
-        return max(1 / self.me.dispatchers, SPARE)
+        Threats: paces that all grow to the whole limit overrun it together; among many dispatchers an even
+        share starves those that carry much, and every clump."""
+        return known(route) * min(1, MOST_SHARES * max(1 / self.me.dispatchers, SPARE))
 
     def filled(self, route):
         now = self.at.now
-        share = known(route) / self.me.dispatchers
+        share, most = known(route) / self.me.dispatchers, self.most(route)
         if not route.pace:
-            route.pace, route.filled_at = known(route) * self.part() or FIRST_PACE, now
+            route.pace, route.filled_at = most or FIRST_PACE, now
         gone = (now - route.filled_at) / SEC
-        route.pace = min(self.top(route), route.pace + gone * FASTER * (share or route.pace))
+        route.pace = min(most or float("inf"), route.pace + gone * FASTER * (share or route.pace))
         route.tokens = min(max(1.0, BURST * route.pace), route.tokens + gone * route.pace)
         route.filled_at = now
         return route.tokens
@@ -387,8 +383,8 @@
     def back(self, push, ending, latency, wait, report):
         route, now = push.endpoint.route, self.at.now
         if report.get("limit"):
-            route.pace = route.pace if route.limit else report["limit"] * self.part()
-            route.limit = report["limit"]
+            first, route.limit = not route.limit, report["limit"]
+            route.pace = self.most(route) if first else route.pace
         if ending == "throttled":
             self.filled(route)
             if now - route.slowed_at > SLOW_GAP:
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -69,7 +69,6 @@
     rank: int
     state: str = "ready"
     calls: list = field(default_factory=list)
-    enough_until: int = 0
     trouble: float = 0.0
     bad_since: int = 0
     run: int = 0
