--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -42,7 +42,7 @@
 FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH = 2  # calls out at an endpoint to take the next in rank
-REUSES = 8  # in the time until an idle connection closes by itself: fewer are not worth a place
+PLACES = 8  # of a destination's traffic, one part in so many is worth an idle connection
 SHED_AT = 0.9
 PASS, KEEP, END = "pass", "keep", "end"
 SILENT = ("timeout", "reset", "cancelled")
@@ -417,9 +417,9 @@
             endpoint.destination.calls_out -= 1
             self.me.slots_out -= 1
             # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
-            dest, idle = endpoint.destination, self.me.settings.get("idle_closes", 0)
-            often = max(known(endpoint.route) / self.me.dispatchers, usual(dest, self.at.now))
-            if not endpoint.calls and not dest.waiting and often * idle < REUSES * SEC:
+            dest, whole = endpoint.destination, known(endpoint.route)
+            part = max(whole / self.me.dispatchers, usual(dest, self.at.now))
+            if not endpoint.calls and not dest.waiting and part * PLACES < whole:
                 self.at.host.close_idle(endpoint.id)
 
 
