--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -418,8 +418,10 @@
             self.me.slots_out -= 1
             # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
             dest, whole = endpoint.destination, known(endpoint.route)
-            part = max(whole / self.me.dispatchers, usual(dest, self.at.now))
-            if not endpoint.calls and not dest.waiting and part * PLACES < whole:
+            often = usual(dest, self.at.now)
+            idle = often * self.me.settings.get("idle_closes", 0) / SEC  # reuses until it closes by itself
+            few = max(whole / self.me.dispatchers, often) * PLACES < whole and idle < PLACES
+            if few and not endpoint.calls and not dest.waiting:
                 self.at.host.close_idle(endpoint.id)
 
 
