--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -319,7 +319,10 @@
         endpoint.trouble += (1 - endpoint.trouble) * TROUBLE_STEP
         surely = why == "unreachable"  # no lost call: the endpoint itself is not there
         # Threat: what took its time to fail is silent, not full, and has many waiting for it to come back.
-        endpoint.run += 1 if surely and self.at.now - since < SILENCE else 2 + surely
+        full = surely and self.at.now - since < SILENCE
+        endpoint.run += 1 if full else 2 + surely
+        if full:
+            self.me.scarce.add(endpoint.kind)
         if not endpoint.down and not surely:
             self.me.loss += (1 - self.me.loss) * LOSS_STEP
         endpoint.bad_since = endpoint.bad_since or since
@@ -418,9 +421,9 @@
             self.me.slots_out -= 1
             # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
             dest, whole = endpoint.destination, known(endpoint.route)
-            often = usual(dest, self.at.now)
-            idle = often * self.me.settings.get("idle_closes", 0) / SEC  # reuses until it closes by itself
-            few = max(whole / self.me.dispatchers, often) * PLACES < whole and idle < PLACES
+            part = max(whole / self.me.dispatchers, usual(dest, self.at.now))
+            idle = 0 if endpoint.kind in self.me.scarce else part * self.me.settings.get("idle_closes", 0) / SEC
+            few = part * PLACES < whole and idle < PLACES
             if few and not endpoint.calls and not dest.waiting:
                 self.at.host.close_idle(endpoint.id)
 
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -118,6 +118,7 @@
     destinations: dict = field(default_factory=dict)
     slots_out: int = 0
     loss: float = 0.0
+    scarce: set = field(default_factory=set)
     keys: dict = field(default_factory=dict)
     key_rest: dict = field(default_factory=dict)
     wakes: set = field(default_factory=set)
