--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -422,8 +422,9 @@
             # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
             dest, whole = endpoint.destination, known(endpoint.route)
             part = max(whole / self.me.dispatchers, usual(dest, self.at.now))
-            idle = 0 if endpoint.kind in self.me.scarce else part * self.me.settings.get("idle_closes", 0) / SEC
-            few = part * PLACES < whole and idle < PLACES
+            idle = part * self.me.settings.get("idle_closes", 0) / SEC  # reuses until it closes by itself
+            short = endpoint.kind in self.me.scarce or self.me.settings.get("scale_kind") == "rough"
+            few = part * PLACES < whole and (short or idle < PLACES)
             if few and not endpoint.calls and not dest.waiting:
                 self.at.host.close_idle(endpoint.id)
 
