--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -2,7 +2,7 @@
 
 How to use it: build `Dispatcher(host, settings, seed, now)` with a host as in `interface.Host`; call
 `start()`; then, for each moment, set `now`, hand in the events (`listed`, `notification`, `outcome`,
-`withdrawn`, `probed`, `wake`) and call `turn()` once all are in.  Settings are a plain map in the
+`withdrawn`, `note`, `wake`) and call `turn()` once all are in.  Settings are a plain map in the
 project's words (README); records are in `state.py`; docs/design.md has the design and each exception.
 """
 
@@ -33,9 +33,8 @@
 USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual calls to a destination are counted
 SHUT_AFTER = 2500 * MS
 RAMP_SHARE = 0.8  # of what the rule allows
-TRIAL_PUSHES = 0.67  # of a notification's pushes may go into trials
 REST, MOST_REST = 250 * MS, 2 * SEC
-SLOWER, FASTER, SLOW_GAP = 0.7, 0.1, 500 * MS
+SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
 BURST = 0.5  # seconds of the pace that may go at once
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
 SPARE = 0.25  # of a limit that any one dispatcher may use, since it mostly stands idle
@@ -103,11 +102,7 @@
 
 def usual(dest, now):
     """Deliveries a second that this dispatcher has lately made at a destination."""
-    return dest.load * faded(dest, now) * SEC / USUAL_SPAN
-
-
-def faded(dest, now):
-    return exp((dest.served_at - now) / USUAL_SPAN)
+    return dest.load * exp((dest.served_at - now) / USUAL_SPAN)
 
 
 def known(route):
@@ -225,16 +220,11 @@
         for endpoint in push.options:
             quiet = all(p.overdue for call in endpoint.calls for p in call.pushes)
             if endpoint.down:
-                due = now >= endpoint.trial_at and quiet
-                if due and not endpoint.answers and self.me.settings.get("may_probe"):
-                    self.aside(endpoint)  # a probe spares a notification's push
-                    self.at.host.probe(endpoint.id)
-                elif due:
+                if now >= endpoint.trial_at and quiet:
                     trials.append(endpoint)
                 later.append(endpoint.trial_at)
             elif endpoint.bad_since and (not quiet or now < endpoint.trial_at):
-                later.append(endpoint.trial_at)
-                continue  # single file until one is delivered; the overdue ones are not waited for
+                later.append(endpoint.trial_at)  # single file until one is delivered, but for the overdue
             elif endpoint.back_at and not self.warm(endpoint):
                 later.append(now + 100 * MS)
             else:
@@ -337,7 +327,6 @@
 
     def aside(self, endpoint):
         """A fixed time with a random part, then this dispatcher's own turn."""
-        endpoint.answers = False
         pause = self.pause(endpoint)
         at = self.at.now + max(ASIDE + int(ASIDE_RANDOM * self.at.chance(endpoint.id)), pause // 2)
         turn = min(TURN_SLICE, max(ASIDE, pause) // self.me.dispatchers)
@@ -395,14 +384,11 @@
                 even = known(route) / self.me.dispatchers
                 used = usual(push.ntf.destination, now) + even if even else route.pace
                 route.pace = max(min(route.pace, used) * SLOWER, even / 2 or 0.2)
-                route.slowed_at = now
-                if not route.throttled:
+                if not route.slowed_at or now - route.slowed_at > CALM:
                     number = push.ntf.destination.id
                     self.at.host.log(f"destination {number} throttles: pace {route.pace:.2f}")
-            route.throttled = True
+                route.slowed_at = now
             route.tokens = min(route.tokens, 0.0)
-        elif ending == "delivered" and route.throttled and now - route.slowed_at > 5 * SEC:
-            route.throttled = False
 
 
 class Pick(Stage):
@@ -449,7 +435,7 @@
         dest = push.ntf.destination
         if ending == "delivered":
             learn(dest, latency)
-            dest.load, dest.served_at = 1 + dest.load * faded(dest, self.at.now), self.at.now
+            dest.load, dest.served_at = usual(dest, self.at.now) + SEC / USUAL_SPAN, self.at.now
             dest.back_off = 0
         elif ending == "timeout" and 0 < push.timeout < push.ntf.ttl_at - push.sent_at:
             # Threat: answers jump past the time-out for good and leave no sample; so it doubles.  For the
@@ -525,9 +511,7 @@
             dest.idle_until = 0
 
     def destination(self, number):
-        if number not in self.me.destinations:
-            self.me.destinations[number] = Destination(number)
-        return self.me.destinations[number]
+        return self.me.destinations.setdefault(number, Destination(number))
 
     def notification(self, ntf_id, topic, destination, ttl_at=0, key=0):
         topics = self.me.settings.get("topic_types", [])
@@ -559,12 +543,6 @@
         if ntf:
             self.close(ntf)
 
-    def probed(self, endpoint_id, ending):
-        endpoint = self.me.endpoints.get(endpoint_id)
-        if endpoint and ending == "delivered":
-            endpoint.answers, endpoint.trial_at = True, self.now
-            endpoint.destination.idle_until = 0
-
     def note(self, rank, body):
         """A note from another dispatcher: an endpoint that we hold in doubt delivers again."""
         word, _, number = body.partition(b" ")
@@ -649,9 +627,7 @@
         now = self.now
         ready = [n for n in dest.waiting if n.not_before <= now]
         if all(e.down for e in dest.endpoints):
-            # A trial takes what can best afford the loss.  Threat: trials burn a notification's pushes.
-            most = self.me.settings.get("most_pushes", 1 << 30) * TRIAL_PUSHES
-            ready = [n for n in ready if n.pushes < most]
+            # A trial takes what can best afford the loss, and the fewest pushes so far.
             ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)))
         else:
             ready.sort(key=lambda n: (-benefit(n, now + forecast(dest)), n.ttl_at))
--- a/juniperlanding/drill/host.py
+++ b/juniperlanding/drill/host.py
@@ -99,7 +99,7 @@
         pass  # streams are not part of these deployments: nothing waits on the start of an answer
 
     def pong(self, dispatcher, endpoint, code, spent, report):
-        dispatcher.probed(endpoint, self.outcome(code))
+        pass  # no checks are asked for, so none is answered
 
     def wake(self, dispatcher, tok):
         dispatcher.wake(tok)
--- a/juniperlanding/interface.py
+++ b/juniperlanding/interface.py
@@ -25,7 +25,7 @@
         """Call `Dispatcher.wake(tok)` once `delay` has passed."""
 
     def probe(self, endpoint_id: int) -> None:
-        """Check an endpoint; `Dispatcher.probed` brings the answer."""
+        """Check an endpoint; not asked for at present, so the answer has no way in yet."""
 
     def close_idle(self, endpoint_id: int) -> None:
         """Close the idle connections to an endpoint."""
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -55,7 +55,6 @@
     tokens: float = 1.0
     filled_at: int = 0
     slowed_at: int = 0
-    throttled: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -75,7 +74,6 @@
     good_at: int = 0
     down: bool = False
     trial_at: int = 0
-    answers: bool = False
     back_at: int = 0
     tokens: float = 0.0
     filled_at: int = 0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -252,18 +252,6 @@
     assert kept.state == "gone" and list(bed.at.me.endpoints) == [11]
 
 
-def test_probes_spare_pushes_where_allowed():
-    bed = Bed(may_probe=True)
-    broken(bed)
-    bed.take()
-    sent = bed.turn(3)
-    assert bed.host.all("probe") == [[10]] and sent == len(bed.pushed) == 3
-    bed.at.probed(10, "timeout")
-    assert bed.turn(0.1) == 3
-    bed.at.probed(10, "delivered")
-    assert bed.turn(0.1) == 4
-
-
 def test_subscription_is_kept_up_without_a_flood():
     bed = Bed(list_mode="ask", must_ask_in=10 * SEC)
     assert bed.host.all("subscribe") == [[True]]
