--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -21,17 +21,15 @@
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
 OVERDUE_FACTOR, LEAST_OVERDUE = 4, 1500 * MS
-FREE_SHARE = 1  # a destination may have as many calls out as this times the free slots, and one more
 LOST = 2  # times the overdue time: a once-only call may lose its slot; others when overdue
 TROUBLE_STEP = 0.4  # how far one bad outcome moves an endpoint's trouble towards 1
 LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
 LOSS_STEP = 0.03  # how far one push moves the instance's share of bad outcomes
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
-SHORT_OUTAGE = 1500 * MS
+SHORT_OUTAGE, SHUT_AFTER = 1500 * MS, 2500 * MS  # no cold return before; only throttled for so long
 DOUBT_GROWTH = 10  # for each bad outcome in a row: the pause until the next push there
 SILENCE = 500 * MS  # a push that fails later than this met silence
 USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual calls to a destination are counted
-SHUT_AFTER = 2500 * MS
 RAMP_SHARE = 0.8  # of what the rule allows
 REST, MOST_REST = 250 * MS, 2 * SEC
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
@@ -78,13 +76,12 @@
 def benefit(ntf, at):
     topic = ntf.topic
     whole, objective, ttl = topic.get("benefit", 1), topic.get("objective", 0), topic.get("ttl", 0)
-    late = at - (ntf.ttl_at - ttl) - objective
+    late, least = at - (ntf.ttl_at - ttl) - objective, topic.get("late_share", 0)
     if late <= 0:
         return whole
-    least = topic.get("late_share", 0)
-    if topic.get("fades") == "halves":
-        return whole * max(least, 0.5 ** (late / max(objective, 1)))
-    return whole * max(least, 1 - (1 - least) * late / max(ttl - objective, 1))
+    halves = topic.get("fades") == "halves"
+    return whole * max(least, 0.5 ** (late / max(objective, 1)) if halves
+                       else 1 - (1 - least) * late / max(ttl - objective, 1))
 
 
 def may_go_again(ntf, now):
@@ -177,7 +174,7 @@
         # Threat: silent and slow destinations hold slots for long; the more a destination holds, the more
         # must stay free for the others.
         free = slots - self.me.slots_out
-        if free <= 0 or dest.calls_out > free * FREE_SHARE:
+        if free <= 0 or dest.calls_out > free:
             return KEEP
         ready = [e for e in dest.endpoints if e.state == "ready"]
         held = push.ntf.may_have_run
@@ -248,10 +245,9 @@
         return own / max(mates, 1) * level * get("overload_factor", 1.0) * RAMP_SHARE
 
     def pause(self, endpoint):
-        """How long an endpoint in doubt is left alone.
+        """How long an endpoint in doubt is left alone: until each of all dispatchers could have a turn.
 
-        Threat: each of many dispatchers tries seldom, all of them together push over what comes back.  Who
-        else saw it fail is not known, so the pause grows until each of them could have a turn."""
+        Threat: each of many tries seldom, and all together push over what comes back."""
         return int(min(SPACING * DOUBT_GROWTH ** min(endpoint.run, 9), SEC / self.budget(endpoint, 0)))
 
     def warm(self, endpoint):
@@ -266,12 +262,11 @@
         return endpoint.tokens >= 1.0
 
     def after(self, surely):
-        """The trouble after the run of bad outcomes that sets an endpoint aside.
+        """The trouble after a run of bad outcomes longer than this instance's own share of them explains.
 
-        Threat: a path of ours that loses calls everywhere makes sound endpoints look down, so the run must be
-        longer than this instance's own share of bad outcomes explains."""
-        loss = 0 if surely else self.me.loss
-        run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(loss, 0.01), 0.5))))
+        Threat: a path of ours that loses calls everywhere makes sound endpoints look down."""
+        loss = min(max(0.01, 0 if surely else self.me.loss), 0.5)
+        run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(loss)))
         return 1 - (1 - TROUBLE_STEP) ** (run - 0.5)
 
     def back(self, push, ending, latency, wait, report):
@@ -295,10 +290,9 @@
         now = self.at.now
         # Threat: a path that loses single calls looks like an outage each time; a run of failures is one.
         if told or endpoint.run >= LEAST_RUN and now - endpoint.bad_since >= SHORT_OUTAGE:
-            endpoint.back_at = endpoint.filled_at = now
+            endpoint.back_at, endpoint.filled_at, gone = now, now, (now - endpoint.bad_since) // MS
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
-            lasted = (now - endpoint.bad_since) // MS
-            self.at.host.log(f"endpoint {endpoint.id} back after {lasted} ms, warming")
+            self.at.host.log(f"endpoint {endpoint.id} back after {gone} ms, warming")
             # Threat: each of many dispatchers would find out late, at the cost of a push.  It may get lost.
             if not told and self.me.settings.get("may_note"):
                 self.at.host.note(None, f"back {endpoint.id}".encode())
@@ -355,10 +349,8 @@
         return PASS
 
     def most(self, route):
-        """Of a known limit: somewhat over an even share, or what mostly stands idle.
-
-        Threats: paces that all grow to the whole limit overrun it together; among many dispatchers an even
-        share starves those that carry much, and every clump."""
+        """Of a known limit: somewhat over an even share, or what mostly stands idle.  Threats: paces that all
+        grow to the whole overrun it together; among many, an even share starves who carries much."""
         return known(route) * min(1, MOST_SHARES * max(1 / self.me.dispatchers, SPARE))
 
     def filled(self, route):
@@ -373,7 +365,7 @@
         return route.tokens
 
     def back(self, push, ending, latency, wait, report):
-        route, now = push.endpoint.route, self.at.now
+        route, dest, now = push.endpoint.route, push.ntf.destination, self.at.now
         if report.get("limit"):
             first, route.limit = not route.limit, report["limit"]
             route.pace = self.most(route) if first else route.pace
@@ -382,11 +374,10 @@
             if now - route.slowed_at > SLOW_GAP:
                 # Threat: a quarter of the limit at each of many; back to what this one has really used.
                 even = known(route) / self.me.dispatchers
-                used = usual(push.ntf.destination, now) + even if even else route.pace
-                route.pace = max(min(route.pace, used) * SLOWER, even / 2 or 0.2)
+                used = usual(dest, now) + even if even else route.pace
+                route.pace = max(min(route.pace, used) * SLOWER, even / 2 or FIRST_PACE / 10)
                 if not route.slowed_at or now - route.slowed_at > CALM:
-                    number = push.ntf.destination.id
-                    self.at.host.log(f"destination {number} throttles: pace {route.pace:.2f}")
+                    self.at.host.log(f"destination {dest.id} throttles: pace {route.pace:.2f}")
                 route.slowed_at = now
             route.tokens = min(route.tokens, 0.0)
 
@@ -406,14 +397,16 @@
             endpoint.destination.calls_out -= 1
             self.me.slots_out -= 1
             # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
-            dest, whole = endpoint.destination, known(endpoint.route)
-            part = max(whole / self.me.dispatchers, usual(dest, self.at.now))
-            idle = part * self.me.settings.get("idle_closes", 0) / SEC  # reuses until it closes by itself
-            short = endpoint.kind in self.me.scarce or self.me.settings.get("scale_kind") == "rough"
-            few = part * PLACES < whole and (short or idle < PLACES)
-            if few and not endpoint.calls and not dest.waiting:
+            if not endpoint.calls and not endpoint.destination.waiting and self.seldom(endpoint):
                 self.at.host.close_idle(endpoint.id)
 
+    def seldom(self, endpoint):
+        whole, get = known(endpoint.route), self.me.settings.get
+        part = max(whole / self.me.dispatchers, usual(endpoint.destination, self.at.now))
+        reuses = part * get("idle_closes", 0) / SEC  # until the connection closes by itself
+        scarce = endpoint.kind in self.me.scarce or get("scale_kind") == "rough"
+        return part * PLACES < whole and (scarce or reuses < PLACES)
+
 
 class Timeout(Stage):
     """Forecast + FACTOR x root of MSE, for what may go again; all its time left for the rest."""
@@ -427,8 +420,8 @@
             limit = max(dest.forecast + FACTOR * dest.miss, ntf.topic.get("objective", LEAST_TIMEOUT))
             limit <<= max(dest.back_off, ntf.cut)
             push.overdue_at = now + max(dest.forecast + OVERDUE_FACTOR * dest.miss, LEAST_OVERDUE)
-        left = ntf.ttl_at - now
-        push.timeout = 0 if ntf.topic.get("kind") not in ("repeatable", "collapsible") else min(limit, left)
+        again = ntf.topic.get("kind") in ("repeatable", "collapsible")
+        push.timeout = min(limit, ntf.ttl_at - now) if again else 0
         return PASS
 
     def back(self, push, ending, latency, wait, report):
@@ -438,8 +431,7 @@
             dest.load, dest.served_at = usual(dest, self.at.now) + SEC / USUAL_SPAN, self.at.now
             dest.back_off = 0
         elif ending == "timeout" and 0 < push.timeout < push.ntf.ttl_at - push.sent_at:
-            # Threat: answers jump past the time-out for good and leave no sample; so it doubles.  For the
-            # notification it stays doubled: one that is heavy in itself takes as long the next time.
+            # Threats: answers jump past the time-out for good and leave no sample; a notification is heavy.
             dest.back_off = min(dest.back_off + 1, MOST_DOUBLINGS)
             push.ntf.cut = min(push.ntf.cut + 1, MOST_DOUBLINGS)
 
@@ -469,8 +461,6 @@
             push.ntf.destination.idle_until = at
             self.wake_at(at)
 
-    # -- events
-
     def start(self):
         if self.me.settings.get("list_mode") == "ask":
             self.host.subscribe(True)
@@ -551,8 +541,6 @@
             self.health.good(endpoint, told=True)
             endpoint.destination.idle_until = 0
 
-    # -- endings
-
     def close(self, ntf):
         if not ntf.over:
             ntf.over = True
@@ -577,17 +565,14 @@
             self.host.expired(ntf.id)
         self.close(ntf)
 
-    # -- the turn
-
     def turn(self):
         now = self.now
         for push in list(self.me.pushes.values()):
             if not push.overdue and now >= push.overdue_at:
                 self.health.overdue(push)
         waiting = [d for d in self.me.destinations.values() if d.waiting]
-        for dest in waiting:
-            for ntf in [n for n in dest.waiting if self.ttl.hopeless(n)]:
-                self.give_up(ntf)
+        for ntf in [n for dest in waiting for n in dest.waiting if self.ttl.hopeless(n)]:
+            self.give_up(ntf)
         self.shed(waiting)
         self.reclaim(waiting)
         ready = [d for d in waiting if d.waiting and d.idle_until <= now]
@@ -609,9 +594,7 @@
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
     def reclaim(self, waiting):
-        """Threat: calls that are never answered hold all slots until their TTL, once-only ones above all.
-
-        When something waits for want of a slot, the call longest overdue gives up its own."""
+        """Threat: calls never answered hold all slots until their TTL; the longest overdue gives up one."""
         if self.me.slots_out < self.me.settings.get("slots", 1 << 30) or not any(d.waiting for d in waiting):
             return
         lost = [p for p in self.me.pushes.values() if p.overdue and not p.cancelled
@@ -640,8 +623,7 @@
 
     def send(self, push, ready):
         endpoint, dest, call = push.endpoint, push.ntf.destination, Call()
-        sizes = self.me.settings.get("batch_by_kind", [])
-        most = sizes[endpoint.kind] if endpoint.kind < len(sizes) else 1
+        most = dict(enumerate(self.me.settings.get("batch_by_kind", []))).get(endpoint.kind, 1)
         # Threat: a batch shares one fate, so a trial and a doubtful endpoint get a single notification.
         if push.trial or endpoint.bad_since or endpoint.back_at:
             most = 1
@@ -656,8 +638,7 @@
             self.timeout.out(mate)
             self.launch(mate, endpoint, call)
         endpoint.calls.append(call)
-        self.me.turns += 1
-        dest.turn = self.me.turns
+        dest.turn = self.me.turns = self.me.turns + 1
         dest.calls_out += 1
         self.me.slots_out += 1
         endpoint.route.tokens -= 1 + BATCH_WEIGHT * (len(call.pushes) - 1)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -275,6 +275,25 @@
     assert len({endpoint for _, endpoint, _ in bed.pushed}) > 1
 
 
+@pytest.mark.parametrize("dispatchers, most", [(2, 10), (200, 0.1)])
+def test_throttling_at_one_of_many_ends_its_loan_of_the_limit(dispatchers, most):
+    bed = Bed(scale=20.0, dispatchers=dispatchers)
+    ntf = bed.take()
+    bed.turn()
+    assert bed.endpoint().route.pace >= 5.0
+    bed.end(ntf, "throttled")
+    assert most / 2 < bed.endpoint().route.pace < most
+
+
+def test_dispatchers_rank_endpoints_in_orders_of_their_own():
+    firsts = set()
+    for rank in range(8):
+        bed = Bed(endpoints=2, rank=rank, dispatchers=8)
+        bed.deliver(2)
+        firsts.add(bed.pushed[0][1])
+    assert len(firsts) == 2
+
+
 # ---- health
 
 def broken(bed, ending="unreachable", times=3):
@@ -297,6 +316,41 @@
     assert bed.turn(3) == sent + 1  # one trial, no burst
 
 
+@pytest.mark.parametrize("dispatchers", [2, 200])
+def test_one_of_many_leaves_a_doubtful_endpoint_alone_for_longer(dispatchers):
+    bed = Bed(scale=10.0, dispatchers=dispatchers)
+    broken(bed, "timeout", times=1)
+    for _ in range(12):
+        ntf = bed.take()
+        if bed.turn(2) > 1:
+            break
+        bed.at.withdrawn(ntf)
+    waited = (bed.at.now - bed.endpoint().bad_since) // SEC
+    assert waited < 8 if dispatchers == 2 else waited >= 8
+
+
+def test_a_note_ends_the_doubt_into_a_warm_up_and_odd_notes_are_ignored():
+    bed = Bed(may_note=True, dispatchers=200)
+    endpoint = broken(bed)
+    bed.at.note(0, b"back 10")  # its own
+    for body in (b"back 77", b"", b"back", b"back x1", b"\xff 10"):
+        bed.at.note(5, body)
+    assert endpoint.bad_since
+    bed.at.note(5, b"back 10")
+    assert not endpoint.bad_since and endpoint.back_at == bed.at.now and not bed.host.all("note")
+    bed.at.note(5, b"back 10")
+    assert endpoint.back_at == bed.at.now
+
+
+def test_who_finds_an_endpoint_back_tells_the_others():
+    bed = Bed(may_note=True)
+    broken(bed)
+    back = bed.take()
+    bed.turn(8)
+    bed.end(back, "delivered")
+    assert bed.host.all("note") == [[None, b"back 10"]]
+
+
 def test_trial_goes_to_what_can_best_afford_the_loss(bed):
     broken(bed)
     bed.take(ONCE_ONLY)
