A told wait is followed by a random part as long again: nobody returns in lock-step

Cause: a shut destination tells all dispatchers when it opens, and 190 of them were back in that moment.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -169,8 +169,7 @@
     """Never a push that comes back moot for want of a slot, nor one destination with all slots."""
 
     def out(self, push):
-        slots = self.me.settings.get("slots", 1 << 30)
-        dest = push.ntf.destination
+        slots, dest = self.me.settings.get("slots", 1 << 30), push.ntf.destination
         # Threat: silent and slow destinations hold slots for long; the more a destination holds, the more
         # must stay free for the others.
         free = slots - self.me.slots_out
@@ -199,9 +198,9 @@
     def back(self, push, ending, latency, wait, report):
         route, now = push.endpoint.route, self.at.now
         if ending == "throttled":
-            rest = min(REST << min(route.refusals, 4), MOST_REST)
-            # Threat: all that were told to wait come back at once; a random part spreads them.
-            rest = int(rest * (self.at.chance(push.ntf.id) + (0 if wait else 0.5)))
+            # Threat: all that a shut destination told to wait are back in one moment, while it is cold.
+            turn, rest = self.at.health.turn(push.endpoint), min(REST << min(route.refusals, 4), MOST_REST)
+            rest = int((min(wait, turn) if wait else rest) * (self.at.chance(push.ntf.id) + (not wait) / 2))
             route.wait_until = max(route.wait_until, now + wait + rest)
             route.refusals += 1
             route.refused_since = route.refused_since or now
@@ -248,7 +247,10 @@
         """How long an endpoint in doubt is left alone: until each of all dispatchers could have a turn.
 
         Threat: each of many tries seldom, and all together push over what comes back."""
-        return int(min(SPACING * DOUBT_GROWTH ** min(endpoint.run, 9), SEC / self.budget(endpoint, 0)))
+        return int(min(SPACING * DOUBT_GROWTH ** min(endpoint.run, 9), self.turn(endpoint)))
+
+    def turn(self, endpoint):
+        return SEC / self.budget(endpoint, 0)  # in which each of all dispatchers could have a call
 
     def warm(self, endpoint):
         now = self.at.now
@@ -265,8 +267,7 @@
         """The trouble after a run of bad outcomes longer than this instance's own share of them explains.
 
         Threat: a path of ours that loses calls everywhere makes sound endpoints look down."""
-        loss = min(max(0.01, 0 if surely else self.me.loss), 0.5)
-        run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(loss)))
+        run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(0.01, 0 if surely else self.me.loss), 0.5))))
         return 1 - (1 - TROUBLE_STEP) ** (run - 0.5)
 
     def back(self, push, ending, latency, wait, report):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -149,6 +149,17 @@
     assert bed.turn(0.3) > 1
 
 
+def test_after_a_long_wait_many_dispatchers_do_not_return_together():
+    returns = set()
+    for rank in range(6):
+        bed = Bed(scale=10.0, rank=rank, dispatchers=200)
+        ntf = bed.take(ttl=60)
+        bed.turn()
+        bed.end(ntf, "throttled", wait=8 * SEC)
+        returns.add((bed.endpoint().route.wait_until - bed.at.now) // SEC)
+    assert min(returns) >= 8 and max(returns) < 16 and len(returns) > 2
+
+
 def test_told_wait_binds_one_endpoint_where_routes_are_apart():
     bed = Bed(endpoints=2, routes_apart=[True])
     ntf = bed.take()
