Tidy after rereading: nothing built for nothing on the way of each notification, send and reply

A destination was built for each notification and thrown away, a map for each send, and a full turn computed for each throttling reply though only told waits use it. A stage's method no longer has the name of the module's turn.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -29,7 +29,7 @@
 SHORT_OUTAGE, SHUT_AFTER = 1500 * MS, 2500 * MS  # no cold return before; only throttled for so long
 DOUBT_GROWTH = 10  # for each bad outcome in a row: the pause until the next push there
 SILENCE = 500 * MS  # a push that fails later than this met silence
-USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual calls to a destination are counted
+USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual deliveries at a destination are counted
 RAMP_SHARE = 0.8  # of what the rule allows
 REST, MOST_REST = 250 * MS, 2 * SEC
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
@@ -79,9 +79,9 @@
     late, least = at - (ntf.ttl_at - ttl) - objective, topic.get("late_share", 0)
     if late <= 0:
         return whole
-    halves = topic.get("fades") == "halves"
-    return whole * max(least, 0.5 ** (late / max(objective, 1)) if halves
-                       else 1 - (1 - least) * late / max(ttl - objective, 1))
+    if topic.get("fades") == "halves":
+        return whole * max(least, 0.5 ** (late / max(objective, 1)))
+    return whole * max(least, 1 - (1 - least) * late / max(ttl - objective, 1))
 
 
 def may_go_again(ntf, now):
@@ -198,9 +198,11 @@
     def back(self, push, ending, latency, wait, report):
         route, now = push.endpoint.route, self.at.now
         if ending == "throttled":
-            # Threat: all that a shut destination told to wait are back in one moment, while it is cold.
-            turn, rest = self.at.health.turn(push.endpoint), min(REST << min(route.refusals, 4), MOST_REST)
-            rest = int((min(wait, turn) if wait else rest) * (self.at.chance(push.ntf.id) + (not wait) / 2))
+            chance = self.at.chance(push.ntf.id)
+            rest = int(min(REST << min(route.refusals, 4), MOST_REST) * (chance + 0.5))
+            if wait:
+                # Threat: all that a shut destination told to wait are back in one moment, while it is cold.
+                rest = int(min(wait, self.at.health.full_turn(push.endpoint)) * chance)
             route.wait_until = max(route.wait_until, now + wait + rest)
             route.refusals += 1
             route.refused_since = route.refused_since or now
@@ -247,9 +249,9 @@
         """How long an endpoint in doubt is left alone: until each of all dispatchers could have a turn.
 
         Threat: each of many tries seldom, and all together push over what comes back."""
-        return int(min(SPACING * DOUBT_GROWTH ** min(endpoint.run, 9), self.turn(endpoint)))
+        return int(min(SPACING * DOUBT_GROWTH ** min(endpoint.run, 9), self.full_turn(endpoint)))
 
-    def turn(self, endpoint):
+    def full_turn(self, endpoint):
         return SEC / self.budget(endpoint, 0)  # in which each of all dispatchers could have a call
 
     def warm(self, endpoint):
@@ -502,7 +504,9 @@
             dest.idle_until = 0
 
     def destination(self, number):
-        return self.me.destinations.setdefault(number, Destination(number))
+        if number not in self.me.destinations:
+            self.me.destinations[number] = Destination(number)
+        return self.me.destinations[number]
 
     def notification(self, ntf_id, topic, destination, ttl_at=0, key=0):
         topics = self.me.settings.get("topic_types", [])
@@ -530,9 +534,8 @@
             self.release(ntf)
 
     def withdrawn(self, ntf_id):
-        ntf = self.me.notifications.get(ntf_id)
-        if ntf:
-            self.close(ntf)
+        if ntf_id in self.me.notifications:
+            self.close(self.me.notifications[ntf_id])
 
     def note(self, rank, body):
         """A note from another dispatcher: an endpoint that we hold in doubt delivers again."""
@@ -567,16 +570,15 @@
         self.close(ntf)
 
     def turn(self):
-        now = self.now
         for push in list(self.me.pushes.values()):
-            if not push.overdue and now >= push.overdue_at:
+            if not push.overdue and self.now >= push.overdue_at:
                 self.health.overdue(push)
         waiting = [d for d in self.me.destinations.values() if d.waiting]
         for ntf in [n for dest in waiting for n in dest.waiting if self.ttl.hopeless(n)]:
             self.give_up(ntf)
         self.shed(waiting)
         self.reclaim(waiting)
-        ready = [d for d in waiting if d.waiting and d.idle_until <= now]
+        ready = [d for d in waiting if d.waiting and d.idle_until <= self.now]
         while ready:
             dest = min(ready, key=lambda d: (d.calls_out, d.turn))
             if not self.serve(dest) or not dest.waiting:
@@ -588,10 +590,8 @@
         if held > most and not self.me.shedding:
             self.host.log(f"places run out: {held} held, throttling what is worth least")
         self.me.shedding = held > most or (self.me.shedding and held > most / 2)
-        while len(self.me.notifications) > most:
-            least = [n for d in waiting for n in d.waiting if harmless(n, self.now)]
-            if not least:
-                return
+        while len(self.me.notifications) > most and (
+                least := [n for d in waiting for n in d.waiting if harmless(n, self.now)]):
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
     def reclaim(self, waiting):
@@ -624,10 +624,10 @@
 
     def send(self, push, ready):
         endpoint, dest, call = push.endpoint, push.ntf.destination, Call()
-        most = dict(enumerate(self.me.settings.get("batch_by_kind", []))).get(endpoint.kind, 1)
+        sizes = self.me.settings.get("batch_by_kind", [])
         # Threat: a batch shares one fate, so a trial and a doubtful endpoint get a single notification.
-        if push.trial or endpoint.bad_since or endpoint.back_at:
-            most = 1
+        single = push.trial or endpoint.bad_since or endpoint.back_at or endpoint.kind >= len(sizes)
+        most = 1 if single else sizes[endpoint.kind]
         self.launch(push, endpoint, call)
         for ntf in ready:
             if len(call.pushes) >= most:
