A rule that allows a cold endpoint nothing no longer crashes the module

Threat: start_capacity or overload_factor of 0 gave a budget of 0, and the pause after a failure and the random part after a told wait divided by it (since they came to follow that budget). A full turn is bounded at half an hour, which also keeps timers within an hour.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -252,7 +252,7 @@
         return int(min(SPACING * DOUBT_GROWTH ** min(endpoint.run, 9), self.full_turn(endpoint)))
 
     def full_turn(self, endpoint):
-        return SEC / self.budget(endpoint, 0)  # in which each of all dispatchers could have a call
+        return SEC / max(self.budget(endpoint, 0), 1 / 1800)  # for all dispatchers, half an hour at most
 
     def warm(self, endpoint):
         now = self.at.now
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -438,6 +438,18 @@
     assert not bed.at.me.notifications or bed.pushed
 
 
+@pytest.mark.parametrize("settings", [{"start_capacity": 0}, {"overload_factor": 0}])
+@pytest.mark.parametrize("ending", ["unreachable", "throttled"])
+def test_a_rule_that_allows_a_cold_endpoint_nothing_does_not_crash(settings, ending):
+    bed = Bed(**settings)
+    ntf = bed.take(ttl=60)
+    bed.turn()
+    bed.end(ntf, ending, wait=9 * SEC)
+    sent = len(bed.pushed)
+    assert bed.turn(0.1) == sent and bed.turn(20) == sent + 1
+    assert all(delay < 3600 * SEC for delay, _ in bed.host.all("timer"))
+
+
 def test_settings_may_miss_anything():
     bed = Bed()
     bed.at.me.settings.clear()
