SIGHUP rereads the file and moves the watch and the notices to its discovery address

Checked: exit code and log (no line before the end), so no fault in the program; net/node.py listened for SIGTERM, SIGINT and SIGUSR1 alone, and net/config.py let EDGE_DISCOVERY, as old as the process, win over the file. Ruled out: shell and `exec` (the signal reaches python itself). Now: node.reload reads the file, the watch in flight is dropped and the whole list asked for at the new address, notices go there from the next post on; a file that cannot be read or names no address changes nothing.

--- a/juniperlanding/__main__.py
+++ b/juniperlanding/__main__.py
@@ -13,6 +13,7 @@
 """
 
 import os
+import signal
 import sys
 
 import docopt
@@ -30,6 +31,7 @@
             print(owed.id, owed.topic, f"dest={owed.destination}", f"ttl_at={owed.ttl_at}",
                   f"pushes={owed.pushes}", f"may_have_run={len(owed.ran)}", *owed.notice)
     else:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # threat: one that comes before `serve` listens for it
         import trio
 
         from juniperlanding.net import config, node
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -38,6 +38,7 @@
 
 
 def read(environ=os.environ):
+    """Threat: the environment stays as it was at the start, while the file is replaced; so the file wins."""
     with open(environ["EDGE_CONFIG"], encoding="utf-8") as file:
         told = json.load(file)
     wire = told.get("settings", {})
@@ -46,7 +47,7 @@
     return Config(
         name=environ.get("EDGE_NAME") or told.get("name", "dispatcher"),
         listen=protocol.address(environ.get("EDGE_LISTEN") or told["listen"]),
-        discovery=protocol.address(environ.get("EDGE_DISCOVERY") or told["discovery"]),
+        discovery=protocol.address(told.get("discovery") or environ["EDGE_DISCOVERY"]),
         state=environ["EDGE_STATE"],
         seed=str(told.get("seed", "")),
         limits=told.get("limits", {}), known=told.get("known") or {}, settings=settings,
--- a/juniperlanding/net/discovery.py
+++ b/juniperlanding/net/discovery.py
@@ -20,9 +20,10 @@
         self.kinds, self.zones, self.most_list = config.kinds, config.zones, config.memory // LIST_SHARE
         self.revision = config.known.get("revision")  # 0 is one too
         self.wait = min(config.settings.get("must_ask_in", 20 * SEC) // MS, MOST_WAIT)
-        self.wanted, self.whole = trio.Event(), False
+        self.wanted, self.whole, self.on, self.scope = trio.Event(), False, False, trio.CancelScope()
 
     def subscribe(self, on):
+        self.on = on
         if on:
             self.wanted.set()
         else:
@@ -32,27 +33,49 @@
         self.whole = True
         self.wanted.set()
 
+    def move(self, address):
+        """Ask anew there, at once: the whole list, since another address may number its lists in its own way.
+
+        A watch that was under way told nothing yet, or is told again by that list."""
+        self.address = address
+        self.scope.cancel()
+        self.anew()
+
+    def anew(self):
+        self.whole = True
+        if self.on:
+            self.wanted.set()  # threat: the old address failed, and the pause before asking again is long
+
     async def run(self):
         while True:
             await self.wanted.wait()
-            line, reason = None, "not_wanted"
-            try:
-                while self.wanted.is_set():
-                    if line and not line.quiet():
-                        line.close()
-                        line = None
-                    line = line or await self.connected()
-                    if not await self.ask(line):
-                        line.close()
-                        line = None
-            except Exception as error:  # threat: an odd list must not end the program, nor the watch for good
-                reason = type(error).__name__
-                self.wanted = trio.Event()
-                await self.news("failed", [])
-            finally:
-                if line:
+            with trio.CancelScope() as self.scope:
+                await self.follow()
+            if self.scope.cancelled_caught:
+                self.anew()  # threat: what was being read when it moved has undone it
+
+    async def follow(self):
+        line, reason = None, "not_wanted"
+        try:
+            while self.wanted.is_set():
+                if line and not line.quiet():
+                    line.close()
+                    line = None
+                line = line or await self.connected()
+                if not await self.ask(line):
                     line.close()
-                self.log("conn", f"discovery end={reason}")
+                    line = None
+        except trio.Cancelled:
+            reason = "moved" if self.scope.cancel_called else "stopped"
+            raise
+        except Exception as error:  # threat: an odd list must not end the program, nor the watch for good
+            reason = type(error).__name__
+            self.wanted = trio.Event()
+            await self.news("failed", [])
+        finally:
+            if line:
+                line.close()
+            self.log("conn", f"discovery end={reason}")
 
     async def connected(self):
         with trio.fail_after(LATE):
@@ -60,7 +83,7 @@
 
     async def ask(self, line):
         """One watch, or the whole list; tells whether the connection can be used again."""
-        whole, self.whole = self.whole or self.revision is None, False
+        whole = self.whole or self.revision is None
         query = "" if whole else f"?index={self.revision}&wait={self.wait}"
         with trio.fail_after(LATE + (0 if whole else self.wait / 1000)):
             await line.send(h11.Request(method="GET", target=protocol.LIST + query,
@@ -68,7 +91,7 @@
             if (await line.answer()).status_code != 200:
                 raise ValueError("no list")
             body = await line.body(self.most_list)
-        told = json.loads(body)
+        told, self.whole = json.loads(body), False
         if not isinstance(told, dict) or not isinstance(told.get("members"), list):
             raise ValueError("no list")
         members = protocol.entries(told["members"], self.kinds, self.zones)
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -1,5 +1,6 @@
 """One dispatcher from start to end: puts the parts together, and drains when it is asked to stop."""
 
+import os
 import signal
 import socket
 from functools import partial
@@ -7,7 +8,7 @@
 import trio
 
 from juniperlanding.choice import SEC
-from juniperlanding.net import clock, protocol
+from juniperlanding.net import clock, config, protocol
 from juniperlanding.net.clients import ROOM, Clients
 from juniperlanding.net.counters import Counters
 from juniperlanding.net.discovery import Discovery
@@ -21,35 +22,35 @@
 CLIENT_SIZE = 2 * (protocol.MOST_BODY + protocol.MOST_HEAD)  # the most that a client's connection holds
 
 
-def bounds(config):
+def bounds(told):
     """How many connections clients and endpoints may have, so that neither limit is reached.
 
     Threat: calls to silent endpoints keep their connections for long; a client is answered at once."""
-    left = max(12, config.sockets - OTHER_FILES - ROOM)
-    return min(left // 3, max(8, config.memory // 4 // CLIENT_SIZE)), left - left // 3
+    left = max(12, told.sockets - OTHER_FILES - ROOM)
+    return min(left // 3, max(8, told.memory // 4 // CLIENT_SIZE)), left - left // 3
 
 
 class Node:
-    def __init__(self, config, log=None):
-        self.config, self.counters, self.log = config, Counters(), log or Log(config.name)
+    def __init__(self, told, log=None):
+        self.config, self.counters, self.log = told, Counters(), log or Log(told.name)
         common = self.counters, self.log
-        self.ledger = Ledger(config.state, config.disk)
-        self.owner = owner = Owner(config, self.ledger, *common)
-        most_clients, most_calls = bounds(config)
-        owner.endpoints = Endpoints(config, most_calls, partial(owner.tell, owner.finished), *common)
-        owner.notices = Notices(config.discovery, partial(owner.tell, owner.end), *common)
-        owner.discovery = Discovery(config, partial(owner.tell, owner.listed), self.log)
-        self.clients = Clients(config, most_clients, owner, *common)
+        self.ledger = Ledger(told.state, told.disk)
+        self.owner = owner = Owner(told, self.ledger, *common)
+        most_clients, most_calls = bounds(told)
+        owner.endpoints = Endpoints(told, most_calls, partial(owner.tell, owner.finished), *common)
+        owner.notices = Notices(told.discovery, partial(owner.tell, owner.end), *common)
+        owner.discovery = Discovery(told, partial(owner.tell, owner.listed), self.log)
+        self.clients = Clients(told, most_clients, owner, *common)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        config, owner = self.config, self.owner
-        listener = socket.create_server(config.listen, backlog=1024)
+        told, owner = self.config, self.owner
+        listener = socket.create_server(told.listen, backlog=1024)
         listener.setblocking(False)
-        known = protocol.entries(config.known.get("members", []), config.kinds, config.zones)
+        known = protocol.entries(told.known.get("members", []), told.kinds, told.zones)
         await owner.tell(owner.begin, known)
-        if config.settings.get("list_mode") != "ask":
+        if told.settings.get("list_mode") != "ask":
             owner.discovery.subscribe(True)
-        self.log("start", f"listening on {config.listen[0]}:{config.listen[1]}, {len(known)} endpoints, "
+        self.log("start", f"listening on {told.listen[0]}:{told.listen[1]}, {len(known)} endpoints, "
                           f"{len(self.ledger.owed)} owed, {self.ledger.skipped} torn records skipped")
         with listener:
             async with trio.open_nursery() as nursery:
@@ -59,6 +60,19 @@
                 nursery.start_soon(self.clients.listen, listener, nursery)
                 task_status.started(listener.getsockname())
 
+    def reload(self, environ=os.environ):
+        """Move to the address that the replaced file names; what else it may change waits for a restart."""
+        try:
+            from_file = {name: environ[name] for name in environ.keys() - {"EDGE_DISCOVERY"}}
+            discovery = config.read(from_file).discovery
+        except Exception as error:  # threat: a file half written or wrong must not end the program
+            return self.log("config", f"cannot be read, the old one stays in force: {error!r}")
+        self.log("config", f"read again, discovery at {discovery[0]}:{discovery[1]}")
+        if discovery != self.config.discovery:
+            self.config.discovery = discovery
+            self.owner.discovery.move(discovery)
+            self.owner.notices.move(discovery)
+
     async def drain(self):
         """Serve on for as long as the platform lets us; what is taken on meanwhile stays in the ledger.
 
@@ -79,16 +93,23 @@
         self.ledger.close()
 
 
-async def serve(config):
+async def serve(told):
     never_wait()
-    node = Node(config)
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+    node, stopping = Node(told), False
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(node.run)
             async for number in signals:
-                if number != signal.SIGUSR1:
-                    break
-                node.log("counters", node.counters.line())
-            await node.drain()
-            node.close()
-            nursery.cancel_scope.cancel()
+                if number == signal.SIGHUP:  # while draining too: notices still go out
+                    node.reload()
+                elif number == signal.SIGUSR1:
+                    node.log("counters", node.counters.line())
+                elif not stopping:
+                    stopping = True
+                    nursery.start_soon(stop, node, nursery.cancel_scope)
+
+
+async def stop(node, scope):
+    await node.drain()
+    node.close()
+    scope.cancel()
--- a/juniperlanding/net/notices.py
+++ b/juniperlanding/net/notices.py
@@ -17,12 +17,17 @@
     def __init__(self, address, taken, counters, log):
         self.address, self.taken, self.counters, self.log = address, taken, counters, log
         self.due, self.news, self.line = deque(), trio.Event(), None
+        self.moved = False
         self.together, self.patience = TOGETHER, PATIENCE
 
     def add(self, ntf_id, outcome, retry_ms):
         self.due.append((ntf_id, outcome, retry_ms))
         self.news.set()
 
+    def move(self, address):
+        """From the next post on: what is under way may still be answered, and is posted anew if it is not."""
+        self.address, self.moved, self.patience = address, True, PATIENCE
+
     async def run(self):
         while True:
             while self.due:
@@ -64,8 +69,9 @@
         return json.dumps(notice, separators=(",", ":")).encode() + b"\n"
 
     async def exchange(self, body):
-        if self.line and not self.line.quiet():
-            self.drop("closed_by_platform")
+        if self.line and (self.moved or not self.line.quiet()):
+            self.drop("moved" if self.moved else "closed_by_platform")
+        self.moved = False
         if not self.line:
             self.line = await connect(self.address)
         line = self.line
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -200,7 +200,9 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(told))
         (self.folder / "state").mkdir(exist_ok=True)
-        return read({"EDGE_CONFIG": str(path), "EDGE_STATE": str(self.folder / "state")})
+        self.environ = {"EDGE_CONFIG": str(path), "EDGE_STATE": str(self.folder / "state"),
+                        "EDGE_LISTEN": "127.0.0.1:0", "EDGE_DISCOVERY": "127.0.0.1:1"}  # gone; the file wins
+        return read(self.environ)
 
     async def start(self):
         self.node = Node(self.config(), log=lambda code, text: self.lines.append((code, text)))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 
 import pytest
 import trio
-from conftest import WIRE, Far, http, member
+from conftest import WIRE, Far, Platform, http, member
 
 from juniperlanding.__main__ import main
 from juniperlanding.choice import SEC
@@ -665,6 +665,47 @@
     site.run(scene)
 
 
+@pytest.mark.parametrize("before", ["watching", "failed"])
+def test_a_replaced_file_moves_watch_and_notices_and_a_torn_one_moves_nothing(site, before):
+    async def scene(site):
+        if before == "failed":
+            site.platform.answer = lambda *message: http(500)
+        node, config = await site.start(), site.folder / "config.json"
+        await site.until(lambda: site.platform.got)
+        await site.until(lambda: node.owner.at.me.list_failures == (before == "failed"))
+        old, site.platform = site.platform, await Platform().open(site.nursery)
+        site.platform.lists = [{"revision": 1, "complete": True, "members": [member(2, site.far.address)]}]
+        whole = config.read_text()
+        for torn in ("", whole[:90], "[]", "{}", whole.replace("discovery", "directory")):
+            config.write_text(torn)
+            node.reload(site.environ)
+        assert node.config.discovery == old.address and node.counters["faults"] == 0
+        site.config()
+        node.reload(site.environ)
+        node.owner.notices.add("a1", "given_up", 0)
+        await site.until(lambda: site.platform.notices and list(node.owner.at.me.endpoints) == ["s-2"])
+        await site.until(lambda: len([first for first, _, _ in site.platform.got if "GET" in first]) == 2)
+        asked = [first.split()[1] for first, _, _ in site.platform.got if "GET" in first]
+        assert not old.notices and asked == ["/catalog/members", "/catalog/members?index=1&wait=10000"]
+    site.run(scene)
+
+
+def test_sighup_under_way_ends_nothing(site):
+    async def scene(site):
+        process = await program(site)
+        assert await site.hand_in("a1", "order", ttl=600) == 202
+        old, site.platform = site.platform, await Platform().open(site.nursery)
+        site.config()
+        for _ in range(3):
+            process.send_signal(signal.SIGHUP)
+        await site.until(lambda: site.platform.notices)
+        assert len(site.far.got) == 1 and process.returncode is None and not old.notices
+        process.terminate()
+        process.send_signal(signal.SIGHUP)
+        assert await process.wait() == 0
+    site.run(scene, silent)
+
+
 def test_a_missing_configuration_is_said_plainly(capsys, monkeypatch):
     monkeypatch.delenv("EDGE_CONFIG", raising=False)
     assert main(["serve"]) == 2 and "EDGE_CONFIG" in capsys.readouterr().err
