A warming endpoint gets calls of several, charged to its budget by what they weigh

Ruled out: its limit (two throttlings), slots, sockets (138 of 256), connecting. At fault: choice.py, `send`: `endpoint.back_at` forced one notification to a call, and the budget took 1 for any call. A further notification weighs a fraction of a call, so ten singles cost the cold endpoint more than one call of ten. A doubtful endpoint and a trial still get a single one.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -627,7 +627,7 @@
         sizes = self.me.settings.get("batch_by_kind", [])
         # Threats: a batch shares one fate, so a trial and a doubtful endpoint get a single notification; one
         # that an endpoint cannot digest fails its mates each time, so what may have run goes alone.
-        single = push.trial or endpoint.bad_since or endpoint.back_at or push.ntf.may_have_run
+        single = push.trial or endpoint.bad_since or push.ntf.may_have_run
         most = 1 if single or endpoint.kind >= len(sizes) else sizes[endpoint.kind]
         self.launch(push, endpoint, call)
         for ntf in ready:
@@ -642,9 +642,10 @@
         dest.turn = self.me.turns = self.me.turns + 1
         dest.calls_out += 1
         self.me.slots_out += 1
-        endpoint.route.tokens -= 1 + BATCH_WEIGHT * (len(call.pushes) - 1)
+        weight = 1 + BATCH_WEIGHT * (len(call.pushes) - 1)
+        endpoint.route.tokens -= weight
         if endpoint.back_at:
-            endpoint.tokens -= 1
+            endpoint.tokens -= weight
 
     def launch(self, push, endpoint, call):
         ntf = push.ntf
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -413,6 +413,17 @@
     assert not endpoint.back_at
 
 
+def test_a_warming_endpoint_gets_calls_of_several_within_the_same_budget():
+    bed = Bed(batch_by_kind=[5])
+    endpoint = bed.endpoint()
+    endpoint.back_at = endpoint.filled_at = bed.at.now
+    endpoint.tokens = 1.0
+    for _ in range(8):
+        bed.take()
+    assert bed.turn() == 5 and endpoint.tokens < -0.5
+    assert bed.turn(0.1) == 5  # what the call weighed is paid off first
+
+
 @pytest.mark.parametrize("dispatchers, closed", [(2, 0), (200, 1)])
 def test_idle_connections_close_where_reuse_is_unlikely(dispatchers, closed):
     bed = Bed(scale=10.0, dispatchers=dispatchers)
