The ledger counts what a notification takes, so twice as many may be held before any is refused

Ruled out: places (`most_held`), connections (8 refusals), a full queue, clients that left. At fault: net/ledger.py, `Books.add` took twice the body's Base64 and 512 bytes for each, two to three times what its records need, against two eighths of the disk. Now the length of its first record and 512, against three.

--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -17,7 +17,8 @@
 from zlib import crc32
 
 FILE = "ledger"
-FULL, WASTE = 2, 5  # eighths of the disk: what is owed may fill so many, and the file grows to so many
+FULL, WASTE = 3, 4  # eighths of the disk: what is owed may fill so many, and the file grows to so many
+MORE = 512  # bytes beside its first record that one notification's pushes and end will add
 
 
 @dataclass(slots=True)
@@ -73,22 +74,22 @@
         for raw in content.split(b"\n"):
             try:
                 if raw:
-                    self.apply(parse(raw))
+                    self.apply(parse(raw), len(raw))
             except (ValueError, TypeError, KeyError, IndexError):
                 self.skipped += 1  # threats: killed within a write; another version's record
         return self
 
-    def add(self, owed):
-        text = (len(owed.body) + 2) // 3 * 4  # of the body, in Base64
-        owed.size = 2 * text + 512  # with what its pushes and its end will add
+    def add(self, owed, size):
+        """Threat: counted as more than it takes, what is owed fills the ledger while half of it is free."""
+        owed.size = size + MORE
         self.owed[owed.id] = owed
         self.owed_size += owed.size
 
-    def apply(self, record):
+    def apply(self, record, size=0):
         kind, number, *rest = record
         if kind == "t":
             *fields, body = rest
-            return self.add(Owed(number, *fields, b64decode(body)))
+            return self.add(Owed(number, *fields, b64decode(body)), size)
         owed = self.owed.get(number)
         if owed is None:
             return
@@ -114,15 +115,15 @@
 
     def take(self, *fields):
         owed = Owed(*fields)
-        self.add(owed)
         self.pending.append(line(next(owed.records())))
+        self.add(owed, len(self.pending[-1]))
 
     def write(self, *record):
         self.apply(record)
         self.pending.append(line(record))
 
     def room(self, size):
-        return self.owed_size + 3 * size + 1024 <= self.most_owed
+        return self.owed_size + 2 * size + 2 * MORE <= self.most_owed
 
     def flush(self):
         """Write what gathered; on an error it stays gathered, and the file is as before."""
