Bad clients get an error or a close in 2.5 s, idle and half requests give way, odd messages are refused

Checked, from one line for each message taken on: destinations -1 and 70000, TTLs of 2^40 ms, negative TTLs. At fault: net/clients.py waited the idle time (10 s) for a request, and without end for its first byte; net/line.py, `finish` listened on for as long; net/protocol.py took signs, gaps and any size of figure, and cut the TTL instead of refusing it; net/owner.py took any destination. By reading: a request behind or within another (two lengths, more bytes than its length), ids or TTLs given twice, an id that comes again once it is over. Ruled out: CPU (0.48 of 0.85 of a core in the busiest second). A request that came whole is served over the connection limit too: it waits in memory already.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -8,14 +8,13 @@
 from juniperlanding.net.line import GONE, accept
 from juniperlanding.net.owner import Answer
 
-ROOM = 8  # connections over the limit that are told so before they are closed
+ROOM = 8  # connections over the limit; they make others give way, and are closed after their answer
 
 
 class Clients:
     def __init__(self, config, most_open, owner, counters, log):
         self.owner, self.counters, self.log, self.most_open = owner, counters, log, most_open
-        self.patience = config.settings.get("idle_closes", 10 * SEC) / SEC
-        self.open, self.idle, self.draining = 0, {}, False  # idle: the scope of each wait for a request
+        self.open, self.waiting, self.draining = 0, {}, False  # waiting: the scope of each wait for a request
         self.places = trio.Semaphore(most_open + ROOM)
 
     async def listen(self, listener, nursery):
@@ -35,33 +34,25 @@
             nursery.start_soon(self.attend, line, peer)
 
     def shed(self):
-        """Threat: clients keep connections that they do not use; the one idle longest goes."""
-        if self.idle:
-            next(iter(self.idle.values())).cancel()
+        """Threats: clients keep connections that they do not use, or never finish what they ask.
+
+        Of those that owe us a request, the one that has done so longest goes."""
+        if self.waiting:
+            self.waiting.pop(next(iter(self.waiting))).cancel()
 
     def drain(self):
         """No connection is kept after its next answer; those between requests close now."""
         self.draining = True
-        for scope in list(self.idle.values()):
-            scope.cancel()
+        while self.waiting:
+            self.shed()
 
     async def attend(self, line, peer):
-        reason, served = "closed", 0
+        reason, served, until = "closed", 0, trio.current_time() + protocol.REQUEST_WITHIN
         try:
             while reason == "closed":
-                with trio.CancelScope() as scope:
-                    self.idle[line] = scope
-                    try:
-                        begun = await line.begin()
-                    finally:
-                        del self.idle[line]
-                if scope.cancelled_caught:
-                    reason = "closed_by_us"
-                elif not begun:
-                    break
-                else:
-                    reason = await self.one(line)
-                    served += 1
+                reason = await self.one(line, until)
+                until = float("inf")  # between requests a client may wait
+                served += reason == "closed"
         except GONE as error:
             reason = type(error).__name__
         except Exception as error:  # threat: one odd client must not end the program
@@ -73,27 +64,43 @@
             line.close()
             self.log("conn", f"client {peer[0]}:{peer[1]} end={reason} requests={served}")
 
-    async def one(self, line):
+    async def one(self, line, until):
         """Read one request and answer it; the reason to end the connection, or 'closed' to go on."""
-        status, reason, request, body = 408, "slow", None, None
+        status, reason, request, body, begun = 408, "slow", None, None, False
         try:
-            with trio.move_on_after(self.patience):
-                request = await line.event()
-                if isinstance(request, h11.ConnectionClosed):
-                    return "ended"
-                body = await line.body(protocol.MOST_BODY)
-                status, reason = 413, "too_long"
+            with trio.CancelScope(deadline=until) as scope:
+                self.waiting[line] = scope
+                try:
+                    if not (begun := await line.begin()):
+                        return "ended"
+                    # Threat: half a request, or a byte now and then, and its error is due.
+                    scope.deadline = min(until, trio.current_time() + protocol.REQUEST_WITHIN)
+                    if line in self.waiting:
+                        self.waiting[line] = self.waiting.pop(line)  # it has done nothing for the least time
+                    request = await line.event()
+                    if isinstance(request, h11.ConnectionClosed):
+                        return "ended"
+                    if int(dict(request.headers).get(b"content-length", 0)) <= protocol.MOST_BODY:
+                        body = await line.body(protocol.MOST_BODY)
+                    status, reason = 413, "too_long"
+                finally:
+                    gave_way = self.waiting.pop(line, None) is None
         except h11.RemoteProtocolError as error:
             status, reason = error.error_status_hint, "malformed"
+        if scope.cancelled_caught and (gave_way or not begun):
+            return "closed_by_us" if gave_way else "silent"
         if body is None or reason == "malformed":
             return await self.respond(line, status, reason=reason)
+        if protocol.ambiguous(request.headers) or line.more():
+            # Threat: another request hidden behind or within this one; one at a time is the rule.
+            return await self.respond(line, 400, reason="ambiguous")
         return await self.answer(line, request, body)
 
     async def respond(self, line, status, headers=(), payload=b"", reason="closed"):
         last = reason != "closed" or self.draining or self.open > self.most_open
         headers = [*headers, ("Content-Length", str(len(payload)))]
         self.counters[f"answers_{status}"] += 1
-        with trio.move_on_after(self.patience) as scope:
+        with trio.move_on_after(protocol.REQUEST_WITHIN) as scope:
             await line.send(h11.Response(status_code=status,
                                          headers=headers + [("Connection", "close")] * last),
                             h11.Data(data=payload), h11.EndOfMessage())
@@ -121,19 +128,18 @@
     async def hand_in(self, line, headers, body):
         self.counters["handed_in"] += 1
         try:
-            ntf_id, topic = headers[protocol.ID].decode("latin-1"), headers[protocol.TOPIC].decode("latin-1")
+            ntf_id, topic = protocol.name(headers[protocol.ID]), headers[protocol.TOPIC].decode("latin-1")
             ttl_at = clock.now() + protocol.left(headers[protocol.TTL])
             destination = protocol.destination(headers[protocol.WHERE])
-            key = headers.get(protocol.KEY, b"").decode("latin-1")
+            key = protocol.name(headers[protocol.KEY]) if protocol.KEY in headers else ""
         except (KeyError, ValueError):
             return await self.respond(line, 400)
         if topic not in self.owner.topics:
             return await self.respond(line, 400)
         answer = Answer(ntf_id)
-        # Threats: more comes than can be held, and is told so while there is still room to say it; we stood
-        # still, and the client has left and hands it in elsewhere.
-        full = self.open > self.most_open or not self.owner.ready or line.waiting() == b""
-        if full or not self.owner.tell_now(self.owner.hand_in, topic, destination, ttl_at, key, body,
+        # Threat: we stood still, and the client has left and hands it in elsewhere.
+        left = not self.owner.ready or line.waiting() == b""
+        if left or not self.owner.tell_now(self.owner.hand_in, topic, destination, ttl_at, key, body,
                                            answer):
             return await self.respond(line, 503)
         await answer.ready.wait()
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -8,6 +8,7 @@
 from juniperlanding.net.protocol import MOST_HEAD
 
 CHUNK = 16 << 10
+LINGER, MOST_LINGER = 0.25, 256 << 10  # seconds and bytes for which a closed client is still listened to
 GONE = (OSError, trio.ClosedResourceError, trio.BrokenResourceError)
 
 
@@ -97,14 +98,21 @@
         """Whether nothing came on an idle connection: bytes that nobody asked for, or its end, spoil it."""
         return self.waiting() is None
 
+    def more(self):
+        """Whether more came than the message that was read."""
+        return bool(self.http.trailing_data[0] or self.waiting())
+
     async def finish(self):
-        """Threat: closing with bytes unread resets the connection and takes the last answer with it.
+        """Threats: closing with bytes unread resets the connection and takes the last answer with it; some
+        never end, or have 60 MB to send.
 
         However the other side ends, the answer itself is out already."""
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            while await self.sock.recv(CHUNK):
-                pass
+            with trio.move_on_after(LINGER):
+                for _ in range(MOST_LINGER // CHUNK):
+                    if not await self.sock.recv(CHUNK):
+                        break
         except GONE:
             pass
 
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -30,6 +30,7 @@
         self.topics = {topic.get("name"): at for at, topic in enumerate(config.settings["topic_types"])}
         self.batches = config.settings.get("batch_by_kind", [])
         self.held = {}  # what the module has not ended, with its client's answer; the ledger has the rest
+        self.taken = set()  # ids until their TTL; threat: one that is over comes again, and would run twice
         self.timers, self.sequence, self.entries = [], 0, {}
         self.calls, self.cancels, self.answers, self.notices_due = {}, [], [], []
         self.queue, self.inbox = trio.open_memory_channel(ROUND * 4)
@@ -101,6 +102,7 @@
 
     def refuse(self, ntf_id):
         """Take back what was taken on in this round: its pushes have not begun."""
+        self.taken.discard(ntf_id)
         self.at.withdrawn(ntf_id)
         self.end(ntf_id)
         for sends in self.calls.values():
@@ -159,9 +161,11 @@
     def hand_in(self, topic, destination, ttl_at, key, body, answer):
         ntf_id = answer.ntf_id
         self.answers.append(answer)
-        if ntf_id in self.ledger.owed:
-            answer.status = 202  # the same once more on a new connection: taken on already
+        if ntf_id in self.taken or ntf_id in self.ledger.owed:
+            answer.status = 202  # the same once more on a new connection, or by another client
             return
+        if destination not in self.at.me.destinations:
+            return  # 503, since the list is behind
         full = len(self.held) >= self.config.settings.get("most_held", 1 << 30)
         if full or not self.ledger.room(len(body)):
             self.counters["turned_away_full"] += 1
@@ -174,14 +178,16 @@
             self.end(ntf_id)
             raise
         self.after(ttl_at + LAST_CALL, self.overdue, ntf_id)
+        self.taken.add(ntf_id)
         self.counters["taken_on"] += 1
         answer.status = 202
 
     def overdue(self, ntf_id, looked=False):
         """Threat: the module failed at an event, and what it concerned would never end."""
         if not looked:  # threat: we stood still past the TTL, and the module has had no turn since
-            self.after(self.at.now + LAST_CALL // 4, self.overdue, ntf_id, True)
-        elif ntf_id in self.held:
+            return self.after(self.at.now + LAST_CALL // 4, self.overdue, ntf_id, True)
+        self.taken.discard(ntf_id)
+        if ntf_id in self.held:
             self.log_line("fault", f"notification {ntf_id} was not ended in time")
             self.counters["faults"] += 1
             self.at.withdrawn(ntf_id)
@@ -189,6 +195,7 @@
 
     def unheard(self, ntf_id):
         """The client left before it was told: nothing is owed."""
+        self.taken.discard(ntf_id)
         self.at.withdrawn(ntf_id)
         self.end(ntf_id)
         self.counters["unheard"] += 1
@@ -242,6 +249,7 @@
         self.counters[outcome] += 1
         if answer in self.answers:
             answer.status, answer.again_in = status, again_in
+            self.taken.discard(ntf_id)
             return self.ledger.write("e", ntf_id)
         self.ledger.write("o", ntf_id, outcome, again_in // MS)
         self.notices_due.append((ntf_id, outcome, again_in // MS))
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -3,16 +3,19 @@
 from juniperlanding.choice import MS, SEC
 
 PATIENCE = 0.4  # seconds that a client waits for its answer; so long new connections come after SIGTERM
+REQUEST_WITHIN = 2.5  # seconds from connecting, or a later request's first byte, until all of it is there
 WATCH_GAP = 0.2  # seconds within which the next call keeps a watch going
 KILL_AFTER = 3.7  # seconds from SIGTERM until SIGKILL at the soonest
 MOST_BODY = 64 << 10
 MOST_HEAD = 16 << 10
+MOST_NAME = 256  # of an id or a key
 
 READY, HAND_IN, COUNTERS = b"/_health", b"/api", b"/_counters"
 ONE, MANY = "/v1/messages", "/v1/messages:batch"
 NOTICES, LIST = "/reports", "/catalog/members"
 
 ID, TOPIC, TTL, KEY, WHERE = b"x-trace-id", b"x-qos", b"x-expires-in-ms", b"idempotency-key", b"x-addressing"
+ONCE = {ID, TOPIC, TTL, KEY, WHERE, b"content-length", b"transfer-encoding"}
 RETRY, REPORT, NO_SLOT = b"retry-after", b"endpoint-load-metrics", b"x-over-slots"
 
 STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
@@ -20,21 +23,40 @@
               "no_more": "moot"}
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
 
-MOST_TIME = 1 << 40  # milliseconds; a client's TTL beyond it is cut, so that no clock overflows
+MOST_DIGITS = 8  # of a destination, or of a TTL in milliseconds: about a day
 
 
 def destination(value):
     """The number in `dest=7`, whatever else stands beside it."""
     for part in value.replace(b";", b",").split(b","):
-        name, _, number = part.strip().partition(b"=")
-        if name == b"dest":
-            return int(number)
+        word, _, digits = part.strip().partition(b"=")
+        if word == b"dest":
+            return number(digits)
     raise ValueError("no destination")
 
 
 def left(value):
     """A client's TTL in nanoseconds."""
-    return max(-MOST_TIME, min(int(value), MOST_TIME)) * MS
+    return number(value) * MS
+
+
+def number(value):
+    """Threat: signs, gaps and other alphabets' digits, which `int` takes; figures that no clock holds."""
+    if not value.isdigit() or len(value) > MOST_DIGITS:
+        raise ValueError("no whole number")
+    return int(value)
+
+
+def name(value):
+    if not 0 < len(value) <= MOST_NAME:
+        raise ValueError("no name")
+    return value.decode("latin-1")
+
+
+def ambiguous(headers):
+    """Threats: two lengths that may hide another request; two ids or TTLs, of which either may be meant."""
+    once = [word for word, _ in headers if word in ONCE]
+    return len(once) > len(set(once)) or {b"content-length", b"transfer-encoding"} <= set(once)
 
 
 def wait(value):
