A first line with 200 counts though the rest is spoilt; noise and endless answers end their call

Others (noise with no line end, heads that stop) held one of 10 slots until overdue, and the endpoint was blamed as silent. At fault: net/endpoints.py, `answered` and `unanswered`, which let h11's error decide alone; net/line.py, where an answer once begun could take the call's whole time. By reading: an answer 503 or 429 spoilt further on was told as "never ran", and a once-only one could have been sent twice; it is believed only when whole now.

--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -77,7 +77,7 @@
                 call.written = True
                 await self.answered(call)
                 reason = "answered"
-        except (*GONE, h11.RemoteProtocolError, trio.TooSlowError) as error:
+        except (*GONE, h11.ProtocolError, trio.TooSlowError) as error:
             reason = type(error).__name__
         except Exception as error:  # threat: one odd answer must not end the program
             reason = type(error).__name__
@@ -93,11 +93,13 @@
         await self.tell(call, [(send, "timeout")])
 
     async def unanswered(self, call):
-        """The outcome of what got no answer follows from how far the call came."""
+        """The outcome of what got no answer, or a spoilt one, follows from how far the call came."""
         gave_up = call.scope.cancelled_caught
-        ends = []
+        ends, single = [], len(call.sends) == 1
         for send in call.sends:
-            if call.written:
+            if call.written and single and call.line and protocol.says_delivered(call.line.head):
+                ends.append((send, "delivered"))
+            elif call.written:
                 ends.append((send, "cancelled" if send.cancelled else "timeout" if gave_up else "reset"))
             else:
                 ends.append((send, "unreachable" if call.tried and not send.cancelled else "moot"))
@@ -141,30 +143,33 @@
         return line
 
     async def answered(self, call):
-        """Read the answer, and tell what it proves."""
+        """Read the answer, and tell what it proves.
+
+        Threat: a spoilt answer has run, whatever it says; but one line with 200 is true for one message."""
         line = call.line
         answer = await line.answer()
         headers = dict(answer.headers)
         wait = protocol.wait(headers.get(protocol.RETRY, b""))
         report = protocol.report(headers.get(protocol.REPORT, b""), self.report)
         many = len(call.sends) > 1
-        if many and answer.status_code == 200:
-            ends = self.batch_ends(call, await line.body(protocol.MOST_BODY))
+        if answer.status_code == 200 and not many:
+            ends = [(call.sends[0], "delivered")]
+            if not line.whole():
+                await self.tell(call, ends, wait, report)
+                await line.rest(protocol.MOST_BODY)
         else:
-            ending = self.ending(answer.status_code, headers, many)
-            ends = [(send, ending) for send in call.sends]
-        if line.whole():
-            self.keep(call)  # before it is told, so that the module can have it closed
-            return await self.tell(call, ends, wait, report)
+            body = await line.rest(protocol.MOST_BODY)
+            if answer.status_code == 200:
+                ends = self.batch_ends(call, body)
+            else:
+                ending = self.ending(answer.status_code, headers, many)
+                ends = [(send, ending) for send in call.sends]
+        self.keep(call)  # before it is told, so that the module can have it closed
         await self.tell(call, ends, wait, report)
-        await line.body(protocol.MOST_BODY)
-        self.keep(call)
 
     @staticmethod
     def ending(status, headers, many):
-        """What an answer proves; what no page names may have run."""
-        if status == 200:
-            return "delivered"
+        """What an answer other than 200 proves; what no page names may have run."""
         if status == 503 and headers.get(protocol.NO_SLOT) == b"1" or status == 504:
             return "moot"
         if status == 410:
@@ -176,8 +181,8 @@
     def batch_ends(call, body):
         try:
             states = {item["id"]: protocol.BATCH_ENDS.get(item["state"]) for item in json.loads(body)}
-        except (ValueError, TypeError, KeyError):
-            states = {}
+        except (ValueError, TypeError, KeyError, RecursionError):
+            raise h11.RemoteProtocolError("ends cannot be read") from None
         return [(send, states.get(send.id) or "error") for send in call.sends]
 
     def request(self, call):
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -5,9 +5,10 @@
 import h11
 import trio
 
-from juniperlanding.net.protocol import MOST_HEAD
+from juniperlanding.net.protocol import MOST_HEAD, may_begin_an_answer
 
 CHUNK = 16 << 10
+ANSWER_WITHIN = 1.0  # seconds from an answer's first byte until its head has come, and then its body
 LINGER, MOST_LINGER = 0.25, 256 << 10  # seconds and bytes for which a closed client is still listened to
 GONE = (OSError, trio.ClosedResourceError, trio.BrokenResourceError)
 
@@ -16,7 +17,7 @@
     def __init__(self, raw, role):
         self.raw, self.sock = raw, trio.socket.from_stdlib_socket(raw)
         self.http = h11.Connection(role, max_incomplete_event_size=MOST_HEAD)
-        self.used_at = 0
+        self.used_at, self.head = 0, b""  # head: what came of an answer until its head could be read
         try:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
@@ -27,17 +28,22 @@
         while (event := self.http.next_event()) is h11.NEED_DATA:
             if self.http.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            self.http.receive_data(await self.sock.recv(CHUNK))
+            await self.receive()
         return event
 
-    async def begin(self):
-        """Wait for the first bytes of a message; False when the other side ended instead."""
-        if self.http.trailing_data[0]:
-            return True
+    async def receive(self):
         data = await self.sock.recv(CHUNK)
+        if self.http.our_role is h11.CLIENT and self.http.their_state is h11.SEND_RESPONSE:
+            self.head += data
+            if not may_begin_an_answer(self.head):
+                raise h11.RemoteProtocolError("noise")
         self.http.receive_data(data)
         return bool(data)
 
+    async def begin(self):
+        """Wait for the first bytes of a message; False when the other side ended instead."""
+        return bool(self.http.trailing_data[0]) or await self.receive()
+
     async def body(self, most):
         """All of a body; None when it is longer than allowed."""
         parts, size = [], 0
@@ -51,13 +57,25 @@
         return b"".join(parts)
 
     async def answer(self):
-        """The head of the other side's final answer."""
-        while isinstance(event := await self.event(), h11.InformationalResponse):
-            pass
+        """The head of the other side's final answer.  Threat: one that never ends."""
+        self.head = b""
+        await self.begin()
+        with trio.fail_after(ANSWER_WITHIN):
+            while isinstance(event := await self.event(), h11.InformationalResponse):
+                pass
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError("ended without an answer")
+        self.head = b""
         return event
 
+    async def rest(self, most):
+        """The body of an answer.  Threat: one that does not fit its length, or keeps coming."""
+        with trio.fail_after(ANSWER_WITHIN):
+            body = await self.body(most)
+        if body is None:
+            raise h11.RemoteProtocolError("too long")
+        return body
+
     async def send(self, *events):
         """Write events as one gathered write; returns once the kernel has all of it."""
         parts = []
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -11,6 +11,7 @@
 MOST_NAME = 256  # of an id or a key
 
 READY, HAND_IN, COUNTERS = b"/_health", b"/api", b"/_counters"
+ANSWER = b"HTTP/1."
 ONE, MANY = "/v1/messages", "/v1/messages:batch"
 NOTICES, LIST = "/reports", "/catalog/members"
 
@@ -89,6 +90,20 @@
     return found
 
 
+def may_begin_an_answer(head):
+    return head.startswith(ANSWER[:len(head)])
+
+
+def says_delivered(head):
+    """Whether the first line of an answer says 200; interim answers in front of it are passed over.
+
+    Threat: an answer spoilt further on; the line is true all the same."""
+    while head.startswith(ANSWER + b"1 1"):
+        head = head.partition(b"\r\n\r\n")[2]
+    first, end, _ = head.partition(b"\r\n")
+    return bool(end) and first.startswith((ANSWER + b"1 200 ", ANSWER + b"0 200 "))
+
+
 def address(text):
     host, _, port = text.rpartition(":")
     return host, int(port)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -96,7 +96,16 @@
     (http(200), "delivered"), (http(500), "error"), (http(418), "error"), (http(429), "throttled"),
     (http(503), "throttled"), (http(503, b"", "X-Over-Slots: 1"), "moot"), (http(504), "moot"),
     (http(410), "moot"), (None, "timeout"), ("reset", "reset"), ("end", "reset"), ("half", "reset"),
-    (b"nonsense\r\n\r\n", "reset"), (b"HTTP/1.1 200 x\r\nContent-Le", "timeout"),
+    (b"nonsense\r\n\r\n", "reset"), (b"\x93\xac\xc5", "reset"), (b"ICY 200 OK\r\n\r\n", "reset"),
+    (b"HTTP/1.1 2x0 OK\r\n\r\n", "reset"), (b"HTTP/1.1 200 x\r\nContent-Le", "delivered"),
+    (b"HTTP/1.1 200 x\r\nno colon\r\n\r\n", "delivered"), (b"HTTP/1.1 20", "timeout"),
+    (b"HTTP/1.1 200 x\r\nX: " + b"x" * 40000, "delivered"),
+    (b"HTTP/1.1 500 x\r\nX: " + b"x" * 40000, "reset"),
+    (http(200, b"", "Content-Length: 7"), "delivered"), (http(503, b"", "Content-Length: 7"), "reset"),
+    (b"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 x\r\nno colon\r\n\r\n", "delivered"),
+    (b"HTTP/1.1 503 x\r\nContent-Length: 90\r\n\r\nshort", "timeout"),
+    (b"HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100_000, "reset"),
+    (b"HTTP/1.1 429 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "reset"),
     (b"HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\nshort", "delivered"),
     (b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\ntoo long", "delivered"),
     (b"HTTP/1.1 100 x\r\n\r\n" + http(200), "delivered"), (http(200, b"x" * 100_000), "delivered")])
@@ -113,6 +122,35 @@
     site.run(scene, lambda *message: answer)
 
 
+@pytest.mark.parametrize("spoilt", [
+    b"\x93\xac\xc5\r\n", b"HTTP/1.1 200 x\r\nno colon\r\n\r\n", http(200, b"[" * 9000), http(200, b"null"),
+    b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100_000,
+    http(200, b'[{"id":[],"state":{}}]')])
+def test_a_spoilt_answer_to_several_may_have_run_and_ends_its_connection_at_once(site, spoilt):
+    outcomes = []
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+        calls.start(site.nursery, "s-1", [send("a"), send("b")])
+        with trio.fail_after(0.5):
+            await site.until(lambda: len(outcomes) == 2)
+        assert {told[2] for told in outcomes} == {"reset"} and calls.places.value == 8
+    site.run(scene, lambda *message: spoilt)
+
+
+def test_an_answer_that_keeps_coming_ends_its_connection_and_not_the_delivery(site):
+    outcomes = []
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+        calls.start(site.nursery, "s-1", [send("a", 5 * SEC)])
+        await site.until(lambda: outcomes)
+        with trio.fail_after(2):
+            await site.until(lambda: calls.places.value == 8)
+        assert [told[2] for told in outcomes] == ["delivered"]
+    site.run(scene, lambda *message: b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\nx")
+
+
 def send(number, wait=SEC):
     """One part of a call, whose time-out is over after `wait`."""
     now = clock.now()
