The last byte of a call waits 5 ms; what breaks before it never ran, and a kept connection blames nobody

Ruled out: our idle time (9.5 s; ages were far below), requests left unread (bodies are 0.5 KB). At fault: net/endpoints.py, `run`, which wrote a call whole before it knew that the connection stands. The protocol counts what breaks before the last byte as never run.

--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -60,9 +60,9 @@
                 call.scope.cancel()
 
     def recall(self, endpoints):
-        """Threat: a wait or a drain binds, but a call that still connects would arrive all the same."""
+        """Threat: a wait or a drain binds, but a call not wholly written would arrive all the same."""
         for call in set(self.out.values()):
-            if call.endpoint in endpoints and call.line is None:
+            if call.endpoint in endpoints and not call.written:
                 for send in call.sends:
                     send.cancelled = True
                 call.scope.cancel()
@@ -72,9 +72,7 @@
         reason = "gave_up"
         try:
             with call.scope:
-                call.line = await self.line(call)
-                await call.line.send(*self.request(call))
-                call.written = True
+                await self.write(call)
                 await self.answered(call)
                 reason = "answered"
         except (*GONE, h11.ProtocolError, trio.TooSlowError) as error:
@@ -87,6 +85,20 @@
                 self.drop(call.endpoint, call.line, reason)
             await self.unanswered(call)
 
+    async def write(self, call):
+        """Threat: a kept connection that breaks before the last byte says nothing of the endpoint."""
+        while not call.written:
+            call.line = await self.line(call)
+            kept = call.line.used_at
+            try:
+                await call.line.send_in_two(*self.request(call))
+                call.written = True
+            except GONE:
+                if not kept:
+                    raise
+                line, call.line = call.line, None
+                self.drop(call.endpoint, line, "stale")
+
     async def expire(self, call, send):
         """Threat: in a call of several, one's time ends before the call does, and its end is due then."""
         await trio.sleep(max(0, send.ttl_at - clock.now()) / SEC)  # past already if we stood still meanwhile
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -9,6 +9,7 @@
 
 CHUNK = 16 << 10
 ANSWER_WITHIN = 1.0  # seconds from an answer's first byte until its head has come, and then its body
+HOLD = 0.005  # seconds for which the last byte of a call is held back
 LINGER, MOST_LINGER = 0.25, 256 << 10  # seconds and bytes for which a closed client is still listened to
 GONE = (OSError, trio.ClosedResourceError, trio.BrokenResourceError)
 
@@ -76,12 +77,31 @@
             raise h11.RemoteProtocolError("too long")
         return body
 
-    async def send(self, *events):
-        """Write events as one gathered write; returns once the kernel has all of it."""
+    def parts(self, events):
+        """The bytes of some events, as a gathered write takes them."""
         parts = []
         for event in events:
             parts += self.http.send_with_data_passthrough(event) or []
-        parts = [memoryview(part) for part in parts if len(part)]
+        return [memoryview(part) for part in parts if len(part)]
+
+    async def send(self, *events):
+        """Write events as one gathered write; returns once the kernel has all of it."""
+        await self.write(self.parts(events))
+
+    async def send_in_two(self, *events):
+        """The same, but the last byte waits for a moment in which the other side may break off.
+
+        Threat: a kept connection that the other side gave up breaks at the first bytes; as long as the last
+        one has not left, nothing has run."""
+        *parts, last = self.parts(events)
+        await self.write([*parts, last[:-1]])
+        with trio.move_on_after(HOLD):
+            await trio.lowlevel.wait_readable(self.raw)
+        if self.waiting() == b"":
+            raise trio.BrokenResourceError("broke within the request")
+        await self.write([last[-1:]])
+
+    async def write(self, parts):
         while parts:
             sent = await self.sock.sendmsg(parts)
             while parts and sent >= len(parts[0]):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -186,6 +186,40 @@
     outcomes.extend(told)
 
 
+@pytest.mark.parametrize("kept, endings", [(True, ["delivered", "delivered"]), (False, ["unreachable"])])
+def test_a_connection_that_breaks_at_the_first_bytes_has_run_nothing(site, kept, endings):
+    outcomes, whole = [], []
+
+    def elsewhere(listener):
+        """Answers its first connection once if asked to, then resets at the next bytes; serves the second."""
+        for breaks in (True, False):
+            with listener.accept()[0] as sock:
+                if kept or not breaks:
+                    whole.append(sock.recv(4096) + sock.recv(4096))
+                    sock.sendall(http(200))
+                if breaks:
+                    sock.recv(4096)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                if breaks and not kept:
+                    return
+                if not breaks:
+                    sock.recv(1)
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            thread = threading.Thread(target=elsewhere, args=(listener,))
+            thread.start()
+            calls.book["s-1"] = listener.getsockname()
+            for number in "ab"[:len(endings)]:
+                calls.start(site.nursery, "s-1", [send(number)])
+                await site.until(lambda: not calls.out)
+            calls.close_idle("s-1")
+            await trio.to_thread.run_sync(thread.join)
+        assert [told[2] for told in outcomes] == endings and len(whole) == len(endings) * kept
+    site.run(scene)
+
+
 def test_a_refused_connection_never_ran(site):
     outcomes = []
 
