A short run that this dispatcher's own losses explain is no outage, and no warm-up follows

Ruled out: cold endpoints (their answers took as long as before), their limits. At fault: choice.py, `good` asked for three bad outcomes whatever the instance loses elsewhere, though setting aside (`after`) asks for more where it loses much; `back` counted a call of ten as ten samples when delivered and as one when lost, so the share of losses stayed too low. Both now use the same run. Where it could hurt: an endpoint that was silent for two or three calls only, while this dispatcher loses calls elsewhere, is not warmed up; set-aside ones always are.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -260,17 +260,17 @@
         endpoint.tokens, endpoint.filled_at = min(1.0, endpoint.tokens + gained), now
         return endpoint.tokens >= 1.0
 
-    def after(self, surely):
-        """The trouble after a run of bad outcomes longer than this instance's own share of them explains.
+    def unlikely(self, surely=False):
+        """The run of bad outcomes that this instance's own share of them no longer explains.
 
-        Threat: a path of ours that loses calls everywhere makes sound endpoints look down."""
-        run = max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(0.01, 0 if surely else self.me.loss), 0.5))))
-        return 1 - (1 - TROUBLE_STEP) ** (run - 0.5)
+        Threat: a path of ours that loses calls everywhere makes sound endpoints look down or back."""
+        share = 0 if surely else self.me.loss
+        return max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(0.01, share), 0.5))))
 
     def back(self, push, ending, latency, wait, report):
         endpoint, now = push.endpoint, self.at.now
         if ending == "delivered":
-            self.me.loss *= 1 - LOSS_STEP
+            self.me.loss *= 1 - LOSS_STEP * (not push.call.judged)  # a call is one sample
             self.good(endpoint)
         elif push.call.judged or ending == "moot" or push.overdue:
             if endpoint.down and ending != "moot":
@@ -286,8 +286,8 @@
 
     def good(self, endpoint, told=False):
         now = self.at.now
-        # Threat: a path that loses single calls looks like an outage each time; a run of failures is one.
-        if told or endpoint.run >= LEAST_RUN and now - endpoint.bad_since >= SHORT_OUTAGE:
+        outage = endpoint.down or endpoint.run >= self.unlikely()
+        if told or outage and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at, endpoint.filled_at, gone = now, now, (now - endpoint.bad_since) // MS
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
             self.at.host.log(f"endpoint {endpoint.id} back after {gone} ms, warming")
@@ -313,7 +313,7 @@
             return self.aside(endpoint)
         endpoint.trial_at = self.at.now + int(self.pause(endpoint) * (0.5 + self.at.chance(endpoint.id)))
         self.at.wake_at(endpoint.trial_at)
-        if endpoint.trouble > self.after(surely):
+        if endpoint.trouble > 1 - (1 - TROUBLE_STEP) ** (self.unlikely(surely) - 0.5):
             endpoint.down, endpoint.back_at = True, 0
             self.aside(endpoint)
             self.at.host.log(f"endpoint {endpoint.id} set aside: {why}, trouble {endpoint.trouble:.2f}")
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -448,6 +448,25 @@
     assert bed.turn(0.1) > sent
 
 
+@pytest.mark.parametrize("loss, warms", [(0.0, True), (0.3, False)])
+def test_a_short_run_that_own_losses_explain_is_no_outage(bed, loss, warms):
+    endpoint, bed.at.me.loss = bed.endpoint(), loss
+    endpoint.run, endpoint.bad_since = 4, bed.at.now - 2 * SEC  # two resets
+    bed.at.health.good(endpoint)
+    assert bool(endpoint.back_at) == warms and not endpoint.bad_since
+
+
+@pytest.mark.parametrize("judged, share", [(False, 0.97), (True, 1.0)])
+def test_a_call_of_several_is_one_sample_of_our_own_losses(judged, share):
+    bed = Bed(batch_by_kind=[4])
+    bed.take()
+    bed.turn()
+    bed.at.me.loss = 0.2
+    bed.at.me.pushes[1, 0].call.judged = judged
+    bed.end(1, "delivered")
+    assert bed.at.me.loss == pytest.approx(0.2 * share)
+
+
 def test_a_turn_with_nothing_due_ranks_nothing(bed, monkeypatch):
     bed.deliver()
     bed.at.me.settings["slots"] = 0
