--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -635,11 +635,11 @@
         single = push.trial or endpoint.bad_since or push.ntf.may_have_run
         most = 1 if single or endpoint.kind >= len(sizes) else sizes[endpoint.kind]
         self.launch(push, endpoint, call)
-        for ntf in ready:
-            mate, free = Push(ntf, ntf.pushes), not (ntf.out or ntf.over or ntf.may_have_run)
-            if len(call.pushes) < most and free and self.order.out(mate) == PASS:
-                self.timeout.out(mate)
-                self.launch(mate, endpoint, call)
+        free = (Push(n, n.pushes) for n in ready if not (n.out or n.over or n.may_have_run))
+        mates = (mate for mate in free if self.order.out(mate) == PASS)
+        for _, mate in zip(range(most - 1), mates, strict=False):
+            self.timeout.out(mate)
+            self.launch(mate, endpoint, call)
         endpoint.calls.append(call)
         dest.turn = self.me.turns = self.me.turns + 1
         dest.calls_out += 1
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -138,9 +138,9 @@
             return await self.respond(line, 400)
         answer = Answer(ntf_id)
         # Threat: we stood still, and the client has left and hands it in elsewhere.
-        left = not self.owner.ready or line.waiting() == b""
-        if left or not self.owner.tell_now(self.owner.hand_in, topic, destination, ttl_at, key, body,
-                                           answer):
+        unfit = not self.owner.ready or line.waiting() == b""
+        if unfit or not self.owner.tell_now(self.owner.hand_in, topic, destination, ttl_at, key, body,
+                                            answer):
             return await self.respond(line, 503)
         await answer.ready.wait()
         again = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -102,9 +102,7 @@
 
     def refuse(self, ntf_id):
         """Take back what was taken on in this round: its pushes have not begun."""
-        self.taken.discard(ntf_id)
-        self.at.withdrawn(ntf_id)
-        self.end(ntf_id)
+        self.take_back(ntf_id)
         for sends in self.calls.values():
             for send in [send for send in sends if send.id == ntf_id]:
                 sends.remove(send)
@@ -195,10 +193,13 @@
 
     def unheard(self, ntf_id):
         """The client left before it was told: nothing is owed."""
+        self.take_back(ntf_id)
+        self.counters["unheard"] += 1
+
+    def take_back(self, ntf_id):
         self.taken.discard(ntf_id)
         self.at.withdrawn(ntf_id)
         self.end(ntf_id)
-        self.counters["unheard"] += 1
 
     def finished(self, endpoint, outcomes):
         for ntf_id, number, ending, latency, wait, over, report in outcomes:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 import time
+from contextlib import contextmanager
 from functools import partial
 
 import pytest
@@ -186,6 +187,18 @@
     outcomes.extend(told)
 
 
+@contextmanager
+def in_a_thread(serve, calls):
+    """An endpoint that goes on while the program stands still; `serve` gets its listening socket."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        thread = threading.Thread(target=serve, args=(listener,))
+        thread.start()
+        calls.book["s-1"] = listener.getsockname()
+        yield
+        calls.close_idle("s-1")
+        thread.join()
+
+
 @pytest.mark.parametrize("kept, endings", [(True, ["delivered", "delivered"]), (False, ["unreachable"])])
 def test_a_connection_that_breaks_at_the_first_bytes_has_run_nothing(site, kept, endings):
     outcomes, whole = [], []
@@ -207,15 +220,10 @@
 
     async def scene(site):
         calls = await endpoints(site, outcomes)
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            thread = threading.Thread(target=elsewhere, args=(listener,))
-            thread.start()
-            calls.book["s-1"] = listener.getsockname()
+        with in_a_thread(elsewhere, calls):
             for number in "ab"[:len(endings)]:
                 calls.start(site.nursery, "s-1", [send(number)])
                 await site.until(lambda: not calls.out)
-            calls.close_idle("s-1")
-            await trio.to_thread.run_sync(thread.join)
         assert [told[2] for told in outcomes] == endings and len(whole) == len(endings) * kept
     site.run(scene)
 
@@ -274,16 +282,11 @@
 
     async def scene(site):
         calls = await endpoints(site, outcomes)
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            thread = threading.Thread(target=elsewhere, args=(listener,))
-            thread.start()
-            calls.book["s-1"] = listener.getsockname()
+        with in_a_thread(elsewhere, calls):
             calls.start(site.nursery, "s-1", [send("a", SEC // 10)])
             await site.until(lambda: ("a", 0) in calls.out and calls.out["a", 0].written)
             time.sleep(0.2)  # the whole process stands still, past the time-out
             await site.until(lambda: outcomes)
-            calls.close_idle("s-1")
-            thread.join()
         assert outcomes[0][2] == "delivered"
     site.run(scene)
 
