--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -12,16 +12,14 @@
 
 MS, SEC = 1_000_000, 1_000_000_000
 
-FACTOR = 2  # of the root of the MSE, in the time-out
+FACTOR, MOST_DOUBLINGS = 2, 4  # of the root of the MSE, in the time-out; of that while nothing is delivered
 START_TIMEOUT, LEAST_TIMEOUT = 45 * SEC, 1 * SEC
 SAMPLES, SPAN, SMOOTHING = 3, 10, 0.2  # deliveries until a forecast counts; what the predictors look at
-MOST_DOUBLINGS = 4  # of the time-out while nothing is delivered
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
 OVERDUE_FACTOR, LEAST_OVERDUE, LOST = 4, 1500 * MS, 2  # a once-only call may lose its slot at LOST times that
-TROUBLE_STEP = 0.4  # how far one bad outcome moves an endpoint's trouble towards 1
+TROUBLE_STEP, LOSS_STEP = 0.4, 0.03  # how far one bad outcome moves its endpoint's trouble; a push, our share
 LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
-LOSS_STEP = 0.03  # how far one push moves the instance's share of bad outcomes
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
 SHORT_OUTAGE, SHUT_AFTER = 1500 * MS, 2500 * MS  # no cold return before; only throttled for so long
 DOUBT_GROWTH = 10  # for each bad outcome in a row: the pause until the next push there
@@ -30,14 +28,12 @@
 RAMP_SHARE = 0.8  # of what the rule allows
 REST, MOST_REST = 250 * MS, 2 * SEC
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
-BURST = 0.5  # seconds of the pace that may go at once
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
 SPARE = 0.25  # of a limit that any one dispatcher may use, since it mostly stands idle
-FIRST_PACE = 2.0  # calls a second where nothing is known of a limit
+BURST, FIRST_PACE = 0.5, 2.0  # seconds of the pace that go at once; calls a second where no limit is known
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH = 2  # calls out at an endpoint to take the next in rank
-PLACES = 8  # of a destination's traffic, one part in so many is worth an idle connection
-SHED_AT = 0.9
+PLACES, SHED_AT = 8, 0.9  # one part in so many of the traffic is worth an idle connection; of held
 PASS, KEEP, END = "pass", "keep", "end"
 SILENT = ("timeout", "reset", "cancelled")
 NEVER_RAN = ("throttled", "unreachable", "moot")
@@ -264,8 +260,7 @@
         """The run of bad outcomes that this instance's own share of them no longer explains.
 
         Threat: a path of ours that loses calls everywhere makes sound endpoints look down or back."""
-        share = 0 if surely else self.me.loss
-        return max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(0.01, share), 0.5))))
+        return max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(0.01, self.me.loss * (not surely)), 0.5))))
 
     def back(self, push, ending, latency, wait, report):
         endpoint, now = push.endpoint, self.at.now
@@ -472,6 +467,10 @@
         if tok == self.me.subscribe_at:
             self.host.subscribe(True)
 
+    def avoids(self, endpoint):
+        """Whether an endpoint is set aside: it gets single trials at most."""
+        return endpoint.down
+
     def stopping(self, at):
         self.me.stops_at = at
 
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -32,6 +32,7 @@
     name: told(Name, "Its name in log lines, the same after a restart.") = "dispatcher"
     listen: told(Address, "Where clients connect.") = "127.0.0.1:7070"
     discovery: told(Address | None, "Where the list of endpoints is followed and notices are posted.") = None
+    management: told(Address | None, "Where operators ask READY and STATS; absent: nowhere.") = None
     state: told(str | None, "The folder that outlives the process; a relative one starts at this file.") = (
         None
     )
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -6,6 +6,7 @@
 from juniperlanding.choice import SEC
 from juniperlanding.ground.log import described, where
 from juniperlanding.net import protocol
+from juniperlanding.net.counters import DECLINED
 from juniperlanding.net.line import GONE, Line
 from juniperlanding.net.owner import Answer
 
@@ -143,6 +144,7 @@
         unfit = not self.owner.ready or line.waiting() == b""
         if unfit or not self.owner.tell_now(self.owner.hand_in, topic, destination, ttl_at, key, body,
                                             answer):
+            self.counters.ended(topic, DECLINED)
             return await self.respond(line, 503)
         await answer.ready.wait()
         again = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -16,6 +16,7 @@
     name: str
     listen: tuple
     discovery: tuple
+    management: tuple | None  # where operators ask; None: nowhere
     state: str
     seed: str
     limits: dict
@@ -57,12 +58,14 @@
     settings = {"topic_types": []} | ours.settings | settings
     # The platform's report fields come without our names, the operators' with them.
     report = dict(zip(settings.get("report", []), report_names(settings), strict=True)) or ours.report
+    management = environ.get("EDGE_MANAGEMENT") or told.get("management") or ours.management
     return Config(
         name=environ.get("EDGE_NAME") or told.get("name") or ours.name or "dispatcher",
         listen=protocol.address(environ.get("EDGE_LISTEN") or told.get("listen")
                                 or need(ours.listen, "listen")),
         discovery=protocol.address(told.get("discovery") or environ.get("EDGE_DISCOVERY")
                                    or need(ours.discovery, "discovery")),
+        management=protocol.address(management) if management else None,
         state=environ.get("EDGE_STATE") or need(ours.state, "EDGE_STATE" if not operators else "state"),
         seed=str(told.get("seed", ours.seed)),
         limits=ours.limits | told.get("limits", {}), known=told.get("known") or ours.known, settings=settings,
@@ -83,6 +86,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    management: str | None = None
     state: str = ""
     seed: str = ""
     limits: dict = None
@@ -118,7 +122,8 @@
     limits = {"memory_mb": get("limits.memory") / 1e6, "disk_mb": get("limits.disk") / 1e6,
               "sockets": get("limits.sockets")}
     return Ours(name=get("instance.name"), listen=get("instance.listen"), discovery=get("instance.discovery"),
-                state=get("instance.state"), seed=get("instance.seed"), limits=limits,
+                management=get("instance.management"), state=get("instance.state"),
+                seed=get("instance.seed"), limits=limits,
                 known={"members": members} if members else {}, settings=settings,
                 kinds=[kind.name for kind in kinds], zones=list(get("zones")),
                 connect_within=int(get("connections.connect_within")), report=dict(get("reports")),
--- /dev/null
+++ b/juniperlanding/net/door.py
@@ -0,0 +1,89 @@
+"""The operators' door: one line to a connection, one answer, `ACK` or `NAK` first (docs/door.md).
+
+It asks the owner's queue for nothing, so a full queue, a failing disk or a flood of clients holds no answer
+up."""
+
+import trio
+
+from juniperlanding.ground.log import described, where
+from juniperlanding.net.line import GONE, linger
+
+PLACES = 8  # callers at once
+MOST_LINE = 128  # bytes of a call
+LINE_WITHIN = 4.5  # seconds until a call's line is whole, and its answer read
+FILES = PLACES + 4  # descriptors: the listener, the callers, and some that gave way and are not closed yet
+
+
+class No(Exception):
+    """A call that is answered with `NAK` and this reason."""
+
+
+class Door:
+    """`calls` maps a word to a function that gives the lines after `ACK`, or raises `No`."""
+
+    def __init__(self, listener, calls, counters, log):
+        self.listener, self.calls, self.counters, self.log = listener, calls, counters, log
+        self.unfinished = {}  # callers, longest first
+
+    async def listen(self, nursery):
+        self.listener.listen()
+        while True:
+            try:
+                sock, peer = await self.listener.accept()
+            except OSError as error:
+                self.log("door", "cannot accept", why=described(error))
+                await trio.sleep(0.05)  # threat: out of descriptors, which passes
+                continue
+            # Threat: callers that never finish their line keep an operator out.
+            if len(self.unfinished) >= PLACES:
+                self.unfinished.pop(next(iter(self.unfinished))).cancel()
+            self.unfinished[sock] = trio.CancelScope(deadline=trio.current_time() + LINE_WITHIN)
+            nursery.start_soon(self.attend, sock, self.unfinished[sock])
+
+    async def attend(self, sock, scope):
+        try:
+            with scope:
+                try:
+                    answer = ["ACK", *self.answer(await self.line(sock))]
+                except No as no:
+                    answer = [f"NAK {no}"]
+                    self.counters["door_refused"] += 1
+                self.counters["door_calls"] += 1
+                data = memoryview("".join(f"{line}\n" for line in answer).encode())
+                while data:
+                    data = data[await sock.sendmsg([data]):]
+                await linger(sock)
+            if scope.cancelled_caught:
+                self.counters["door_unfinished"] += 1
+        except GONE:
+            pass
+        except Exception as error:  # threat: one odd caller must not end the program
+            self.log("fault", part="door", why=described(error), at_line=where(error))
+        finally:
+            self.unfinished.pop(sock, None)
+            sock.close()
+
+    async def line(self, sock):
+        """The first line of a caller, without its end; what ends its sending ends its line too."""
+        line = b""
+        while b"\n" not in line:
+            if len(line) > MOST_LINE:
+                raise No(f"line longer than {MOST_LINE} bytes")
+            if not (data := await sock.recv(MOST_LINE)):
+                break
+            line += data
+        line = line.partition(b"\n")[0].strip()
+        if len(line) > MOST_LINE:
+            raise No(f"line longer than {MOST_LINE} bytes")
+        return line
+
+    def answer(self, line):
+        if not line:
+            raise No("empty line")
+        try:
+            word = line.decode("ascii")
+        except UnicodeDecodeError:
+            raise No("not ASCII text") from None
+        if word not in self.calls:
+            raise No(f"unknown call, expected one of {' '.join(sorted(self.calls))}")
+        return self.calls[word]()
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -10,6 +10,7 @@
 from juniperlanding.choice import MS, SEC, TRAVEL_SHARE
 from juniperlanding.ground.log import described, where
 from juniperlanding.net import protocol
+from juniperlanding.net.counters import FORWARDS
 from juniperlanding.net.line import GONE, connect
 
 
@@ -109,6 +110,7 @@
             try:
                 await call.line.send_in_two(*self.request(call))
                 call.written = True
+                self.counters[FORWARDS] += len(call.sends)
             except GONE:
                 if not kept:
                     raise
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -130,18 +130,7 @@
         return bool(self.http.trailing_data[0] or self.waiting())
 
     async def finish(self):
-        """Threats: closing with bytes unread resets the connection and takes the last answer with it; some
-        never end, or have 60 MB to send.
-
-        However the other side ends, the answer itself is out already."""
-        try:
-            self.sock.finish()
-            with trio.move_on_after(LINGER):
-                for _ in range(MOST_LINGER // CHUNK):
-                    if not await self.sock.recv(CHUNK):
-                        break
-        except GONE:
-            pass
+        await linger(self.sock)
 
     def close(self):
         self.sock.close()
@@ -150,5 +139,20 @@
         self.sock.abort()
 
 
+async def linger(sock):
+    """End our sending, and listen on for a moment.
+
+    Threats: closing with bytes unread resets the connection and takes the last answer with it; some never
+    end, or have 60 MB to send.  However the other side ends, the answer itself is out already."""
+    try:
+        sock.finish()
+        with trio.move_on_after(LINGER):
+            for _ in range(MOST_LINGER // CHUNK):
+                if not await sock.recv(CHUNK):
+                    break
+    except GONE:
+        pass
+
+
 async def connect(network, address):
     return Line(await network.connect(address), h11.CLIENT)
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -6,7 +6,7 @@
 
 from juniperlanding.choice import SEC
 from juniperlanding.ground import log as logs
-from juniperlanding.net import protocol
+from juniperlanding.net import door, protocol
 from juniperlanding.net.clients import ROOM, Clients
 from juniperlanding.net.counters import Counters
 from juniperlanding.net.discovery import Discovery
@@ -24,7 +24,7 @@
     """How many connections clients and endpoints may have, so that neither limit is reached.
 
     Threat: calls to silent endpoints keep their connections for long; a client is answered at once."""
-    left = max(12, told.sockets - OTHER_FILES - ROOM)
+    left = max(12, told.sockets - OTHER_FILES - ROOM - (door.FILES if told.management else 0))
     return min(left // 3, max(8, told.memory // 4 // CLIENT_SIZE)), left - left // 3
 
 
@@ -35,12 +35,15 @@
     Threat: a process that cannot listen has still rewritten the ledger; so the address comes first."""
 
     def __init__(self, told, world, log=None):
-        self.config, self.world, self.counters = told, world, Counters()
+        self.config, self.world = told, world
+        self.counters = Counters(topic.get("name") for topic in told.settings["topic_types"])
         self.log = log or logs.to(told.name, world.clock.now, **told.log)
         common = self.counters, self.log
         self.rereads, self.reread_after = trio.CancelScope(), REREAD
-        self.listener, self.lock = world.network.bind(told.listen), None
+        self.listener, self.lock, self.door = world.network.bind(told.listen), None, None
         try:
+            if told.management:
+                self.door = door.Door(world.network.bind(told.management), self.calls(), *common)
             self.lock = world.files.lock(told.state)
             self.ledger = Ledger(told.state, told.disk, world.files)
         except BaseException:
@@ -69,12 +72,28 @@
                     nursery.start_soon(part)
                 nursery.start_soon(owner.run, nursery)
                 nursery.start_soon(self.clients.listen, listener, nursery)
+                if self.door:
+                    nursery.start_soon(self.door.listen, nursery)
                 task_status.started(listener.address)
         finally:
             self.release()
 
+    def calls(self):
+        """What operators may ask at the door; further calls go here."""
+        return {"READY": self.takes_clients, "STATS": self.figures}
+
+    def takes_clients(self):
+        if not self.owner.ready or self.clients.draining:
+            raise door.No("draining" if self.clients.draining else "starting")
+        return []
+
+    def figures(self):
+        return [*self.counters.figures(**self.owner.gauges()), "--"]
+
     def release(self):
         self.listener.close()
+        if self.door:
+            self.door.listener.close()
         if self.lock:
             self.lock.close()
 
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -10,6 +10,7 @@
 from juniperlanding.choice import MS, NEVER_RAN, SEC, Dispatcher
 from juniperlanding.ground.log import described, where
 from juniperlanding.net import protocol
+from juniperlanding.net.counters import ABORTED, DECLINED, SUCCEEDED
 from juniperlanding.net.endpoints import Send
 
 ROUND = 256  # events taken together at most
@@ -72,6 +73,7 @@
         self.taken.add(owed.id)
         self.after(max(owed.ttl_at, self.at.now) + LAST_CALL, self.overdue, owed.id)
         if owed.notice:
+            self.counters["notices_due"] += 1
             return self.notices_due.append((owed.id, *owed.notice))
         self.held[owed.id] = None
         first = min(owed.ran.values(), key=lambda ran: ran[1], default=(0, 0))
@@ -101,6 +103,7 @@
                 self.counters["ledger_errors"] += 1
             for answer in self.answers:
                 if self.held.get(answer.ntf_id) is answer:
+                    self.counters.ended(self.ledger.owed[answer.ntf_id].topic, DECLINED)
                     self.refuse(answer.ntf_id)
                 answer.status = 503
                 answer.ready.set()
@@ -150,6 +153,12 @@
 
     # ---- events
 
+    def gauges(self):
+        """What is so at this moment, under the operators' names."""
+        listed = [endpoint for endpoint in self.at.me.endpoints.values() if endpoint.state != "gone"]
+        return {"outstanding": len(self.held), "discovered": len(listed),
+                "ejected": sum(map(self.at.avoids, listed))}
+
     def listed(self, news, members):
         for entry, address in members:
             self.endpoints.book[entry[0]], self.entries[entry[0]] = address, entry
@@ -165,11 +174,11 @@
             answer.status = 202  # the same once more on a new connection, or by another client
             return
         if destination not in self.at.me.destinations:
-            return  # 503, since the list is behind
+            return self.counters.ended(topic, DECLINED)  # 503, since the list is behind
         full = len(self.held) >= self.config.settings.get("most_held", 1 << 30)
         if full or not self.ledger.room(len(body)):
             self.counters["turned_away_full"] += 1
-            return
+            return self.counters.ended(topic, DECLINED)
         self.ledger.take(ntf_id, topic, destination, ttl_at, key, body)
         self.held[ntf_id] = answer
         try:
@@ -207,6 +216,9 @@
     def finished(self, endpoint, outcomes):
         for ntf_id, number, ending, latency, wait, over, report in outcomes:
             if over:
+                if ntf_id in self.held:
+                    how = SUCCEEDED if ending == "delivered" else ABORTED  # withdrawn, or out of time there
+                    self.counters.ended(self.ledger.owed[ntf_id].topic, how)
                 self.end(ntf_id)
             elif ending in NEVER_RAN:
                 self.ledger.write("n", ntf_id, number)
@@ -253,12 +265,14 @@
     def conclude(self, ntf_id, outcome, status, again_in):
         """In the client's own answer while that is still to come, else by a notice."""
         answer = self.held.pop(ntf_id)
-        self.counters[outcome] += 1
+        how = DECLINED if outcome == protocol.HANDED_BACK else ABORTED
+        self.counters.ended(self.ledger.owed[ntf_id].topic, how)
         if answer in self.answers:
             answer.status, answer.again_in = status, again_in
             self.taken.discard(ntf_id)
             return self.ledger.write("x", ntf_id)
         self.ledger.write("o", ntf_id, outcome, again_in // MS)
+        self.counters["notices_due"] += 1
         self.notices_due.append((ntf_id, outcome, again_in // MS))
 
     def timer(self, delay, tok):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -102,6 +102,7 @@
 
     def __init__(self, folder):
         self.folder, self.limits, self.wire = folder, {"disk_mb": 3, "sockets": 256}, WIRE
+        self.told = {}  # further keys of the platform's file
         self.lines, self.world = [], system()
 
     def log(self, event, text="", **fields):
@@ -123,7 +124,7 @@
             member(1, self.far.address), member(8, self.far.address, "terminating", cell=8)]}
         told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "7",
                 "discovery": "{}:{}".format(*self.platform.address),
-                "limits": self.limits, "known": known, "settings": self.wire}
+                "limits": self.limits, "known": known, "settings": self.wire, **self.told}
         path = self.folder / "config.json"
         path.write_text(json.dumps(told))
         (self.folder / "state").mkdir(exist_ok=True)
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,149 @@
+"""The operators' door and its figures, on loopback: callers of every temper, and counts against the truth."""
+
+import pytest
+import trio
+
+from juniperlanding.net import door
+from juniperlanding.standins.peers import http
+
+
+@pytest.fixture
+def site(site):
+    site.told["management"] = "127.0.0.1:0"
+    return site
+
+
+async def call(site, line=b"STATS\n"):
+    """All that the door answers to one call."""
+    stream = await trio.open_tcp_stream(*site.node.door.listener.address)
+    async with stream:
+        await stream.send_all(line)
+        if not line.endswith(b"\n"):
+            await stream.send_eof()
+        return b"".join([part async for part in stream]).decode().splitlines()
+
+
+async def figures(site):
+    first, *lines, last = await call(site)
+    assert (first, last) == ("ACK", "--")
+    parts = [line.replace("|", ":").split(":") for line in lines]
+    return {name.removeprefix("svc."): (int(value), kind) for name, value, kind in parts}
+
+
+@pytest.mark.parametrize("line, answer", [
+    (b"READY\n", "ACK"), (b"READY\r\n", "ACK"), (b"READY", "ACK"), (b"READY\nSTATS\n", "ACK"),
+    (b"\n", "NAK empty line"), (b"", "NAK empty line"), (b"ready\n", "NAK unknown call"),
+    (b"READY NOW\n", "NAK unknown call"), (b"\xff\xfe\n", "NAK not ASCII text"),
+    (b"x" * 200 + b"\n", "NAK line longer than 128 bytes"), (b"x" * 5000, "NAK line longer than 128 bytes")])
+def test_each_line_gets_one_answer(site, line, answer):
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.owner.ready)
+        told = await call(site, line)
+        assert len(told) == 1 and told[0].startswith(answer)
+        await site.until(lambda: not node.door.unfinished)
+    site.run(scene)
+
+
+def test_ready_is_no_before_it_takes_clients_and_while_it_drains(site):
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.owner.ready)
+        node.owner.ready = False
+        assert await call(site, b"READY\n") == ["NAK starting"]
+        node.owner.ready = True
+        node.clients.drain()
+        assert await call(site, b"READY\n") == ["NAK draining"]
+    site.run(scene)
+
+
+def test_callers_who_stall_keep_nobody_out(site):
+    async def scene(site):
+        await site.start()
+        address = site.node.door.listener.address
+        stalled = [await trio.open_tcp_stream(*address) for _ in range(3 * door.PLACES)]
+        for stream in stalled:
+            await stream.send_all(b"STA")
+        with trio.fail_after(1):
+            assert (await figures(site))["outstanding"] == (0, "g")
+            assert await stalled[0].receive_some() == b""
+        assert len(site.node.door.unfinished) <= door.PLACES
+    site.run(scene)
+
+
+def test_a_caller_that_never_finishes_its_line_is_let_go(site, monkeypatch):
+    monkeypatch.setattr(door, "LINE_WITHIN", 0.1)
+
+    async def scene(site):
+        node = await site.start()
+        stream = await trio.open_tcp_stream(*node.door.listener.address)
+        with trio.fail_after(1):
+            assert await stream.receive_some() == b""
+        assert node.counters["door_unfinished"] == 1 and not node.door.unfinished
+    site.run(scene)
+
+
+def test_it_answers_while_the_disk_fails_and_clients_fill_every_place(site):
+    site.limits = {"disk_mb": 3, "sockets": 64}
+
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.owner.ready)
+
+        def fail():
+            raise OSError("no space left")
+        node.ledger.flush = fail
+        flood = [await site.client() for _ in range(40)]
+        for stream in flood:
+            await stream.send_all(b"POST /api HTTP/1.1\r\nHo")
+        assert await site.hand_in("a1") == 503
+        while node.owner.tell_now(node.owner.unheard, "none"):  # the owner stands, so its queue fills up
+            pass
+        with trio.fail_after(1):
+            assert (await figures(site))["results.news.declined"] == (1, "c")
+    site.run(scene)
+
+
+def test_each_notification_is_counted_once_where_it_ends(site):
+    ends = {"d1": http(200), "d2": http(200), "o1": http(410), "o2": None}
+
+    async def scene(site):
+        node = await site.start()
+        for number, topic, ttl in (("d1", "news", 5000), ("d2", "pay", 5000), ("o1", "order", 5000),
+                                   ("o2", "order", 400), ("h1", "news", 400), ("u1", "news", 1)):
+            await site.hand_in(number, topic, ttl=ttl, dest=8 if number == "h1" else 7)
+        assert await site.hand_in("d1") == 202  # once more: nothing new
+        assert await site.hand_in("x1", "pay", dest=70000) == 503
+        await site.until(lambda: not node.owner.held)
+        told = await figures(site)
+        assert {name.removeprefix("results."): value for name, (value, _) in told.items()} == {
+            "news.succeeded": 1, "news.declined": 2, "news.aborted": 0,
+            "pay.succeeded": 1, "pay.declined": 1, "pay.aborted": 0,
+            "order.succeeded": 0, "order.declined": 0, "order.aborted": 2,
+            "forwards": 4, "outstanding": 0, "discovered": 2, "ejected": 0}
+        assert {kind for name, (_, kind) in told.items() if "." in name or name == "forwards"} == {"c"}
+    site.run(scene, lambda first, headers, body: ends[headers["x-trace-id"]])
+
+
+def test_what_an_earlier_process_took_on_is_counted_where_it_ends(site):
+    async def scene(site):
+        await site.start()
+        await site.hand_in("a1", "news")
+        await site.hand_in("a2", "order")
+        await site.until(lambda: len(site.far.got) == 2)
+        site.kill()
+        site.far.answer = lambda *message: http(200)
+        node = await site.start()
+        await site.until(lambda: node.owner.ready and not node.owner.held)
+        told = await figures(site)
+        assert told["results.news.succeeded"] == told["results.order.aborted"] == (1, "c")
+    site.run(scene, lambda *message: None)
+
+
+def test_an_endpoint_set_aside_is_ejected(site):
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.owner.ready)
+        node.owner.at.me.endpoints["s-1"].down = True
+        assert (await figures(site))["ejected"] == (1, "g")
+    site.run(scene)
