A second process takes over from the running one, sockets, module and lock in one step

A first form cancelled calls within their held-back last byte; a test of three replacements in a row showed 4 connections for 1, so a call that is being written now gets 50 ms. Ruled out on the way: a freeze that did not go through the owner's queue (an idle owner never woke for it). Change: handover/ (state machines, frames, channel), carry.py (the module's records), net/succession.py; the owner comes to rest, offers everything, and gives the word; Node builds its parts anew for each time it owns.

--- a/juniperlanding/cli/serve.py
+++ b/juniperlanding/cli/serve.py
@@ -56,21 +56,21 @@
     config = told(read)
     import trio
 
-    from juniperlanding.net.node import Node
-
-    try:
-        node = Node(config, world)
-    except OSError as error:
-        raise Refused(f"{error.filename or config.state}: {(error.strerror or str(error)).lower()}") from None
     # Threat: the environment is as old as the process; a replaced file's discovery goes before it.
-    trio.run(serve, node, partial(read, ("EDGE_DISCOVERY",)))
+    trio.run(serve, config, world, partial(read, ("EDGE_DISCOVERY",)))
 
 
-async def serve(node, read):
+async def serve(config, world, read):
     import trio
 
     from juniperlanding.ground.log import never_wait
+    from juniperlanding.net.node import Node
+    from juniperlanding.net.succession import begin
 
+    try:
+        node = await begin(lambda offer: Node(config, world, offer=offer), config, world)
+    except OSError as error:
+        raise Refused(f"{error.filename or config.state}: {(error.strerror or str(error)).lower()}") from None
     never_wait()
     stopping = False
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP) as signals:
--- a/juniperlanding/emulator/process.py
+++ b/juniperlanding/emulator/process.py
@@ -3,6 +3,7 @@
 Start, SIGTERM, SIGHUP, SIGKILL and the loss of the machine are methods; the process may also end by a fault
 of its disk.  What a dead process still does on its way out reaches nothing: its network and disk are gone."""
 
+import errno
 import json
 
 import trio
@@ -26,6 +27,9 @@
     def bind(self, address):
         return self.host.bind(address)
 
+    def harbour(self, folder):
+        raise OSError(errno.EOPNOTSUPP, "no Unix sockets in this world")
+
     async def connect(self, address):
         if self.dead:
             raise Killed
--- a/juniperlanding/ground/lock.py
+++ b/juniperlanding/ground/lock.py
@@ -16,7 +16,9 @@
 
 
 class Lock:
-    """Held from construction to `close`, or to the end of the process however that comes.
+    """`file` is its descriptor; handed to another process, it holds the lock there too, until both closed it.
+
+    Held from construction to `close`, or to the end of the process however that comes.
 
     Raises `Taken`, or OSError for a folder that is missing or cannot be written; then nothing was changed.
     Threat: two processes write one ledger, and each drops what the other took on."""
@@ -29,12 +31,23 @@
                 fcntl.flock(self.file, fcntl.LOCK_EX | fcntl.LOCK_NB)
             except BlockingIOError:
                 raise Taken(folder, holder(self.file)) from None
-            os.ftruncate(self.file, 0)
-            os.pwrite(self.file, b"%d\n" % os.getpid(), 0)
+            self.name()
         except BaseException:
             os.close(self.file)
             raise
 
+    @classmethod
+    def inherited(cls, file):
+        """A lock that another process handed to us; it still names that process."""
+        lock = cls.__new__(cls)
+        lock.file = file
+        return lock
+
+    def name(self):
+        """Write down which process has the folder."""
+        os.ftruncate(self.file, 0)
+        os.pwrite(self.file, b"%d\n" % os.getpid(), 0)
+
     def close(self):
         if self.file >= 0:
             os.close(self.file)  # the file stays: taking it away could take another's
--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -58,6 +58,10 @@
         except OSError:
             return b""
 
+    def peer(self):
+        """(host, port) of the other end; OSError once it broke."""
+        return self.raw.getpeername()
+
     def finish(self):
         """End our sending; the other side may still send."""
         self.sock.shutdown(socket.SHUT_WR)
@@ -77,7 +81,10 @@
 class Listener:
     """An address that is ours from `bind` on, and takes connections from `listen` on."""
 
-    def __init__(self, address):
+    def __init__(self, address, raw=None):
+        if raw:  # bound already, by the process before us
+            self.raw = raw
+            return
         self.raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -123,6 +130,24 @@
         """A `Listener` there; OSError when the address is in use or not ours."""
         return Listener(address)
 
+    def harbour(self, folder):
+        """Where another process may call to take a folder over; OSError where there are no such sockets."""
+        from juniperlanding.handover import channel
+
+        return channel.Harbour(folder)
+
+    def call(self, folder):
+        """A channel to the process that has a folder; OSError when it answers none."""
+        from juniperlanding.handover import channel
+
+        return channel.call(folder)
+
+    def inherit(self, file, listening=False):
+        """A `Socket`, or a `Listener`, from a descriptor that another process handed to us."""
+        raw = socket.socket(fileno=file)
+        raw.setblocking(False)
+        return Listener(None, raw) if listening else Socket(raw)
+
 
 class Files:
     """Files by path and descriptor, each method one system call or one plain rule; OSError as the system
@@ -154,6 +179,9 @@
     def unlink(self, path):
         os.unlink(path)
 
+    def size(self, path):
+        return os.stat(path).st_size
+
     def list(self, folder):
         return sorted(os.listdir(folder))
 
@@ -161,6 +189,9 @@
         """Make a folder ours until `close` or the end of the process; `lock.Taken` when another has it."""
         return Lock(folder)
 
+    def inherit_lock(self, file):
+        return Lock.inherited(file)
+
     def read(self, path, most=MOST_FILE):
         """All of a regular file.  Threats: a pipe that never ends, a device, a file larger than the
         memory."""
--- /dev/null
+++ b/juniperlanding/handover/steps.py
@@ -0,0 +1,91 @@
+"""Who owns the folder while one process replaces another: two state machines without I/O.
+
+`Giver` is the process that owns, `Taker` the one that would.  Each event returns the actions to carry out, in
+order.  `YOURS`, said by the giver, is the one word that moves ownership: until it is said the giver owns,
+once it is said it never acts again unless the taker is known to be gone.  Times are nanoseconds."""
+
+SEC = 1_000_000_000
+FREEZE_WITHIN = SEC // 2  # until what is being answered has been
+LOAD_WITHIN = 5 * SEC // 2  # from the offer until the other has loaded it
+JOIN_WITHIN = 5 * SEC  # the taker's whole time; the platform waits for 6 s
+
+OWNER, FREEZING, OFFERED, REPLACED = "owner", "freezing", "offered", "replaced"
+ASKING, LOADING, READY, LET_GO = "asking", "loading", "ready", "let go"
+FREEZE, OFFER, YOURS, RESUME, START_OVER = "freeze", "offer", "yours", "resume", "start over"
+ASK, LOAD, SAY_READY, BEGIN, RELEASE, END = "ask", "load", "say ready", "begin", "release", "end"
+
+
+class Giver:
+    def __init__(self):
+        self.state, self.until = OWNER, 0
+
+    @property
+    def owns(self):
+        return self.state != REPLACED
+
+    def hello(self, now):
+        """Somebody asks; no actions means: refused, another replacement is under way."""
+        if self.state != OWNER:
+            return []
+        self.state, self.until = FREEZING, now + FREEZE_WITHIN
+        return [FREEZE]
+
+    def frozen(self, now):
+        """Nothing moves any more.  Threat: the taker left meanwhile, and the offer goes to nobody."""
+        if self.state != FREEZING:
+            return []
+        self.state, self.until = OFFERED, now + LOAD_WITHIN
+        return [OFFER]
+
+    def ready(self):
+        """The taker has loaded the offer."""
+        if self.state != OFFERED:
+            return []
+        self.state = REPLACED
+        return [YOURS]
+
+    def lost(self):
+        """The channel ended or said what cannot be read, the taker's time is up, or `YOURS` could not be
+        said."""
+        before, self.state = self.state, OWNER
+        return {FREEZING: [RESUME], OFFERED: [RESUME], REPLACED: [START_OVER]}.get(before, [])
+
+    def unsaid(self):
+        """`YOURS` did not leave: it was never said."""
+        self.state = OFFERED
+        return self.lost()
+
+
+class Taker:
+    def __init__(self, now):
+        self.state, self.until = ASKING, now + JOIN_WITHIN
+
+    @property
+    def owns(self):
+        return self.state == OWNER
+
+    def offered(self):
+        if self.state != ASKING:
+            return []
+        self.state = LOADING
+        return [LOAD]
+
+    def loaded(self):
+        if self.state != LOADING:
+            return []
+        self.state = READY
+        return [SAY_READY]
+
+    def yours(self):
+        if self.state != READY:
+            return []
+        self.state = OWNER
+        return [BEGIN]
+
+    def lost(self, now):
+        """The channel ended, or this process could not load: what it was given is let go before it asks
+        again."""
+        if self.state == OWNER:
+            return []
+        held, self.state = self.state in (LOADING, READY), ASKING
+        return [RELEASE] * held + [ASK if now < self.until else END]
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -19,13 +19,45 @@
         self.owner, self.counters, self.log, self.most_open = owner, counters, log, most_open
         self.open, self.waiting, self.draining = 0, {}, False  # waiting: the scope of each wait for a request
         self.places = trio.Semaphore(most_open + ROOM)
+        # Once frozen, whoever is between answers is carried over to the process that takes over.
+        self.frozen, self.carried, self.leaving, self.accepting = False, [], set(), trio.CancelScope()
 
     async def listen(self, listener, nursery):
+        with self.accepting:
+            await self.accept(listener, nursery)
+
+    def inherit(self, nursery, lines):
+        """Go on with another process's clients, (line, seconds left for its request) each; no more than there
+        are places for."""
+        for line, within in lines:
+            try:
+                peer = line.sock.peer()
+                self.places.acquire_nowait()
+            except (OSError, trio.WouldBlock):
+                line.close()
+                continue
+            self.open += 1
+            nursery.start_soon(self.attend, line, peer, within)
+
+    def freeze(self):
+        """Accept nobody, read nothing further; what is being answered still is."""
+        self.frozen = True
+        self.accepting.cancel()
+        for scope in self.waiting.values():
+            scope.cancel()
+
+    def settled(self):
+        return self.frozen and self.open == len(self.carried) + len(self.leaving)
+
+    async def accept(self, listener, nursery):
         while True:
             # Threat: a connection that is accepted and then closed unanswered loses its request.
             await self.places.acquire()
             try:
                 sock, peer = await listener.accept()
+            except trio.Cancelled:
+                self.places.release()
+                raise
             except OSError as error:
                 self.places.release()
                 self.log("accept", why=described(error))
@@ -49,11 +81,11 @@
         while self.waiting:
             self.shed()
 
-    async def attend(self, line, peer):
-        reason, served, until = "closed", 0, trio.current_time() + protocol.REQUEST_WITHIN
+    async def attend(self, line, peer, within=protocol.REQUEST_WITHIN):
+        reason, served, until = "closed", 0, trio.current_time() + within
         try:
             while reason == "closed":
-                reason = await self.one(line, until)
+                reason = "carried" if self.frozen else await self.one(line, until)
                 until = float("inf")  # between requests a client may wait
                 served += reason == "closed"
         except GONE as error:
@@ -62,22 +94,26 @@
             reason = "fault"
             self.log("fault", part="client", why=described(error), at_line=where(error))
         finally:
-            self.open -= 1
-            self.places.release()
-            line.close()
-            self.log("conn", client=f"{peer[0]}:{peer[1]}", end=reason, requests=served)
+            if reason == "carried":
+                self.carried.append(line)
+            else:
+                self.leaving.discard(line)
+                self.open -= 1
+                self.places.release()
+                line.close()
+                self.log("conn", client=f"{peer[0]}:{peer[1]}", end=reason, requests=served)
 
     async def one(self, line, until):
         """Read one request and answer it; the reason to end the connection, or 'closed' to go on."""
         status, reason, request, body, begun = 408, "slow", None, None, False
         try:
             with trio.CancelScope(deadline=until) as scope:
-                self.waiting[line] = scope
+                self.waiting[line], line.until = scope, until
                 try:
                     if not (begun := await line.begin()):
                         return "ended"
                     # Threat: half a request, or a byte now and then, and its error is due.
-                    scope.deadline = min(until, trio.current_time() + protocol.REQUEST_WITHIN)
+                    line.until = scope.deadline = min(until, trio.current_time() + protocol.REQUEST_WITHIN)
                     if line in self.waiting:
                         self.waiting[line] = self.waiting.pop(line)  # it has done nothing for the least time
                     request = await line.event()
@@ -88,8 +124,12 @@
                     status, reason = 413, "too_long"
                 finally:
                     gave_way = self.waiting.pop(line, None) is None
+                    if body is not None:
+                        line.raw.clear()  # whole, so it is answered here
         except h11.RemoteProtocolError as error:
             status, reason = error.error_status_hint, "malformed"
+        if scope.cancelled_caught and self.frozen:
+            return "carried"
         if scope.cancelled_caught and (gave_way or not begun):
             return "closed_by_us" if gave_way else "silent"
         if body is None or reason == "malformed":
@@ -108,12 +148,13 @@
                                          headers=headers + [("Connection", "close")] * last),
                             h11.Data(data=payload), h11.EndOfMessage())
             if last:
+                self.leaving.add(line)
                 await line.finish()
         if scope.cancelled_caught:
             return "not_read"
         if last or not line.reusable():
             return reason if reason != "closed" else "last_answer"
-        line.http.start_next_cycle()
+        line.next()
         return "closed"
 
     async def answer(self, line, request, body):
--- a/juniperlanding/net/discovery.py
+++ b/juniperlanding/net/discovery.py
@@ -22,6 +22,10 @@
         self.wait = min(config.settings.get("must_ask_in", 20 * SEC) // MS, MOST_WAIT)
         self.wanted, self.whole, self.on, self.scope = trio.Event(), False, False, trio.CancelScope()
 
+    def inherit(self, revision, address):
+        """Go on where another process of ours stopped following; another address may number otherwise."""
+        self.revision, self.whole = revision, tuple(address) != self.address
+
     def subscribe(self, on):
         self.on = on
         if on:
@@ -104,6 +108,6 @@
             # Threat: a platform that answers at once with nothing new; the watch still goes on.
             await trio.sleep(protocol.WATCH_GAP / 2)
         if line.reusable():
-            line.http.start_next_cycle()
+            line.next()
             return True
         return False
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -13,6 +13,8 @@
 from juniperlanding.net.counters import FORWARDS
 from juniperlanding.net.line import GONE, connect
 
+WRITE_OUT = 0.05  # seconds that a call which is being written still gets when all is handed over
+
 
 @dataclass(slots=True, eq=False)
 class Send:
@@ -44,17 +46,51 @@
         closes = config.settings.get("idle_closes", 0)
         self.fresh = closes - closes // TRAVEL_SHARE or 1 << 62  # a request still travels to the endpoint
         self.report, self.book, self.idle, self.out = config.report, {}, {}, {}
+        self.frozen, self.carried = False, []  # calls for the process that takes over
 
     def start(self, nursery, endpoint, sends):
-        call = Call(endpoint, sends, self.now())
-        for send in sends:
-            self.out[send.id, send.number] = call
-        last = max(send.until for send in sends)
-        for send in sends:
-            if send.ttl_at < last:
-                nursery.start_soon(self.expire, call, send)
+        self.go_on(nursery, Call(endpoint, sends, self.now()))
+
+    def go_on(self, nursery, call):
+        last = max(send.until for send in call.sends)
+        for send in call.sends:
+            if not send.over:
+                self.out[send.id, send.number] = call
+                if send.ttl_at < last:
+                    nursery.start_soon(self.expire, call, send)
         nursery.start_soon(self.run, call)
 
+    def inherit(self, nursery, calls, idle):
+        """Go on with another process's calls, (call, line) each, and its idle connections, (endpoint, line)
+        each."""
+        for call, line in calls:
+            if self.place_for(line):
+                call.line, call.tried, call.written = line, True, True
+                self.go_on(nursery, call)
+        for endpoint, line in idle:
+            if self.place_for(line):
+                self.idle.setdefault(endpoint, []).append(line)
+
+    def place_for(self, line):
+        """Whether a connection that came from another process fits; else it is closed."""
+        try:
+            self.places.acquire_nowait()
+        except trio.WouldBlock:
+            line.close()
+            return False
+        return True
+
+    def freeze(self):
+        """Calls that are out whole, or soon will be, are carried over; of the others nothing has run, and
+        they end so."""
+        self.frozen = True
+        for call in set(self.out.values()):
+            soon = 0 if call.written else WRITE_OUT
+            call.scope.deadline = min(call.scope.deadline, trio.current_time() + soon)
+
+    def settled(self):
+        return len(set(self.out.values())) == len(self.carried)
+
     def cancel(self, ntf_id, number):
         """Stop waiting for one push; the call ends once it carries nothing else."""
         if call := self.out.get((ntf_id, number)):
@@ -72,7 +108,7 @@
                 call.scope.cancel()
 
     async def run(self, call):
-        call.scope.deadline = trio.current_time() + (max(s.until for s in call.sends) - call.began_at) / SEC
+        call.scope.deadline = trio.current_time() + (max(s.until for s in call.sends) - self.now()) / SEC
         reason, leave_by = "gave_up", min((s.leave_by for s in call.sends if s.leave_by < s.until), default=0)
         try:
             with call.scope:
@@ -88,12 +124,15 @@
             reason = type(error).__name__
             self.log("fault", part="call", endpoint=call.endpoint, why=described(error), at_line=where(error))
         finally:
-            if call.line:
-                # Threat: a path that is cut holds the request, and delivers it once it heals, past its window
-                # or beside a copy; a reset takes back what has not left yet.
-                call.line.abort()
-                self.drop(call.endpoint, call.line, reason)
-            await self.unanswered(call)
+            if self.frozen and call.written and not all(send.cancelled or send.over for send in call.sends):
+                self.carried.append(call)
+            else:
+                if call.line:
+                    # Threat: a path that is cut holds the request, and delivers it once it heals, past its
+                    # window or beside a copy; a reset takes back what has not left yet.
+                    call.line.abort()
+                    self.drop(call.endpoint, call.line, reason)
+                await self.unanswered(call)
 
     async def write_by(self, call, leave_by):
         """Whether it left in time.  That it did not is ours to say, and nobody's fault."""
@@ -111,6 +150,8 @@
                 await call.line.send_in_two(*self.request(call))
                 call.written = True
                 self.counters[FORWARDS] += len(call.sends)
+                if self.frozen:
+                    call.scope.cancel()
             except GONE:
                 if not kept:
                     raise
@@ -132,7 +173,8 @@
             elif call.written:
                 ends.append((send, "cancelled" if send.cancelled else "timeout" if gave_up else "reset"))
             else:
-                ends.append((send, "unreachable" if call.tried and not send.cancelled else "moot"))
+                ours = send.cancelled or self.frozen
+                ends.append((send, "unreachable" if call.tried and not ours else "moot"))
         await self.tell(call, ends)
 
     async def tell(self, call, ends, wait=0, report=None):
@@ -241,7 +283,7 @@
         line, call.line = call.line, None
         if not line.reusable():
             return self.drop(call.endpoint, line, "not_kept")
-        line.http.start_next_cycle()
+        line.next()
         line.used_at = self.now()
         self.idle.setdefault(call.endpoint, []).append(line)
 
--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -132,14 +132,19 @@
 
 
 class Ledger(Books):
-    def __init__(self, folder, disk, files=None):
+    """`inherited`: another process of ours wrote it to the end, and may take it back; nothing is changed."""
+
+    def __init__(self, folder, disk, files=None, inherited=False):
         super().__init__(files)
         self.path = f"{folder}/{FILE}"
         self.most_owed, self.most_file = disk * FULL // 8, disk * WASTE // 8
         self.most_over = disk // OVER
         self.pending, self.file, self.file_size = [], -1, 0
         self.load(self.path)
-        self.compact()
+        if inherited:
+            self.file, self.file_size = self.files.open(self.path), self.files.size(self.path)
+        else:
+            self.compact()
 
     def take(self, *fields):
         owed = Owed(*fields)
@@ -192,5 +197,7 @@
         self.file, self.file_size = file, size
 
     def close(self):
-        self.flush()
-        self.files.close(self.file)
+        if self.file >= 0:
+            self.flush()
+            self.files.close(self.file)
+            self.file = -1
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -13,8 +13,12 @@
 
 
 class Line:
-    def __init__(self, sock, role):
-        self.sock = sock
+    """`early`: bytes of the present message that another process of ours read before us."""
+
+    def __init__(self, sock, role, early=b""):
+        self.sock, self.early = sock, early
+        self.until = float("inf")  # trio's time at which the present request has to be whole
+        self.raw = []  # what came of the present message, for a process that takes over from us
         self.http = h11.Connection(role, max_incomplete_event_size=MOST_HEAD)
         self.used_at, self.head = 0, b""  # head: what came of an answer until its head could be read
 
@@ -27,7 +31,8 @@
         return event
 
     async def receive(self):
-        data = await self.sock.recv(CHUNK)
+        data, self.early = self.early or await self.sock.recv(CHUNK), b""
+        self.raw.append(data)
         if self.http.our_role is h11.CLIENT and self.http.their_state is h11.SEND_RESPONSE:
             self.head += data
             if not may_begin_an_answer(self.head):
@@ -117,9 +122,14 @@
         return (self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
                 and not self.http.trailing_data[0])
 
+    def next(self):
+        """The present message is over; the next one may come."""
+        self.http.start_next_cycle()
+        self.raw.clear()
+
     def waiting(self):
         """What came and was not read yet: None for nothing, b"" for the end or a reset."""
-        return self.sock.peek()
+        return self.early or self.sock.peek()
 
     def quiet(self):
         """Whether nothing came on an idle connection: bytes that nobody asked for, or its end, spoil it."""
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -14,6 +14,7 @@
 from juniperlanding.net.ledger import Ledger
 from juniperlanding.net.notices import Notices
 from juniperlanding.net.owner import Owner
+from juniperlanding.net.succession import Offer, Succession
 
 OTHER_FILES = 20  # descriptors for everything but the connections bounded here: 16 are in use, a few to spare
 REREAD, MOST_REREAD = 0.25, 8.0  # seconds until a configuration that could not be read is tried again
@@ -30,59 +31,115 @@
 
 class Node:
     """One dispatcher in a world.  Made, it has its address, its folder (OSError if one is not to be had) and
-    its ledger.
+    its ledger; with an `offer`, it has them from the process before it, and changes nothing yet.
 
     Threat: a process that cannot listen has still rewritten the ledger; so the address comes first."""
 
-    def __init__(self, told, world, log=None):
-        self.config, self.world = told, world
+    def __init__(self, told, world, log=None, offer=None):
+        self.config, self.world, self.offer, self.before = told, world, offer, None
         self.counters = Counters(topic.get("name") for topic in told.settings["topic_types"])
         self.log = log or logs.to(told.name, world.clock.now, **told.log)
-        common = self.counters, self.log
-        self.rereads, self.reread_after = trio.CancelScope(), REREAD
-        self.listener, self.lock, self.door = world.network.bind(told.listen), None, None
+        self.rereads, self.reread_after, self.replaced = trio.CancelScope(), REREAD, False
+        self.listener = self.lock = self.door = None
+        self.succession = Succession(told, world, self.log)
         try:
+            self.claim(offer)
             if told.management:
-                self.door = door.Door(world.network.bind(told.management), self.calls(), *common)
-            self.lock = world.files.lock(told.state)
-            self.ledger = Ledger(told.state, told.disk, world.files)
+                bound = world.network.bind(told.management)
+                self.door = door.Door(bound, self.calls(), self.counters, self.log)
+            self.build(offer)
         except BaseException:
             self.release()
             raise
+
+    def claim(self, offer=None):
+        """Folder and address become ours."""
+        if offer:
+            self.lock, self.listener = offer.lock, offer.listener
+        else:
+            self.lock = self.world.files.lock(self.config.state)
+            try:
+                self.listener = self.world.network.bind(self.config.listen)
+            except BaseException:
+                self.lock.close()
+                raise
+
+    def build(self, offer=None):
+        """The parts that serve, from what the folder holds."""
+        told, world, common = self.config, self.world, (self.counters, self.log)
+        self.ledger = Ledger(told.state, told.disk, world.files, inherited=bool(offer))
         self.owner = owner = Owner(told, world.clock.now, self.ledger, *common)
         most_clients, most_calls = bounds(told)
         owner.endpoints = Endpoints(told, world, most_calls, partial(owner.tell, owner.finished), *common)
         owner.notices = Notices(world.network, told.discovery, partial(owner.tell, owner.end), *common)
         owner.discovery = Discovery(told, world.network, partial(owner.tell, owner.listed), self.log)
-        self.clients = Clients(told, world.clock, most_clients, owner, *common)
+        self.clients = owner.clients = Clients(told, world.clock, most_clients, owner, *common)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled; while another process has taken over, stand by."""
+        try:
+            async with trio.open_nursery() as self.nursery:
+                if self.door:
+                    self.nursery.start_soon(self.door.listen, self.nursery)
+                while True:
+                    self.offer = await self.serve(task_status)
+                    task_status = trio.TASK_STATUS_IGNORED
+                    self.ledger.close()
+                    if await self.succession.give(self.offer):
+                        self.offer = None
+                        await self.stand_by()
+                    else:
+                        self.build(self.offer)
+        finally:
+            self.release()
+
+    async def serve(self, task_status):
+        """Own the folder until another process asks for it; all that this process is then."""
         told, owner, listener = self.config, self.owner, self.listener
         listener.listen()
         known = protocol.entries(told.known.get("members", []), told.kinds, told.zones)
-        await owner.tell(owner.begin, known)
+        await owner.tell(owner.begin, known, self.offer)
+        self.offer = None
         if told.settings.get("list_mode") != "ask":
             owner.discovery.subscribe(True)
+        self.succession.open(self.nursery, self.freeze)
         self.log("start", listening="{}:{}".format(*listener.address), endpoints=len(known),
                  owed=len(self.ledger.owed), torn_records=self.ledger.skipped)
-        try:
-            async with trio.open_nursery() as self.nursery:
-                nursery = self.nursery
-                for part in (owner.notices.run, owner.discovery.run, owner.endpoints.sweep):
-                    nursery.start_soon(part)
-                nursery.start_soon(owner.run, nursery)
-                nursery.start_soon(self.clients.listen, listener, nursery)
-                if self.door:
-                    nursery.start_soon(self.door.listen, nursery)
-                task_status.started(listener.address)
-        finally:
-            self.release()
+        async with trio.open_nursery() as nursery:
+            for part in (owner.notices.run, owner.discovery.run, owner.endpoints.sweep):
+                nursery.start_soon(part)
+            nursery.start_soon(self.clients.listen, listener, nursery)
+            task_status.started(listener.address)
+            await owner.run(nursery)
+            made = Offer.made(self)
+            nursery.cancel_scope.cancel()
+        return made
+
+    async def freeze(self, within):
+        await self.owner.tell(self.owner.freeze, within)
+
+    async def stand_by(self):
+        """Threat: the process that took over ends early; what it took on is in the folder."""
+        self.replaced, self.lock, self.listener = True, None, None
+        await self.succession.gone()
+        while True:
+            try:
+                self.claim()
+                break
+            except OSError as error:  # a third process has it, or still has the address
+                self.log("upgrade", "the folder stays with another process", why=logs.described(error))
+                await trio.sleep(1)
+        self.log("upgrade", "the process that took over is gone, serving again")
+        self.build()
+        self.replaced = False
 
     def calls(self):
         """What operators may ask at the door; further calls go here."""
         return {"READY": self.takes_clients, "STATS": self.figures}
 
     def takes_clients(self):
+        if self.replaced:
+            raise door.No("replaced")
         if not self.owner.ready or self.clients.draining:
             raise door.No("draining" if self.clients.draining else "starting")
         return []
@@ -91,11 +148,17 @@
         return [*self.counters.figures(**self.owner.gauges()), "--"]
 
     def release(self):
-        self.listener.close()
+        """Address and folder are anybody's again."""
+        for held in (self.listener, self.lock, self.door and self.door.listener, self.succession.harbour):
+            if held:
+                held.close()
+
+    def let_go(self):
+        """Give up what was offered: it stays with the process before us."""
+        self.offer.close()
+        self.ledger.close()
         if self.door:
             self.door.listener.close()
-        if self.lock:
-            self.lock.close()
 
     def reload(self, read):
         """Move to the address that the replaced file names; what else it may change waits for a restart.
@@ -131,12 +194,14 @@
 
         Clients are sent away once only their own patience is left, so that each still gets its answer.  It
         ends earlier when nobody comes and nothing is owed."""
-        owner, begun = self.owner, trio.current_time()
-        self.log("stop", "draining", held=len(owner.held))
+        begun = trio.current_time()
+        self.log("stop", "draining", held=len(self.owner.held))
         until = protocol.KILL_AFTER - protocol.PATIENCE / 4
         with trio.move_on_after(until):
-            await owner.tell(owner.at.stopping, self.world.clock.now() + int(until * SEC))
-            while self.clients.open or self.ledger.owed or trio.current_time() < begun + protocol.PATIENCE:
+            if not self.replaced:
+                await self.owner.tell(self.owner.at.stopping, self.world.clock.now() + int(until * SEC))
+            while not self.replaced and (self.clients.open or self.ledger.owed
+                                         or trio.current_time() < begun + protocol.PATIENCE):
                 if trio.current_time() > begun + protocol.KILL_AFTER - protocol.PATIENCE:
                     self.clients.drain()
                 await trio.sleep(0.02)
--- a/juniperlanding/net/notices.py
+++ b/juniperlanding/net/notices.py
@@ -83,7 +83,7 @@
         answer = await line.answer()
         await line.body(protocol.MOST_BODY)
         if line.reusable():
-            line.http.start_next_cycle()
+            line.next()
         else:
             self.drop("not_kept")
         return answer.status_code
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from juniperlanding import carry
 from juniperlanding.choice import MS, NEVER_RAN, SEC, Dispatcher
 from juniperlanding.ground.log import described, where
 from juniperlanding.net import protocol
@@ -14,6 +15,7 @@
 from juniperlanding.net.endpoints import Send
 
 ROUND = 256  # events taken together at most
+SETTLE = 0.005  # seconds between looks at whether all has come to rest
 LAST_CALL = SEC // 5  # after its TTL, what the module has not ended is ended here, with a round between
 
 
@@ -37,8 +39,8 @@
         self.timers, self.sequence, self.entries = [], 0, {}
         self.calls, self.cancels, self.answers, self.notices_due = {}, [], [], []
         self.queue, self.inbox = trio.open_memory_channel(ROUND * 4)
-        self.endpoints = self.notices = self.discovery = None
-        self.ready = False
+        self.endpoints = self.notices = self.discovery = self.clients = None
+        self.ready, self.frozen = False, False
         self.at = Dispatcher(self, config.settings, config.seed, now())
 
     # ---- what socket tasks say; each becomes a call in the owner's next round
@@ -56,17 +58,44 @@
 
     # ---- the rounds
 
-    def begin(self, known):
-        """The first event: the module gets the last list, and what the ledger owes."""
-        self.at.start()
-        self.guarded(self.listed, "cached", known)
+    def begin(self, known, offer=None):
+        """The first event: the module gets the last list, and what the ledger owes; or goes on with what the
+        process before us offers, so that nothing begins anew."""
+        me = self.at.me
+        if not (offer and self.inherit(offer)):
+            self.at.start()
+            self.guarded(self.listed, "cached", known)
         for owed in list(self.ledger.owed.values()):
             self.guarded(self.restore, owed)
+        for ntf_id in me.notifications.keys() - self.ledger.owed.keys():
+            self.guarded(self.at.withdrawn, ntf_id)
+        for ntf_id, number in me.pushes.keys() - self.endpoints.out.keys():
+            self.guarded(self.at.outcome, ntf_id, number, "reset")  # its connection did not come with it
         for ntf_id, ttl_at in list(self.ledger.over.items()):
             self.taken.add(ntf_id)
             self.after(max(ttl_at, self.at.now) + LAST_CALL, self.overdue, ntf_id)
         self.ready = True
 
+    def inherit(self, offer):
+        """Whether the module could go on with an offer; a client's connection goes on in either case."""
+        self.clients.inherit(self.nursery, offer.clients())
+        try:
+            offer.fits(self.config.settings)
+            carry.given_to(self.at.me, offer.state["module"])
+        except carry.Unknown as error:
+            # Threat: records of another version; as after a kill, what was out may have run.
+            self.log_line("upgrade", "the module begins from the ledger", why=str(error))
+            offer.drop_calls()
+            return False
+        for *entry, host, port in offer.state["entries"]:
+            self.entries[entry[0]], self.endpoints.book[entry[0]] = tuple(entry), (host, port)
+        self.endpoints.inherit(self.nursery, offer.calls(), offer.idle())
+        self.discovery.inherit(offer.state["revision"], offer.state["discovery"])
+        self.discovery.subscribe(offer.state["following"])
+        for at in list(self.at.me.wakes):
+            self.timer(at - self.at.now, at)
+        return True
+
     def restore(self, owed):
         """Hand the module again what an earlier process took on, or post its notice again."""
         self.counters["restored"] += 1
@@ -76,23 +105,41 @@
             self.counters["notices_due"] += 1
             return self.notices_due.append((owed.id, *owed.notice))
         self.held[owed.id] = None
+        if owed.id in self.at.me.notifications:
+            return  # handed on with all that the module knows of it
         first = min(owed.ran.values(), key=lambda ran: ran[1], default=(0, 0))
         self.at.notification(owed.id, self.topics.get(owed.topic, len(self.topics)), owed.destination,
                              ttl_at=owed.ttl_at, pushes=owed.pushes, ran_zone=first[0], ran_at=first[1])
 
     async def run(self, nursery):
+        """Rounds until it was frozen and nothing that began is left open; then the module gets no turn."""
         self.nursery = nursery
-        while True:
+        while not (self.frozen and self.settled()):
             events = await self.gather()
             self.at.now = now = self.now()
             for what, fields in events:
                 self.guarded(what, *fields)
             while self.timers and self.timers[0][0] <= now:
                 self.guarded(*heapq.heappop(self.timers)[2:])
-            self.guarded(self.at.turn)
+            if not self.frozen:
+                self.guarded(self.at.turn)
             await self.written()
             self.carry_out()
 
+    def settled(self):
+        queue = self.inbox.statistics()
+        idle = not queue.current_buffer_used and not queue.tasks_waiting_send
+        if trio.current_time() > self.frozen_until:
+            self.log_line("upgrade", "not all came to rest in time", clients=self.clients.open)
+            return idle
+        return idle and self.clients.settled() and self.endpoints.settled()
+
+    def freeze(self, within):
+        """Take on nothing more, start nothing; `run` ends within so many seconds."""
+        self.frozen, self.frozen_until = True, trio.current_time() + within
+        self.clients.freeze()
+        self.endpoints.freeze()
+
     async def written(self):
         """Threat: the disk fails.  Nothing leaves and no client is told yes before the ledger has it."""
         while True:
@@ -120,7 +167,7 @@
     async def gather(self):
         events = []
         left = (self.timers[0][0] - self.now()) / SEC if self.timers else float("inf")
-        with trio.move_on_after(max(0, left)):
+        with trio.move_on_after(min(max(0, left), SETTLE if self.frozen else float("inf"))):
             events.append(await self.inbox.receive())
         await trio.lowlevel.checkpoint()  # threat: after standing still, timers would come before answers
         while len(events) < ROUND:
