--- a/juniperlanding/cli/try_.py
+++ b/juniperlanding/cli/try_.py
@@ -7,7 +7,7 @@
   --for TIME      how long clients come [default: 10s]
   --rate RATE     notifications a second, as "50/s" [default: 50/s]
   --seed SEED     what all chance starts from [default: 1]
-  --trouble NAME  none, silence, refusal, kill or discovery [default: none]
+  --trouble NAME  none, silence, refusal, kill, replace or discovery [default: none]
   --json FILE     write all figures there, "-" for standard output
   --keep FOLDER   keep configuration, state and log there; else they go with the run
 
@@ -75,8 +75,9 @@
         except* (RuntimeError, trio.TooSlowError, OSError) as group:
             raise Refused(f"the trial could not run: {first(group)}", UNWELL) from None
         finally:
-            if trial.process and trial.process.returncode is None:
-                trial.process.kill()  # threat: interrupted, and the dispatcher serves on for nobody
+            for process in {trial.process, trial.second} - {None}:
+                if process.returncode is None:
+                    process.kill()  # threat: interrupted, and the dispatcher serves on for nobody
         return report(trial, asked["--json"])
 
 
@@ -222,6 +223,8 @@
         "ready_after_s": figures.ready_after,
         "peak_memory_bytes": figures.peak_memory,
         "exit_codes": figures.exit_codes,
+        "replaced": figures.replaced,
+        "replacements_killed": figures.failed,
         "load_late_ms": round(figures.late_ms, 1),
     }
     if to == "-":
@@ -232,6 +235,8 @@
             f"\nready after {', '.join(f'{s:.2f} s' for s in figures.ready_after)}; peak memory "
             f"{figures.peak_memory / 1e6:.1f} MB; the load was at most {figures.late_ms:.0f} ms late"
         )
+        if figures.replaced or figures.failed:
+            print(f"replaced {figures.replaced} times; {figures.failed} more were killed as they began")
         if to:
             fresh = f"{to}.{os.getpid()}.new"
             try:
--- a/juniperlanding/standins/trial.py
+++ b/juniperlanding/standins/trial.py
@@ -24,6 +24,7 @@
     "silence": "one destination answers nothing for the middle third",
     "refusal": "one destination is not there for the middle third",
     "kill": "the dispatcher is killed by SIGKILL at half time and started again",
+    "replace": "a second process takes over again and again; every third one is killed at some moment of it",
     "discovery": "discovery and the notices' address say nothing for the middle third",
 }
 # Destination: the tempers of its endpoints.
@@ -38,6 +39,7 @@
 }
 STRUCK = 1  # the destination that a trouble meets
 READY_WITHIN, DOWN = 10.0, 0.6  # seconds
+BEFORE_END = 1.0  # seconds without further replacements
 RESTARTED = 1500 * MS  # after it is ready again, what is due has so long
 
 
@@ -57,6 +59,8 @@
     ready_after: list = field(default_factory=list)
     peak_memory: int = 0
     exit_codes: list = field(default_factory=list)
+    replaced: int = 0  # processes that took over and were kept
+    failed: int = 0  # processes killed while they began
     late_ms: float = 0.0
 
 
@@ -64,6 +68,7 @@
     def __init__(self, plan, now):
         self.plan, self.now, self.audit, self.figures = plan, now, Audit(now), Figures()
         self.endpoints, self.process, self.platform, self.stage = [], None, None, "starting"
+        self.second = None  # a process beside the first
         self.begun = now()
 
     async def run(self):
@@ -142,14 +147,7 @@
 
     async def start(self):
         began = self.now()
-        environ = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
-        with open(self.plan.folder / "log", "ab") as log:
-            self.process = await trio.lowlevel.open_process(
-                [sys.executable, "-m", "juniperlanding", "serve", str(self.plan.folder / "try.toml")],
-                stderr=log,
-                stdin=subprocess.DEVNULL,
-                env=environ,
-            )
+        self.process = await self.serve()
         with trio.fail_after(READY_WITHIN):
             while not await self.ready():
                 if self.process.returncode is not None:
@@ -157,6 +155,17 @@
                 await trio.sleep(0.01)
         self.figures.ready_after.append(round((self.now() - began) / SEC, 3))
 
+    async def serve(self, **told):
+        """A `serve` process; `told` is added to its environment."""
+        environ = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
+        with open(self.plan.folder / "log", "ab") as log:
+            return await trio.lowlevel.open_process(
+                [sys.executable, "-m", "juniperlanding", "serve", str(self.plan.folder / "try.toml")],
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=environ | told,
+            )
+
     def last_line(self):
         return (self.plan.folder / "log").read_text(errors="replace").strip().rpartition("\n")[2]
 
@@ -182,12 +191,14 @@
     async def watch(self, scope, length):
         """Memory as /proc has it, and the end of the load's time."""
         while self.now() < self.begun + length:
-            try:
-                with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as file:
-                    size = int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-                self.figures.peak_memory = max(self.figures.peak_memory, size)
-            except OSError:
-                pass  # killed at this moment
+            size = 0
+            for process in {self.process, self.second} - {None}:
+                try:
+                    with open(f"/proc/{process.pid}/statm", encoding="ascii") as file:
+                        size += int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+                except OSError:
+                    pass  # killed at this moment
+            self.figures.peak_memory = max(self.figures.peak_memory, size)
             await trio.sleep(0.1)
 
     # ---- troubles
@@ -214,6 +225,44 @@
             await self.start()
             self.audit.excused_until = self.now() + RESTARTED
 
+        elif name == "replace":
+            chance = Random(f"{self.plan.seed}/replace")
+            while (self.now() - self.begun) / SEC < self.plan.seconds - BEFORE_END:
+                await trio.sleep(chance.uniform(0.1, 0.4))
+                await self.replace(fails=chance.random() < 1 / 3, after=chance.uniform(0, 0.4))
+
+    async def replace(self, fails, after):
+        """A second process beside the first; one that fails is killed `after` seconds."""
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            door = free.getsockname()[:2]
+        self.second = await self.serve(EDGE_MANAGEMENT="{}:{}".format(*door))
+        if fails:
+            await trio.sleep(after)
+            self.second.kill()
+            await self.second.wait()
+            # It may have been the owner by then, and what it had out may have run.
+            self.audit.excused_until = self.now() + RESTARTED
+            self.second, self.figures.failed = None, self.figures.failed + 1
+            return
+        with trio.fail_after(READY_WITHIN):
+            while not await self.says_ready(door):
+                if self.second.returncode is not None:
+                    raise RuntimeError(f"replacement ended with {self.second.returncode}: {self.last_line()}")
+                await trio.sleep(0.01)
+        self.process.terminate()
+        with trio.fail_after(READY_WITHIN):
+            self.figures.exit_codes.append(await self.process.wait())
+        self.process, self.second, self.figures.replaced = self.second, None, self.figures.replaced + 1
+
+    @staticmethod
+    async def says_ready(door):
+        try:
+            async with await trio.open_tcp_stream(*door) as stream:
+                await stream.send_all(b"READY\n")
+                return (await stream.receive_some()).startswith(b"ACK")
+        except (OSError, trio.BrokenResourceError):
+            return False
+
     @staticmethod
     def put(characters, name, on):
         for character in characters:
