Silent calls give up their slots by the forecast, not after three seconds

Lines at fault: `Dispatcher.reclaim` and the floor in `Timeout.out`. Change: `lost_at` beside `overdue_at`: forecast + 4 x root of the MSE, 0.5 s at least, twice that for once-only; looked at as soon as a waiting destination is kept back by its part of the slots. `benefit` and `turn` lost three lines that said nothing.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -17,7 +17,7 @@
 SAMPLES, SPAN, SMOOTHING = 3, 10, 0.2  # deliveries until a forecast counts; what the predictors look at
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
-OVERDUE_FACTOR, LEAST_OVERDUE, LOST = 4, 1500 * MS, 2  # a once-only call may lose its slot at LOST times that
+OVERDUE_FACTOR, LEAST_OVERDUE, LOST = 4, 1500 * MS, 2  # once-only loses its slot at LOST times it
 TROUBLE_STEP, LOSS_STEP = 0.4, 0.03  # how far one bad outcome moves its endpoint's trouble; a push, our share
 LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
@@ -68,9 +68,7 @@
 def benefit(ntf, at):
     topic = ntf.topic
     whole, objective, ttl = topic.get("benefit", 1), topic.get("objective", 0), topic.get("ttl", 0)
-    late, least = at - (ntf.ttl_at - ttl) - objective, topic.get("late_share", 0)
-    if late <= 0:
-        return whole
+    late, least = max(0, at - (ntf.ttl_at - ttl) - objective), topic.get("late_share", 0)
     if topic.get("fades") == "halves":
         return whole * max(least, 0.5 ** (late / max(objective, 1)))
     return whole * max(least, 1 - (1 - least) * late / max(ttl - objective, 1))
@@ -411,13 +409,15 @@
 
     def out(self, push):
         ntf, dest, now = push.ntf, push.ntf.destination, self.at.now
-        limit, push.overdue_at = START_TIMEOUT, now + LEAST_OVERDUE
+        again = ntf.topic.get("kind") in ("repeatable", "collapsible")
+        lost, limit, push.overdue_at = 1 if again else LOST, START_TIMEOUT, now + LEAST_OVERDUE
+        push.lost_at = now + lost * LEAST_OVERDUE
         if dest.samples >= SAMPLES:
             # The floor: cutting before the objective gains nothing and repeats work that was nearly done.
             limit = max(dest.forecast + FACTOR * dest.miss, ntf.topic.get("objective", LEAST_TIMEOUT))
             limit <<= max(dest.back_off, ntf.cut)
-            push.overdue_at = now + max(dest.forecast + OVERDUE_FACTOR * dest.miss, LEAST_OVERDUE)
-        again = ntf.topic.get("kind") in ("repeatable", "collapsible")
+            late = dest.forecast + OVERDUE_FACTOR * dest.miss
+            push.overdue_at, push.lost_at = now + max(late, LEAST_OVERDUE), now + lost * max(late, SILENCE)
         push.timeout = min(limit, ntf.ttl_at - now) if again else 0
         return PASS
 
@@ -570,9 +570,8 @@
         self.close(ntf)
 
     def turn(self):
-        for push in list(self.me.pushes.values()):
-            if not push.overdue and self.now >= push.overdue_at:
-                self.health.overdue(push)
+        for push in [p for p in self.me.pushes.values() if not p.overdue and self.now >= p.overdue_at]:
+            self.health.overdue(push)
         waiting = [d for d in self.me.destinations.values() if d.waiting]
         for dest in [d for d in waiting if d.look_at <= self.now]:
             for ntf in [n for n in dest.waiting if self.ttl.ends(n) <= self.now]:
@@ -597,13 +596,14 @@
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
     def reclaim(self, waiting):
-        """Threat: calls never answered hold all slots until their TTL; the longest overdue gives up one."""
-        if self.me.slots_out < self.me.settings.get("slots", 1 << 30) or not any(d.waiting for d in waiting):
-            return
-        lost = [p for p in self.me.pushes.values() if p.overdue and not p.cancelled
-                and (p.timeout or self.now - p.sent_at > LOST * (p.overdue_at - p.sent_at))]
-        if lost and self.me.settings.get("may_cancel"):
-            for mate in min(lost, key=lambda p: p.sent_at).call.pushes:
+        """Threat: calls never answered hold the slots until their TTL; who is lost for longest gives its up."""
+        free = self.me.settings.get("slots", 1 << 30) - self.me.slots_out
+        short = any(d.waiting and (d.calls_out > free or not free) for d in waiting)
+        if out := [p for p in self.me.pushes.values() if short and not p.cancelled]:
+            first = min(out, key=lambda p: p.lost_at)
+            self.wake_at(first.lost_at)
+            gone = first.lost_at <= self.now and self.me.settings.get("may_cancel")
+            for mate in first.call.pushes if gone else ():
                 mate.cancelled = True
                 self.host.cancel(mate.ntf.id, mate.number)
 
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -22,6 +22,7 @@
     sent_at: int = 0
     timeout: int = 0
     overdue_at: int = 0
+    lost_at: int = 0
     overdue: bool = False
     cancelled: bool = False
     trial: bool = False
