--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -410,14 +410,14 @@
     def out(self, push):
         ntf, dest, now = push.ntf, push.ntf.destination, self.at.now
         again = ntf.topic.get("kind") in ("repeatable", "collapsible")
-        lost, limit, push.overdue_at = 1 if again else LOST, START_TIMEOUT, now + LEAST_OVERDUE
-        push.lost_at = now + lost * LEAST_OVERDUE
+        limit, late = START_TIMEOUT, LEAST_OVERDUE
         if dest.samples >= SAMPLES:
             # The floor: cutting before the objective gains nothing and repeats work that was nearly done.
             limit = max(dest.forecast + FACTOR * dest.miss, ntf.topic.get("objective", LEAST_TIMEOUT))
             limit <<= max(dest.back_off, ntf.cut)
             late = dest.forecast + OVERDUE_FACTOR * dest.miss
-            push.overdue_at, push.lost_at = now + max(late, LEAST_OVERDUE), now + lost * max(late, SILENCE)
+        push.overdue_at = now + max(late, LEAST_OVERDUE)
+        push.patience = max(late, SILENCE) * (1 if again else LOST)
         push.timeout = min(limit, ntf.ttl_at - now) if again else 0
         return PASS
 
@@ -596,14 +596,14 @@
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
     def reclaim(self, waiting):
-        """Threat: calls never answered hold the slots until their TTL; who is lost for longest gives its up."""
+        """Threat: calls never answered hold the slots until their TTL; who is lost longest gives its up."""
         free = self.me.settings.get("slots", 1 << 30) - self.me.slots_out
         short = any(d.waiting and (d.calls_out > free or not free) for d in waiting)
-        if out := [p for p in self.me.pushes.values() if short and not p.cancelled]:
-            first = min(out, key=lambda p: p.lost_at)
+        if out := [p.call for p in self.me.pushes.values() if short and not p.cancelled]:
+            first = min(out, key=lambda call: call.lost_at)
             self.wake_at(first.lost_at)
             gone = first.lost_at <= self.now and self.me.settings.get("may_cancel")
-            for mate in first.call.pushes if gone else ():
+            for mate in first.pushes if gone else ():
                 mate.cancelled = True
                 self.host.cancel(mate.ntf.id, mate.number)
 
@@ -615,8 +615,7 @@
         first = Push(min(ready, key=lambda n: n.pushes), 0) if ready else None
         if not ready or any(stage.out(first) != PASS for stage in self.stages[2:6]):
             return False
-        if all(e.down for e in dest.endpoints):
-            # A trial takes what can best afford the loss, and the fewest pushes so far.
+        if all(e.down for e in dest.endpoints):  # a trial takes what best affords the loss, fewest pushes first
             ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)))
         else:
             ready.sort(key=lambda n: (-benefit(n, now + forecast(dest)), n.ttl_at))
@@ -644,6 +643,7 @@
         dest.calls_out += 1
         self.me.slots_out += 1
         weight = 1 + BATCH_WEIGHT * (len(call.pushes) - 1)
+        call.lost_at = self.now + int(weight * max(p.patience for p in call.pushes))
         endpoint.route.tokens -= weight
         endpoint.tokens -= weight  # counts while it warms
 
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -8,6 +8,7 @@
     """One slot and one fate: the pushes that travel together."""
     pushes: list = field(default_factory=list)
     judged: bool = False
+    lost_at: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -22,7 +23,7 @@
     sent_at: int = 0
     timeout: int = 0
     overdue_at: int = 0
-    lost_at: int = 0
+    patience: int = 0
     overdue: bool = False
     cancelled: bool = False
     trial: bool = False
