--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -222,6 +222,53 @@
     assert bed.host.all("cancel") == [[ntf, 0]]
 
 
+@pytest.mark.parametrize("topic, size, after", [(REPEATABLE, 1, 0.5), (ONCE_ONLY, 1, 1.0), (ONCE_ONLY, 4, 1.45)])
+def test_a_call_is_lost_by_the_forecast_and_its_size(topic, size, after):
+    bed = Bed(slots=1, may_cancel=True, batch_by_kind=[4])
+    bed.deliver(5, after=0.05)
+    for _ in range(size):
+        bed.take(topic)
+    bed.turn()
+    bed.take(destination=2)
+    bed.turn(after - 0.02)
+    assert not bed.host.all("cancel")
+    bed.turn(0.04)
+    assert len(bed.host.all("cancel")) == size
+
+
+def test_the_most_patient_of_a_call_holds_its_slot():
+    bed = Bed(slots=1, may_cancel=True, batch_by_kind=[4])
+    bed.deliver(5, after=0.05)
+    bed.take(REPEATABLE)
+    bed.take(ONCE_ONLY)
+    bed.turn()
+    bed.take(destination=2)
+    bed.turn(1.0)
+    assert not bed.host.all("cancel")
+    bed.turn(0.2)
+    assert len(bed.host.all("cancel")) == 2
+
+
+def test_a_destination_kept_back_by_its_part_of_the_slots_has_a_lost_call_called_off():
+    bed = Bed(endpoints=4, slots=4, may_cancel=True)
+    bed.deliver(5, after=0.05)
+    for _ in range(4):
+        bed.take(ONCE_ONLY)
+        bed.turn(0.2)
+    assert bed.at.me.slots_out == 3 and not bed.host.all("cancel")
+    bed.turn(0.7)
+    assert len(bed.host.all("cancel")) == 1
+
+
+def test_nothing_is_called_off_while_nobody_is_kept_back():
+    bed = Bed(endpoints=4, slots=20, may_cancel=True)
+    bed.deliver(5, after=0.05)
+    bed.take(ONCE_ONLY)
+    bed.turn()
+    bed.turn(10)
+    assert not bed.host.all("cancel")
+
+
 def test_keys_keep_their_order_and_rest():
     bed = Bed(order_pause=2 * SEC)
     first, second = bed.take(ORDERED, key=5), bed.take(ORDERED, key=5)
