--- a/juniperlanding/ground/lock.py
+++ b/juniperlanding/ground/lock.py
@@ -44,9 +44,11 @@
         return lock
 
     def name(self):
-        """Write down which process has the folder."""
-        os.ftruncate(self.file, 0)
-        os.pwrite(self.file, b"%d\n" % os.getpid(), 0)
+        """Write down which process has the folder.
+
+        Threat: a file that is cut to nothing and written again is flushed by some systems, for 50 ms in which
+        nobody is answered; so it keeps its length."""
+        os.pwrite(self.file, b"%-20d\n" % os.getpid(), 0)
 
     def close(self):
         if self.file >= 0:
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -110,18 +110,11 @@
                 nursery.start_soon(part)
             nursery.start_soon(self.clients.listen, listener, nursery)
             task_status.started(listener.address)
-            if self.before:
-                nursery.start_soon(self.named)
             await owner.run(nursery)
             made = Offer.made(self)
             nursery.cancel_scope.cancel()
         return made
 
-    async def named(self):
-        """Write down that the folder is ours now.  Threat: a slow disk, while answers wait at a hand-over."""
-        await trio.sleep(0.1)
-        self.lock.name()
-
     async def freeze(self, within):
         await self.owner.tell(self.owner.freeze, within)
 
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -248,6 +248,7 @@
                 await channel.say(frames.READY)
                 heard = await channel.hear()
                 if heard and heard[0]["say"] == frames.YOURS and taker.yours():
+                    node.lock.name()
                     node.before, channel = channel, None  # kept open: its end tells that we are gone
                     return node
     finally:
