--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -517,7 +517,7 @@
         if key and topic.get("ordered"):
             self.me.keys.setdefault(key, []).append(ntf)
         dest.waiting.append(ntf)
-        dest.idle_until = dest.look_at = 0
+        dest.idle_until, dest.look_at = 0, min(dest.look_at, self.ttl.ends(ntf))
         self.wake_at(ntf.ttl_at - 2 * self.me.settings.get("tick", 0))
 
     def outcome(self, ntf_id, number, ending, latency=0, wait=0, over=False, report=None):
@@ -574,9 +574,9 @@
             self.health.overdue(push)
         waiting = [d for d in self.me.destinations.values() if d.waiting]
         for dest in [d for d in waiting if d.look_at <= self.now]:
-            for ntf in [n for n in dest.waiting if self.ttl.ends(n) <= self.now]:
-                self.give_up(ntf)
             dest.look_at = min(map(self.ttl.ends, dest.waiting), default=0)
+            for ntf in [n for n in dest.waiting if dest.look_at <= self.now >= self.ttl.ends(n)]:
+                self.give_up(ntf)
         self.shed(waiting)
         self.reclaim(waiting)
         ready = [d for d in waiting if d.waiting and d.idle_until <= self.now]
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -16,7 +16,7 @@
 
 ROUND = 256  # events taken together at most
 SETTLE = 0.005  # seconds between looks at whether all has come to rest
-TIME_IS_UP = 50 * MS  # before our TTL: by so much our clock for it may be behind the client's
+TIME_IS_UP = 150 * MS  # before our TTL; a client counts from its sending, we from our reading
 LAST_CALL = SEC // 5  # after its TTL, what the module has not ended is ended here, with a round between
 
 
@@ -267,14 +267,18 @@
 
     def finished(self, endpoint, outcomes):
         for ntf_id, number, ending, latency, wait, over, report in outcomes:
-            if over and ntf_id in self.held and self.at.now >= self.ledger.owed[ntf_id].ttl_at - TIME_IS_UP:
-                # Threat: an answer that comes as the time is up ends it for nobody; a notice too many does no
-                # harm.
-                self.conclude(ntf_id, protocol.GIVEN_UP, 500, 0)
+            if over and ntf_id in self.held:
+                owed, now = self.ledger.owed[ntf_id], self.at.now
+                in_time = ending == "delivered" and now < owed.ttl_at  # else withdrawn, or out of time there
+                self.counters.ended(owed.topic, SUCCEEDED if in_time else ABORTED)
+                if now >= owed.ttl_at - TIME_IS_UP:
+                    # Threat: an answer that comes as the time is up ends it for nobody, and a notice too many
+                    # does no harm.
+                    self.held.pop(ntf_id)
+                    self.give_notice(ntf_id, protocol.GIVEN_UP, 0)
+                else:
+                    self.end(ntf_id)
             elif over:
-                if ntf_id in self.held:
-                    how = SUCCEEDED if ending == "delivered" else ABORTED  # withdrawn, or out of time there
-                    self.counters.ended(self.ledger.owed[ntf_id].topic, how)
                 self.end(ntf_id)
             elif ending in NEVER_RAN:
                 self.ledger.write("n", ntf_id, number)
@@ -327,6 +331,9 @@
             answer.status, answer.again_in = status, again_in
             self.taken.discard(ntf_id)
             return self.ledger.write("x", ntf_id)
+        self.give_notice(ntf_id, outcome, again_in)
+
+    def give_notice(self, ntf_id, outcome, again_in):
         self.ledger.write("o", ntf_id, outcome, again_in // MS)
         self.counters["notices_due"] += 1
         self.notices_due.append((ntf_id, outcome, again_in // MS))
