A replacement that goes wrong asks once, and nothing of its offer is left open; each case has a test

Also: TIME_IS_UP stands with the protocol's figures and WRITE_OUT with the hand-over's, not in owner and endpoints. Measured: tests only, each of these caused on loopback; two more for a disk that fails during it and SIGHUP while standing by.

--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -142,6 +142,12 @@
 
         return channel.call(folder)
 
+    def drop(self, files):
+        """Close descriptors that another process handed to us and that are not wanted."""
+        from juniperlanding.handover import channel
+
+        channel.drop(files)
+
     def inherit(self, file, listening=False):
         """A `Socket`, or a `Listener`, from a descriptor that another process handed to us."""
         raw = socket.socket(fileno=file)
--- a/juniperlanding/handover/channel.py
+++ b/juniperlanding/handover/channel.py
@@ -60,13 +60,14 @@
         if self.raw.send(data) < len(data):
             raise OSError(errno.EAGAIN, "the channel is full")
 
-    async def hear(self):
+    async def hear(self, whole=False):
         """The next message and the descriptors that came with it; None at the end.
 
-        Raises `frames.Noise`, or OSError; then no descriptor is left open."""
+        Only a `whole` offer may be large or bring descriptors.  Raises `frames.Noise`, or OSError; then no
+        descriptor is left open."""
         if not (head := await self.whole(frames.HEAD.size)):
             return None
-        length, count = frames.head(head)
+        length, count = frames.head(head, whole)
         message, files = frames.message(await self.whole(length)), []
         room = socket.CMSG_SPACE(frames.TOGETHER * array.array("i").itemsize)
         try:
@@ -80,8 +81,7 @@
                 if not byte or not told or flags & socket.MSG_CTRUNC:
                     raise OSError(errno.EMFILE, "descriptors are missing")
         except BaseException:
-            for file in files:
-                os.close(file)
+            drop(files)
             raise
         return message, files
 
@@ -136,6 +136,15 @@
         self.raw.close()
 
 
+def drop(files):
+    """Close descriptors that were heard and are not wanted."""
+    for file in files:
+        try:
+            os.close(file)
+        except OSError:
+            pass  # wrapped, and closed with its wrapper
+
+
 def call(folder):
     """A channel to the process that has a folder; OSError when nobody answers there."""
     raw = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
--- a/juniperlanding/handover/frames.py
+++ b/juniperlanding/handover/frames.py
@@ -9,7 +9,7 @@
 import struct
 
 HEAD = struct.Struct(">4sIH")
-MARK = b"JLH1"
+MARK, MOST_WORD = b"JLH1", 1 << 12
 MOST_TEXT, MOST_FILES, TOGETHER = 64 << 20, 20_000, 100
 HELLO, REFUSED, OFFER, READY, YOURS = "hello", "refused", "offer", "ready", "yours"
 
@@ -25,10 +25,12 @@
     return HEAD.pack(MARK, len(text), files) + text
 
 
-def head(data):
-    """(length of the text, descriptors) of a head."""
+def head(data, whole=False):
+    """(length of the text, descriptors) of a head.
+
+    Threat: who is to say a word sends 64 MB or all its descriptors; only a `whole` offer is large."""
     mark, length, files = HEAD.unpack(data)
-    if mark != MARK or length > MOST_TEXT or files > MOST_FILES:
+    if mark != MARK or length > (MOST_TEXT if whole else MOST_WORD) or files > MOST_FILES * whole:
         raise Noise("no head of ours")
     return length, files
 
--- a/juniperlanding/handover/steps.py
+++ b/juniperlanding/handover/steps.py
@@ -5,6 +5,8 @@
 once it is said it never acts again unless the taker is known to be gone.  Times are nanoseconds."""
 
 SEC = 1_000_000_000
+MOST_CALLERS = 4  # at the giver's channel at once
+WRITE_OUT = 0.05  # seconds that a call which is being written still gets when all comes to rest
 FREEZE_WITHIN = SEC // 2  # until what is being answered has been
 LOAD_WITHIN = 5 * SEC // 2  # from the offer until the other has loaded it
 # The taker's whole time.  Threat: the old process hangs and hands nothing over; the platform waits 6 s for a
@@ -12,9 +14,10 @@
 JOIN_WITHIN = 12 * SEC
 
 OWNER, FREEZING, OFFERED, REPLACED = "owner", "freezing", "offered", "replaced"
-ASKING, LOADING, READY, LET_GO = "asking", "loading", "ready", "let go"
+ASKING, LOADING, READY, WAITING = "asking", "loading", "ready", "waiting"
 FREEZE, OFFER, YOURS, RESUME, START_OVER = "freeze", "offer", "yours", "resume", "start over"
-ASK, LOAD, SAY_READY, BEGIN, RELEASE, END = "ask", "load", "say ready", "begin", "release", "end"
+ASK, LOAD, SAY_READY, BEGIN, RELEASE, WAIT, END = (
+    "ask", "load", "say ready", "begin", "release", "wait", "end")
 
 
 class Giver:
@@ -85,9 +88,12 @@
         return [BEGIN]
 
     def lost(self, now):
-        """The channel ended, or this process could not load: what it was given is let go before it asks
-        again."""
+        """The channel ended, or this process could not load; what it was given is let go.
+
+        Threat: each offer stops the giver for a moment, and a taker that cannot load would ask for the next
+        at once; so after one it only waits for the folder."""
         if self.state == OWNER:
             return []
-        held, self.state = self.state in (LOADING, READY), ASKING
-        return [RELEASE] * held + [ASK if now < self.until else END]
+        held = self.state in (LOADING, READY)
+        self.state = WAITING if held else self.state
+        return [RELEASE] * held + [END if now >= self.until else ASK if self.state == ASKING else WAIT]
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -9,12 +9,11 @@
 
 from juniperlanding.choice import MS, SEC, TRAVEL_SHARE
 from juniperlanding.ground.log import described, where
+from juniperlanding.handover import steps
 from juniperlanding.net import protocol
 from juniperlanding.net.counters import FORWARDS
 from juniperlanding.net.line import GONE, connect
 
-WRITE_OUT = 0.05  # seconds that a call which is being written still gets when all is handed over
-
 
 @dataclass(slots=True, eq=False)
 class Send:
@@ -85,7 +84,7 @@
         they end so."""
         self.frozen = True
         for call in set(self.out.values()):
-            soon = 0 if call.written else WRITE_OUT
+            soon = 0 if call.written else steps.WRITE_OUT
             call.scope.deadline = min(call.scope.deadline, trio.current_time() + soon)
 
     def settled(self):
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -17,6 +17,7 @@
 from juniperlanding.net.succession import Offer, Succession
 
 OTHER_FILES = 20  # descriptors for everything but the connections bounded here: 16 are in use, a few to spare
+AGAIN = 0.25  # seconds until a ledger that could not be read is tried again
 REREAD, MOST_REREAD = 0.25, 8.0  # seconds until a configuration that could not be read is tried again
 CLIENT_SIZE = 2 * (protocol.MOST_BODY + protocol.MOST_HEAD)  # the most that a client's connection holds
 
@@ -41,6 +42,7 @@
         self.log = log or logs.to(told.name, world.clock.now, **told.log)
         self.rereads, self.reread_after, self.replaced = trio.CancelScope(), REREAD, False
         self.listener = self.lock = self.door = None
+        self.stops_at = 0
         self.succession = Succession(told, world, self.log)
         try:
             self.claim(offer)
@@ -89,7 +91,7 @@
                         self.offer = None
                         await self.stand_by()
                     else:
-                        self.build(self.offer)
+                        await self.rebuild(self.offer)
         finally:
             self.release()
 
@@ -100,6 +102,8 @@
         known = protocol.entries(told.known.get("members", []), told.kinds, told.zones)
         await owner.tell(owner.begin, known, self.offer)
         self.offer = None
+        if self.stops_at:  # threat: asked to stop while a hand-over came to nothing
+            await owner.tell(owner.at.stopping, self.stops_at)
         if told.settings.get("list_mode") != "ask":
             owner.discovery.subscribe(True)
         self.succession.open(self.nursery, self.freeze)
@@ -122,17 +126,28 @@
         """Threat: the process that took over ends early; what it took on is in the folder."""
         self.replaced, self.lock, self.listener = True, None, None
         await self.succession.gone()
+        said = None
         while True:
             try:
                 self.claim()
                 break
             except OSError as error:  # a third process has it, or still has the address
-                self.log("upgrade", "the folder stays with another process", why=logs.described(error))
+                if said != (said := logs.described(error)):
+                    self.log("upgrade", "the folder stays with another process", why=said)
                 await trio.sleep(1)
         self.log("upgrade", "the process that took over is gone, serving again")
-        self.build()
+        await self.rebuild(None)
         self.replaced = False
 
+    async def rebuild(self, offer):
+        """Threat: the disk fails just as this process is the owner again; it is until it can be read."""
+        while True:
+            try:
+                return self.build(offer)
+            except OSError as error:
+                self.log("ledger", "cannot be read", why=logs.described(error))
+                await trio.sleep(AGAIN)
+
     def calls(self):
         """What operators may ask at the door; further calls go here."""
         return {"READY": self.takes_clients, "STATS": self.figures}
@@ -199,7 +214,8 @@
         until = protocol.KILL_AFTER - protocol.PATIENCE / 4
         with trio.move_on_after(until):
             if not self.replaced:
-                await self.owner.tell(self.owner.at.stopping, self.world.clock.now() + int(until * SEC))
+                self.stops_at = self.world.clock.now() + int(until * SEC)
+                await self.owner.tell(self.owner.at.stopping, self.stops_at)
             while not self.replaced and (self.clients.open or self.ledger.owed
                                          or trio.current_time() < begun + protocol.PATIENCE):
                 if trio.current_time() > begun + protocol.KILL_AFTER - protocol.PATIENCE:
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -16,7 +16,6 @@
 
 ROUND = 256  # events taken together at most
 SETTLE = 0.005  # seconds between looks at whether all has come to rest
-TIME_IS_UP = 150 * MS  # before our TTL; a client counts from its sending, we from our reading
 LAST_CALL = SEC // 5  # after its TTL, what the module has not ended is ended here, with a round between
 
 
@@ -271,7 +270,7 @@
                 owed, now = self.ledger.owed[ntf_id], self.at.now
                 in_time = ending == "delivered" and now < owed.ttl_at  # else withdrawn, or out of time there
                 self.counters.ended(owed.topic, SUCCEEDED if in_time else ABORTED)
-                if now >= owed.ttl_at - TIME_IS_UP:
+                if now >= owed.ttl_at - protocol.TIME_IS_UP:
                     # Threat: an answer that comes as the time is up ends it for nobody, and a notice too many
                     # does no harm.
                     self.held.pop(ntf_id)
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -5,6 +5,7 @@
 PATIENCE = 0.4  # seconds that a client waits for its answer; so long new connections come after SIGTERM
 REQUEST_WITHIN = 2.5  # seconds from connecting, or a later request's first byte, until all of it is there
 WATCH_GAP = 0.2  # seconds within which the next call keeps a watch going
+TIME_IS_UP = 150 * MS  # before our TTL; a client counts from its sending, we from our reading
 KILL_AFTER = 3.7  # seconds from SIGTERM until SIGKILL at the soonest
 MOST_BODY = 64 << 10
 MOST_HEAD = 16 << 10
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -12,13 +12,14 @@
 from juniperlanding import carry
 from juniperlanding.choice import SEC
 from juniperlanding.ground.lock import Taken
-from juniperlanding.ground.log import described
+from juniperlanding.ground.log import described, where
 from juniperlanding.handover import frames, steps
 from juniperlanding.net.endpoints import Call, Send
 from juniperlanding.net.line import Line
 
 HELLO_WITHIN = 1.0  # seconds until who called has said what it wants
 AGAIN = 0.05  # seconds until the folder is tried again
+FORM, PARTS = 1, ("clients", "calls", "idle")  # of an offer; each part's sockets follow in this order
 
 
 class Refusal(OSError):
@@ -39,13 +40,24 @@
 
     @classmethod
     def made(cls, node):
-        """What `node` is, once its owner has come to rest."""
+        """What `node` is, once its owner has come to rest.
+
+        Threat: one odd record ends the process with all that it owes; then clients go over, and the module
+        begins from the ledger."""
+        try:
+            return cls.whole(node, carry.taken_from(node.owner.at.me))
+        except Exception as error:
+            node.log("fault", part="upgrade", why=described(error), at_line=where(error))
+            return cls.whole(node, None)
+
+    @classmethod
+    def whole(cls, node, module):
         owner, now = node.owner, trio.current_time()
         idle = [(e, line) for e, lines in owner.endpoints.idle.items() for line in lines if line.quiet()]
         calls, clients = owner.endpoints.carried, node.clients.carried
         state = {
-            "version": carry.VERSION, "settings": digest(node.config.settings),
-            "module": carry.taken_from(owner.at.me),
+            "form": FORM, "version": module and carry.VERSION, "settings": digest(node.config.settings),
+            "module": module,
             "entries": [[*entry, *owner.endpoints.book[number]] for number, entry in owner.entries.items()],
             "revision": owner.discovery.revision, "discovery": owner.discovery.address,
             "following": owner.discovery.on,
@@ -60,11 +72,18 @@
         return cls(json.loads(json.dumps(state)), node.lock, node.listener, socks)
 
     @classmethod
-    def read(cls, world, state, files):
-        """An offer as it came over a channel."""
-        lock, listener, *socks = files
-        return cls(state, world.files.inherit_lock(lock), world.network.inherit(listener, listening=True),
-                   [world.network.inherit(file) for file in socks])
+    def read(cls, world, heard, files):
+        """An offer as it came over a channel; `Refusal` for one of another form, of which nothing is kept."""
+        try:
+            state = heard["state"]
+            if state["form"] != FORM or len(files) != 2 + sum(len(state[part]) for part in PARTS):
+                raise ValueError("unknown")
+            lock, listener, *socks = files
+            return cls(state, world.files.inherit_lock(lock), world.network.inherit(listener, listening=True),
+                       [world.network.inherit(file) for file in socks])
+        except (ValueError, TypeError, KeyError, OSError) as error:
+            world.network.drop(files)
+            raise Refusal(0, f"hands over in another form ({described(error)})", None) from None
 
     def files(self):
         return [self.lock.file, self.listener.raw.fileno(), *(sock.raw.fileno() for sock in self.socks)]
@@ -119,7 +138,7 @@
 
     def __init__(self, config, world, log):
         self.config, self.world, self.log, self.giver = config, world, log, steps.Giver()
-        self.channel, self.harbour = None, None
+        self.channel, self.harbour, self.callers = None, None, 0
 
     def open(self, nursery, freeze):
         """Wait for who would take over; `await freeze(seconds)` once, for the first that may.
@@ -142,13 +161,17 @@
                     self.log("upgrade", "cannot accept", why=described(error))
                     await trio.sleep(AGAIN)
                     continue
+                if self.callers >= steps.MOST_CALLERS:
+                    channel.close()
+                    continue
+                self.callers += 1
                 nursery.start_soon(self.attend, channel, freeze)
 
     async def attend(self, channel, freeze):
         try:
             with trio.move_on_after(HELLO_WITHIN):
                 heard = await channel.hear() if channel.mine() else None
-                if heard and not heard[1] and heard[0]["say"] == frames.HELLO:
+                if heard and heard[0]["say"] == frames.HELLO:
                     listen = "{}:{}".format(*self.config.listen)
                     if heard[0].get("listen") != listen:
                         why = f"it listens at {listen}"
@@ -164,6 +187,7 @@
         except (frames.Noise, OSError) as error:  # threat: a stranger, or noise
             self.log("upgrade", "a caller was not understood", why=described(error))
         finally:
+            self.callers -= 1
             if self.channel is not channel:
                 channel.close()
 
@@ -234,16 +258,25 @@
 
 
 async def take(make, told, world, taker):
-    """Ask the process that has the folder; None when it did not hand it over."""
+    """Ask the process that has the folder; None when it did not hand it over.
+
+    Raises `Refusal` for what will not change; what this process lacks itself is found out before it asks."""
+    if taker.state != steps.ASKING:
+        return None
+    try:
+        if told.management:
+            world.network.bind(told.management).close()
+    except OSError as error:
+        raise Refusal(error.errno, error.strerror, error.filename) from None
     channel, node = world.network.call(told.state), None
     try:
         with trio.move_on_after((taker.until - world.clock.now()) / SEC):
             await channel.say(frames.HELLO, listen="{}:{}".format(*told.listen))
-            heard = await channel.hear()
+            heard = await channel.hear(whole=True)
             if heard and heard[0]["say"] == frames.REFUSED:
                 raise Refusal(0, str(heard[0].get("why")), told.state)
             if heard and heard[0]["say"] == frames.OFFER and taker.offered():
-                node = make(Offer.read(world, heard[0]["state"], heard[1]))
+                node = loaded(make, Offer.read(world, *heard))
                 taker.loaded()
                 await channel.say(frames.READY)
                 heard = await channel.hear()
@@ -257,3 +290,15 @@
         if node and not taker.owns:
             node.let_go()
     return None
+
+
+def loaded(make, offer):
+    """The node made of an offer; if none can be, nothing of it is kept, and asking again is no use."""
+    try:
+        return make(offer)
+    except OSError as error:
+        offer.close()
+        raise Refusal(error.errno, error.strerror, error.filename) from None
+    except BaseException:
+        offer.close()
+        raise
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -158,7 +158,7 @@
         assert await site.hand_in("a1", "order", stream=stream) == 202
         await site.until(lambda: site.far.got)
         end = await hello(site)
-        heard, files = await end.hear()
+        heard, files = await end.hear(whole=True)
         assert heard["say"] == frames.OFFER and len(files) >= 3
         for file in files:
             os.close(file)
@@ -213,13 +213,165 @@
         elsewhere = await hello(site, listen="127.0.0.1:9")
         assert (await elsewhere.hear())[0] == {"say": "refused", "why": "it listens at 127.0.0.1:0"}
         one = await hello(site)
-        await one.hear()
+        await one.hear(whole=True)
         other = await hello(site)
         assert (await other.hear())[0]["why"] == "another replacement is under way"
         one.close()
     site.run(scene)
 
 
+def test_a_word_brings_no_descriptors_and_no_bulk(site):
+    async def scene(site):
+        old = await first(site)
+        for text, files in ((b" " * 5000, 0), (b"", 3)):
+            end = channel.call(str(site.folder / "state"))
+            said = frames.pack(frames.HELLO, files, listen="127.0.0.1:0", more=text.decode())
+            await end.sock.send(said)
+            with pytest.raises(OSError):  # it closes without taking them
+                for _ in range(50):
+                    await trio.sleep(0.01)
+                    await end.sock.send(b"f")
+            end.close()
+        await site.until(lambda: not old.succession.callers)
+        assert not old.owner.frozen and await site.hand_in("a1") == 202
+    site.run(scene)
+
+
+def test_callers_at_the_channel_are_few(site):
+    async def scene(site):
+        old = await first(site)
+        path = str(site.folder / "state")
+        mute = [channel.call(path) for _ in range(steps.MOST_CALLERS)]
+        await site.until(lambda: old.succession.callers == steps.MOST_CALLERS)
+        with trio.fail_after(0.5):
+            assert await channel.call(path).sock.recv(1) == b""
+        with trio.fail_after(2 * succession.HELLO_WITHIN):
+            assert [await end.sock.recv(1) for end in mute] == [b""] * steps.MOST_CALLERS
+        await replace(site)
+    site.run(scene)
+
+
+def test_what_a_new_process_lacks_is_found_out_before_the_old_one_stops_for_it(site):
+    async def scene(site):
+        old = await first(site)
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            site.told["management"] = f"127.0.0.1:{taken.getsockname()[1]}"
+            with pytest.raises(succession.Refusal, match="in use"):
+                await replace(site)
+        assert not any("takes over" in text for _, text in site.lines) and not old.owner.frozen
+    site.run(scene)
+
+
+@pytest.mark.parametrize("fails", ["to load", "at another form"])
+def test_a_new_process_that_cannot_load_asks_once_and_keeps_nothing(site, monkeypatch, fails):
+    async def scene(site):
+        old, stream = await first(site), await site.client()
+        assert await site.hand_in("a1", stream=stream) == 202
+        await site.until(lambda: not old.ledger.owed)
+        if fails == "to load":
+            def make(offer):
+                if offer:
+                    raise OSError(5, "input/output error", "ledger")
+                return node(site, site.config())
+        else:
+            make = partial(node, site, site.config())
+            monkeypatch.setattr(succession, "FORM", 2)
+            whole = succession.Offer.whole.__func__
+            monkeypatch.setattr(succession.Offer, "whole", classmethod(lambda *given: formed(whole(*given))))
+        before = len(os.listdir("/proc/self/fd"))
+        with pytest.raises(succession.Refusal):
+            await succession.begin(make, site.config(), site.world)
+        await site.until(lambda: any("serving on" in text for _, text in site.lines) and old.owner.ready)
+        assert await site.hand_in("a2", stream=stream) == 202
+        await site.until(lambda: not old.ledger.owed)
+        assert sum("takes over" in text for _, text in site.lines) == 1
+        assert len(os.listdir("/proc/self/fd")) <= before + 1  # the watch asked anew
+    site.run(scene)
+
+
+def formed(offer):
+    offer.state["form"] = 1
+    return offer
+
+
+def test_a_record_that_cannot_be_written_down_costs_the_module_and_not_the_process(site, monkeypatch):
+    def fails(me):
+        raise TypeError("odd")
+    monkeypatch.setattr(carry, "taken_from", fails)
+
+    async def scene(site):
+        await first(site)
+        stream = await site.client()
+        assert await site.hand_in("a1", "order", dest=8, stream=stream) == 202
+        new = await replace(site)
+        assert await site.hand_in("a2", stream=stream) == 202
+        assert "a1" in new.owner.held and any("begins from the ledger" in text for _, text in site.lines)
+    site.run(scene)
+
+
+def test_while_the_disk_fails_nothing_goes_over_and_then_all_does(site):
+    async def scene(site):
+        old, stream = await first(site), await site.client()
+        assert await site.hand_in("a1", dest=8, stream=stream) == 202
+        whole = old.ledger.flush
+
+        def fails():
+            raise OSError(28, "no space left on device")
+        old.ledger.flush = fails
+        assert await site.hand_in("a2", dest=8) == 503
+        new = []
+
+        async def take_over():
+            new.append(await replace(site))
+        site.nursery.start_soon(take_over)
+        await trio.sleep(0.3)
+        assert not new and not old.replaced
+        old.ledger.flush = whole
+        await site.until(lambda: new)
+        assert list(new[0].owner.held) == ["a1"] and await site.hand_in("a3", dest=8, stream=stream) == 202
+    site.run(scene)
+
+
+def test_sigterm_while_a_hand_over_comes_to_nothing_still_stops_and_sighup_is_heard(site, monkeypatch):
+    monkeypatch.setattr(steps, "LOAD_WITHIN", SEC // 5)
+
+    async def scene(site):
+        old = await first(site)
+        end = await hello(site)
+        _, files = await end.hear(whole=True)
+        site.nursery.start_soon(old.drain)
+        await site.until(lambda: old.stops_at)
+        channel.drop(files)
+        end.close()
+        await site.until(lambda: any("serving on" in text for _, text in site.lines))
+        await site.until(lambda: old.owner.ready and old.owner.at.me.stops_at)
+        assert old.owner.at.me.stops_at == old.stops_at
+        new = await replace(site)
+        old.reload(site.reread)  # while it stands by
+        new.reload(site.reread)
+        assert await site.hand_in("a1") == 202
+    site.run(scene)
+
+
+def test_a_ledger_that_cannot_be_read_as_the_old_one_is_owner_again_is_tried_again(site):
+    async def scene(site):
+        old = await first(site)
+        await replace(site)
+        build, tries = old.build, []
+
+        def fails(offer):
+            tries.append(offer)
+            if len(tries) < 3:
+                raise OSError(5, "input/output error")
+            build(offer)
+        old.build = fails
+        gone(site)
+        await site.until(lambda: len(tries) == 3 and not old.replaced and old.owner.ready)
+        site.address = old.listener.address
+        assert await site.hand_in("a1") == 202
+    site.run(scene)
+
+
 def test_no_place_for_the_channel_is_one_line_and_serving_goes_on(site):
     async def scene(site):
         (site.folder / "state").mkdir()
@@ -327,6 +479,9 @@
     giver, taker = steps.Giver(), steps.Taker(0)
     assert giver.ready() == giver.frozen(0) == taker.yours() == taker.loaded() == []
     assert giver.owns and not taker.owns
+    loading = steps.Taker(0)
+    assert loading.offered() and loading.lost(1) == [steps.RELEASE, steps.WAIT] and not loading.offered()
+    assert loading.lost(steps.JOIN_WITHIN) == [steps.END]
     assert taker.lost(steps.JOIN_WITHIN - 1) == [steps.ASK] and taker.lost(steps.JOIN_WITHIN) == [steps.END]
 
 
