A failing disk stops no round: outcomes are heard, what is over ends, drains bind

Twice the process ended by OSError: Node.close flushed into the failing disk at SIGTERM.

Rounds go on while the ledger cannot be written: no push starts (`Dispatcher.turn(may_send)`: one word in choice.py, the same decisions without it), what the failing round asked for is moot, nobody is taken on, what is out is heard with the time at which it came, a notice waits for the ledger or for its TTL, past which nothing can run again. The end of the process says in one line what could not be written, exit code 1. In the ledger: half a record whose cutting off fails too is cut off before the next write; a failed copy gives its room back; an error of `close` after a rename no longer leaves the ledger on a closed descriptor. A client whose half-written record stands is told 500, not 503.

Failed try: `torn` set at every failed write told 500 for all that came to a disk with EIO; only a part written tears.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY = .venv/bin/python
 FOR ?= 10s
 
-.PHONY: build people dev test lint run try
+.PHONY: build people dev test lint run try fresh
 build:
 	$(PY) -c 'import trio, h11, docopt, structlog, msgspec' 2>/dev/null || (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt)
 
@@ -19,6 +19,10 @@
 	.venv/bin/ruff check .
 	.venv/bin/lint-imports --no-cache
 
+# 300 emulated runs from a first seed that nobody has played: it follows from the commit's hash.
+fresh: dev
+	$(PY) -m juniperlanding emulate --swarm 300 --until 10s --seed $$(( 0x$$(git rev-parse --short=7 HEAD) ))
+
 try: people
 	$(PY) -m juniperlanding try --for $(FOR)
 
--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -569,7 +569,7 @@
             self.host.expired(ntf.id)
         self.close(ntf)
 
-    def turn(self):
+    def turn(self, may_send=True):
         for push in [p for p in self.me.pushes.values() if not p.overdue and self.now >= p.overdue_at]:
             self.health.overdue(push)
         waiting = [d for d in self.me.destinations.values() if d.waiting]
@@ -579,7 +579,7 @@
                 self.give_up(ntf)
         self.shed(waiting)
         self.reclaim(waiting)
-        ready = [d for d in waiting if d.waiting and d.idle_until <= self.now]
+        ready = [d for d in waiting if may_send and d.waiting and d.idle_until <= self.now]
         while ready:
             dest = min(ready, key=lambda d: (d.calls_out, d.turn))
             if not self.serve(dest) or not dest.waiting:
--- a/juniperlanding/cli/serve.py
+++ b/juniperlanding/cli/serve.py
@@ -12,7 +12,7 @@
 import signal
 from functools import partial
 
-from juniperlanding.cli import Refused
+from juniperlanding.cli import DONE, UNWELL, Refused
 
 
 def reader(path, environ, files):
@@ -57,7 +57,7 @@
     import trio
 
     # Threat: the environment is as old as the process; a replaced file's discovery goes before it.
-    trio.run(serve, config, world, partial(read, ("EDGE_DISCOVERY",)))
+    return trio.run(serve, config, world, partial(read, ("EDGE_DISCOVERY",)))
 
 
 async def serve(config, world, read):
@@ -72,7 +72,7 @@
     except OSError as error:
         raise Refused(f"{error.filename or config.state}: {(error.strerror or str(error)).lower()}") from None
     never_wait()
-    stopping = False
+    stopping, ended = False, []
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(node.run)
@@ -83,10 +83,11 @@
                     node.log("counters", **node.counters)
                 elif not stopping:
                     stopping = True
-                    nursery.start_soon(stop, node, nursery.cancel_scope)
+                    nursery.start_soon(stop, node, nursery.cancel_scope, ended)
+    return DONE if all(ended) else UNWELL
 
 
-async def stop(node, scope):
+async def stop(node, scope, ended):
     await node.drain()
-    node.close()
+    ended.append(node.close())
     scope.cancel()
--- a/juniperlanding/emulator/faults.py
+++ b/juniperlanding/emulator/faults.py
@@ -342,12 +342,16 @@
     setattr(platform, name, value)
     if name == "silent":
         world.watch.platform_silent_until = max(world.watch.platform_silent_until, 1 << 61)
+    if name == "late":
+        world.watch.list_late = value
     if name == "empty":
         platform.revision += 1
         platform.news.set()
         platform.news = trio.Event()
     await lasting(fault)
     setattr(platform, name, type(value)(0))
+    if name == "late":
+        world.watch.list_late = 0
     if name == "silent":
         world.watch.platform_silent_until = world.watch.now() + 6 * SEC
     if name == "empty":
--- a/juniperlanding/emulator/invariants.py
+++ b/juniperlanding/emulator/invariants.py
@@ -58,6 +58,7 @@
         self.waits, self.drains, self.log_lines = {}, {}, deque(maxlen=2000)
         self.down, self.lines, self.stale, self.concluded = {}, 0, {}, {}
         self.platform_silent_until, self.lost, self.unwritten = 0, set(), set()
+        self.list_late = 0  # how late the platform's answers are now, at most, in ns
         self.open = {}  # id -> record, of what has no end yet
         self.digest_lines = []
 
@@ -185,7 +186,8 @@
     def ended(self, ntf_id):
         """One end is there; whether a second comes is looked at when the record leaves."""
         record = self.open.get(ntf_id)
-        if record and ntf_id not in self.unwritten and "answered twice" in record.faults(self.now()):
+        excused = ntf_id in self.unwritten or ntf_id in self.lost  # the same id again is new to a lost folder
+        if record and not excused and "answered twice" in record.faults(self.now()):
             self.broke(
                 "final answer", f"{ntf_id} was answered twice: delivered, and {record.notices}", ntf_id
             )
@@ -201,7 +203,7 @@
         self.down[dispatcher.name] = dispatcher
         self.trace(dispatcher.name, f"start {dispatcher.starts}")
         for key in [key for key in self.drains if key[0] == dispatcher.name]:
-            self.drains[key] = self.now() + SEC  # it may still have its old list
+            self.drains[key] = self.now() + SEC + self.list_late  # it may still have its old list
 
     def died(self, dispatcher):
         """Threat that no program closes: what was delivered moments before the process ended, or while its
--- a/juniperlanding/emulator/network.py
+++ b/juniperlanding/emulator/network.py
@@ -186,6 +186,7 @@
         self.fabric, self.owner, self.peer_name = fabric, owner, peer
         self.inward, self.outward, self.other = inward, outward, None
         self.closed, self.finished, self.broken, self.dead = False, False, False, False
+        self.dropped = False  # something of its sending never left
         fabric.sockets[owner][self] = None
 
     def check(self):
@@ -243,7 +244,7 @@
             if self.other.closed:
                 return False
             await self.outward.space.wait()
-        return True
+        return not self.dropped
 
     def dead_silent(self):
         return self.owner in self.fabric.vanished
@@ -272,6 +273,7 @@
             while self.outward.pieces and self.outward.pieces[-1][0] == NEVER:
                 _, piece = self.outward.pieces.pop()
                 self.outward.size -= len(piece) if isinstance(piece, bytes) else 0
+                self.dropped = True
             self.closed = True
             self.fabric.sockets[self.owner].pop(self, None)
             self.outward.put(RESET)
--- a/juniperlanding/emulator/process.py
+++ b/juniperlanding/emulator/process.py
@@ -5,6 +5,7 @@
 
 import errno
 import json
+from contextlib import suppress
 
 import trio
 
@@ -119,7 +120,7 @@
         """When it was ready, and that it still is."""
         while not self.node.owner.ready:
             await trio.sleep(0.005)
-        self.ready_at = elapsed()
+        self.ready_at = max(self.ready_at, elapsed())  # an excuse may outlast a restart
         while True:
             self.last_ready = elapsed()
             await trio.sleep(0.05)
@@ -162,4 +163,5 @@
         """SIGHUP, as `serve` does it."""
         if self.alive:
             environ = {name: value for name, value in self.environ.items() if name != "EDGE_DISCOVERY"}
-            self.node.reload(lambda: config.read(environ, Mount(self.disk)))
+            with suppress(Killed):  # it ended at a call of its disk, and is gone
+                self.node.reload(lambda: config.read(environ, Mount(self.disk, self.died)))
--- a/juniperlanding/emulator/swarm.py
+++ b/juniperlanding/emulator/swarm.py
@@ -14,6 +14,7 @@
 from juniperlanding.emulator import mutants, world
 from juniperlanding.emulator.chance import stream
 from juniperlanding.emulator.clock import SEC
+from juniperlanding.emulator.faults import START_AGAIN
 from juniperlanding.emulator.scenario import KINDS, MS, Fault, without
 from juniperlanding.ground.units import Duration
 
@@ -44,20 +45,31 @@
     "clock_step",
 )
 OF_ALL = ("hup", "discovery_silent", "discovery_empty", "discovery_late", "join")
-MOST_FAULTS, NEAR = 7, 10 * MS
+MOST_FAULTS, NEAR = 7, 50 * MS
+OF_DISKS = ("kill_at_disk", "disk_full", "disk_error", "disk_short", "rename_error")
+OF_PROCESSES = ("kill", "term", "lose", "kill_at_disk")  # what ends one; START_AGAIN later it begins again
+FAVOUR = 2.0  # times that a fault of the disk is likelier than another: they found the most
 MOST_TRIES = 60  # runs that shrinking one breach may take
 
 
 def drawn(scenario, seed):
     """The scenario with a mix of faults and manners drawn from the seed; its own faults stay."""
     chance = stream(seed, "mix")
-    kinds = [KINDS[at] for at in chance.permutation(len(KINDS))[: int(chance.integers(1, MOST_FAULTS + 1))]]
-    faults, before = list(scenario.fault), None
+    weights = [FAVOUR if kind in OF_DISKS else 1.0 for kind in KINDS]
+    shares = [weight / sum(weights) for weight in weights]
+    count = int(chance.integers(1, MOST_FAULTS + 1))
+    kinds = [KINDS[at] for at in chance.choice(len(KINDS), count, replace=False, p=shares)]
+    faults, before, edges = list(scenario.fault), None, []
     for kind in kinds:
         at = int(chance.integers(SEC, max(2 * SEC, int(scenario.length) - 4 * SEC)))
-        if before is not None and chance.random() < 0.3:
+        lot = chance.random()
+        if edges and lot < 0.25:  # around the end or the start of a process
+            at = max(SEC, edges[int(chance.integers(len(edges)))] + int(chance.integers(-NEAR, NEAR)))
+        elif before is not None and lot < 0.5:
             at = before + int(chance.integers(0, NEAR))  # what needs two faults at nearly the same time
         before = at
+        if kind in OF_PROCESSES:
+            edges += [at, at + int(START_AGAIN * SEC)]
         low, high = AMOUNTS.get(kind, (0.0, 1.0))
         faults.append(
             Fault(
@@ -110,7 +122,10 @@
     """Play one job; in a process of its own, where a mutant may be put in."""
     scenario = drawn(job.scenario, job.seed) if job.draw else job.scenario
     with mutants.applied(job.mutant):
-        return world.play(scenario, job.seed)
+        try:
+            return world.play(scenario, job.seed)
+        except BaseExceptionGroup as error:  # threat: a worker that ends so is waited for without end
+            raise RuntimeError(f"the rig failed at seed {job.seed}: {error.exceptions!r}") from error
 
 
 def many(jobs, processes=None, found=lambda result: None):
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -189,7 +189,7 @@
                                  wait, over, report))
         if outcomes:
             with trio.CancelScope(shield=True):
-                await self.told(call.endpoint, outcomes)
+                await self.told(call.endpoint, outcomes, now)
 
     async def line(self, call):
         """An idle connection that may still be used, or a new one."""
--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -14,6 +14,7 @@
 
 import json
 from base64 import b64decode, b64encode
+from contextlib import suppress
 from dataclasses import dataclass, field
 from zlib import crc32
 
@@ -140,6 +141,7 @@
         self.most_owed, self.most_file = disk * FULL // 8, disk * WASTE // 8
         self.most_over = disk // OVER
         self.pending, self.file, self.file_size = [], -1, 0
+        self.torn = False  # half a record may stand at the file's end
         self.load(self.path)
         if inherited:
             self.file, self.file_size = self.files.open(self.path), self.files.size(self.path)
@@ -166,38 +168,62 @@
         if self.file_size + len(data) > self.most_file:
             self.compact()  # what is pending is applied already, so it is in there
         else:
-            self.file_size += self.append(self.file, data, self.file_size)
+            self.file_size += self.added(data)
         self.pending.clear()
 
-    def append(self, file, data, size):
+    def added(self, data):
+        """Threat: half a record would spoil the next one too, and cutting it off fails as well."""
+        if self.torn:
+            self.cut_off()
         view = memoryview(data)
         try:
             while view:
-                view = view[self.files.write(file, view):]
+                view = view[self.files.write(self.file, view):]
+                self.torn = bool(view)
         except OSError:
-            self.files.truncate(file, size)  # threat: half a record would spoil the next one too
+            if self.torn:
+                self.cut_off()
             raise
         return len(data)
 
+    def cut_off(self):
+        self.files.truncate(self.file, self.file_size)
+        self.torn = False
+
+    def append(self, file, data):
+        view = memoryview(data)
+        while view:
+            view = view[self.files.write(file, view):]
+        return len(data)
+
     def compact(self):
         """Write what is owed to a new file, and put it in the old one's place in one step."""
         fresh, size = self.path + ".new", 0
         file = self.files.open(fresh, fresh=True)
         try:
             for owed in self.owed.values():
-                size += self.append(file, b"".join(map(line, owed.records())), size)
+                size += self.append(file, b"".join(map(line, owed.records())))
             over = b"".join(line(["d", *entry]) for entry in self.over.items())
-            size += self.append(file, over, size)
+            size += self.append(file, over)
             self.files.rename(fresh, self.path)
         except OSError:
-            self.files.close(file)
+            with suppress(OSError):  # threat: the copy takes the room that the file itself needs
+                self.files.truncate(file, 0)
+            self.let_go(file)
             raise
-        if self.file >= 0:
-            self.files.close(self.file)
-        self.file, self.file_size = file, size
+        old, self.file, self.file_size, self.torn = self.file, file, size, False
+        if old >= 0:
+            self.let_go(old)
+
+    def let_go(self, file):
+        with suppress(OSError):  # the descriptor is gone all the same
+            self.files.close(file)
 
     def close(self):
+        """Write what gathered and let the file go; OSError when it could not be written."""
         if self.file >= 0:
-            self.flush()
-            self.files.close(self.file)
-            self.file = -1
+            try:
+                self.flush()
+            finally:
+                self.let_go(self.file)
+                self.file = -1
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -6,6 +6,7 @@
 
 from juniperlanding.choice import SEC
 from juniperlanding.ground import log as logs
+from juniperlanding.ground.log import described
 from juniperlanding.net import door, protocol
 from juniperlanding.net.clients import ROOM, Clients
 from juniperlanding.net.counters import Counters
@@ -132,7 +133,7 @@
                 self.claim()
                 break
             except OSError as error:  # a third process has it, or still has the address
-                if said != (said := logs.described(error)):
+                if said != (said := described(error)):
                     self.log("upgrade", "the folder stays with another process", why=said)
                 await trio.sleep(1)
         self.log("upgrade", "the process that took over is gone, serving again")
@@ -145,7 +146,7 @@
             try:
                 return self.build(offer)
             except OSError as error:
-                self.log("ledger", "cannot be read", why=logs.described(error))
+                self.log("ledger", "cannot be read", why=described(error))
                 await trio.sleep(AGAIN)
 
     def calls(self):
@@ -186,9 +187,9 @@
         except OSError as error:
             self.rereads = trio.CancelScope()
             self.nursery.start_soon(self.reread, read, self.rereads)
-            return self.log("config", "cannot be read, tried again soon", why=logs.described(error))
+            return self.log("config", "cannot be read, tried again soon", why=described(error))
         except Exception as error:  # threat: a file half written or wrong must not end the program
-            return self.log("config", "cannot be read, the old one stays in force", why=logs.described(error))
+            return self.log("config", "cannot be read, the old one stays in force", why=described(error))
         self.log("config", "read again", discovery="{}:{}".format(*discovery))
         if discovery != self.config.discovery:
             self.config.discovery = discovery
@@ -223,5 +224,11 @@
                 await trio.sleep(0.02)
 
     def close(self):
+        """The end; whether all that is owed could be written down."""
+        try:
+            self.ledger.close()
+        except OSError as error:
+            self.log("stop", "the last records could not be written", why=described(error),
+                     records=len(self.ledger.pending))
         self.log("stop", "what is owed stays in the ledger", owed=len(self.ledger.owed), **self.counters)
-        self.ledger.close()
+        return not self.ledger.pending
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -16,6 +16,7 @@
 
 ROUND = 256  # events taken together at most
 SETTLE = 0.005  # seconds between looks at whether all has come to rest
+WRITE_AGAIN = SEC // 20  # until a ledger that could not be written is tried again
 LAST_CALL = SEC // 5  # after its TTL, what the module has not ended is ended here, with a round between
 
 
@@ -40,7 +41,8 @@
         self.calls, self.cancels, self.answers, self.notices_due = {}, [], [], []
         self.queue, self.inbox = trio.open_memory_channel(ROUND * 4)
         self.endpoints = self.notices = self.discovery = self.clients = None
-        self.ready, self.frozen, self.stuck = False, False, False
+        self.ready, self.frozen = False, False
+        self.stuck, self.write_at = False, 0  # the ledger cannot be written; when it is tried again
         self.at = Dispatcher(self, config.settings, config.seed, now())
 
     # ---- what socket tasks say; each becomes a call in the owner's next round
@@ -122,11 +124,13 @@
             while self.timers and self.timers[0][0] <= now:
                 self.guarded(*heapq.heappop(self.timers)[2:])
             if not self.frozen:
-                self.guarded(self.at.turn)
-            await self.written()
+                self.guarded(self.at.turn, not self.stuck)
+            self.write()
             self.carry_out()
 
     def settled(self):
+        if self.ledger.pending:
+            return False  # what is handed over is read from the folder
         queue = self.inbox.statistics()
         idle = not queue.current_buffer_used and not queue.tasks_waiting_send
         if trio.current_time() > self.frozen_until:
@@ -140,37 +144,40 @@
         self.clients.freeze()
         self.endpoints.freeze()
 
-    async def written(self):
-        """Threat: the disk fails.  Nothing leaves and no client is told yes before the ledger has it; who
-        comes meanwhile is refused at once (`stuck`)."""
-        while True:
+    def write(self):
+        """Threat: the disk fails.  Nothing leaves and no client is told yes before the ledger has it, while
+        what is out is heard, what can no longer go is ended, and who comes is refused at once (`stuck`)."""
+        if not self.stuck or self.at.now >= self.write_at:
             try:
                 self.ledger.flush()
                 self.stuck = False
-                return
             except OSError as error:
-                self.stuck = True
+                self.stuck, self.write_at = True, self.at.now + WRITE_AGAIN
                 self.log_line("ledger", "cannot write", why=described(error))
                 self.counters["ledger_errors"] += 1
-            for answer in self.answers:
-                if self.held.get(answer.ntf_id) is answer:
-                    self.counters.ended(self.ledger.owed[answer.ntf_id].topic, DECLINED)
-                    self.refuse(answer.ntf_id)
+        if self.stuck:
+            self.hold_back()
+
+    def hold_back(self):
+        """Of what this round asked for nothing has begun, and none of it does."""
+        for send in [send for sends in self.calls.values() for send in sends]:
+            self.ledger.write("n", send.id, send.number)
+            self.guarded(self.at.outcome, send.id, send.number, "moot")
+        self.calls.clear()
+        for answer in self.answers:
+            if self.held.get(answer.ntf_id) is answer:
+                # Threat: half of what was written cannot be cut off, we are killed, and it runs after all.
+                answer.status, how = (500, ABORTED) if self.ledger.torn else (503, DECLINED)
+                self.counters.ended(self.ledger.owed[answer.ntf_id].topic, how)
+                self.take_back(answer.ntf_id)
+            else:
                 answer.status = 503
-                answer.ready.set()
-            await trio.sleep(0.05)
-
-    def refuse(self, ntf_id):
-        """Take back what was taken on in this round: its pushes have not begun."""
-        self.take_back(ntf_id)
-        for sends in self.calls.values():
-            for send in [send for send in sends if send.id == ntf_id]:
-                sends.remove(send)
-                self.at.outcome(ntf_id, send.number, "moot")
 
     async def gather(self):
         events = []
         left = (self.timers[0][0] - self.now()) / SEC if self.timers else float("inf")
+        if self.stuck:
+            left = min(left, WRITE_AGAIN / SEC)
         with trio.move_on_after(min(max(0, left), SETTLE if self.frozen else float("inf"))):
             events.append(await self.inbox.receive())
         await trio.lowlevel.checkpoint()  # threat: after standing still, timers would come before answers
@@ -197,11 +204,22 @@
                 self.endpoints.start(self.nursery, endpoint, sends)
         for ntf_id, number in self.cancels:
             self.endpoints.cancel(ntf_id, number)
-        for notice in self.notices_due:
+        for notice in self.may_be_posted():
             self.notices.add(*notice)
-        for asked in (self.answers, self.calls, self.cancels, self.notices_due):
+        for asked in (self.answers, self.calls, self.cancels):
             asked.clear()
 
+    def may_be_posted(self):
+        """Threat: a notice goes out unwritten, we are killed, and what was handed back runs again.  Past its
+        TTL it cannot."""
+        due, self.notices_due = self.notices_due, []
+        if not self.stuck:
+            return due
+        left = {ntf_id: self.ledger.owed[ntf_id].ttl_at - self.at.now for ntf_id, *_ in due
+                if ntf_id in self.ledger.owed}
+        self.notices_due = [notice for notice in due if left.get(notice[0], 0) > 0]
+        return [notice for notice in due if left.get(notice[0], 1) <= 0]
+
     # ---- events
 
     def gauges(self):
@@ -224,8 +242,8 @@
         if ntf_id in self.taken or ntf_id in self.ledger.owed:
             answer.status = 202  # the same once more on a new connection, or by another client
             return
-        if destination not in self.at.me.destinations:
-            return self.counters.ended(topic, DECLINED)  # 503, since the list is behind
+        if self.stuck or destination not in self.at.me.destinations:
+            return self.counters.ended(topic, DECLINED)  # 503: no disk, or the list is behind
         full = len(self.held) >= self.config.settings.get("most_held", 1 << 30)
         if full or not self.ledger.room(len(body)):
             self.counters["turned_away_full"] += 1
@@ -264,14 +282,15 @@
         self.at.withdrawn(ntf_id)
         self.end(ntf_id, "x")
 
-    def finished(self, endpoint, outcomes):
+    def finished(self, endpoint, outcomes, heard):
+        """`heard`: when.  Threat: this round comes long after, and a delivery in time looks late."""
         for ntf_id, number, ending, latency, wait, over, report in outcomes:
             if over and ntf_id in self.held:
-                owed, now = self.ledger.owed[ntf_id], self.at.now
-                in_time = ending == "delivered" and now < owed.ttl_at  # else withdrawn, or out of time there
+                owed = self.ledger.owed[ntf_id]
+                in_time = ending == "delivered" and heard < owed.ttl_at  # else withdrawn, or too late
                 self.counters.ended(owed.topic, SUCCEEDED if in_time else ABORTED)
-                if now >= owed.ttl_at - protocol.TIME_IS_UP:
-                    # Threat: an answer that comes as the time is up ends it for nobody, and a notice too many
+                if heard >= owed.ttl_at - protocol.TIME_IS_UP:
+                    # Threat: an answer that comes as the time is up ends it for nobody; a notice too many
                     # does no harm.
                     self.held.pop(ntf_id)
                     self.give_notice(ntf_id, protocol.GIVEN_UP, 0)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -297,10 +297,12 @@
     assert all(getattr(function, "__func__", function).__doc__ for _, _, function in mutants.MUTANTS.values())
 
 
-@pytest.mark.parametrize("name, seed, rule", [("calls_not_recalled", 1, "drain"), ("", 9, None)])
-def test_what_still_connects_is_called_back_and_the_unheard_takes_back_nothing(name, seed, rule):
-    found = scenario.read("scenarios/handshakes.toml", Files())
-    result = swarm.one(swarm.Job(found, seed, name))
+@pytest.mark.parametrize(
+    "file, name, seed, rule", [("handshakes", "calls_not_recalled", 2, "drain"), ("unheard", "", 9, None)]
+)
+def test_what_still_connects_is_called_back_and_the_unheard_takes_back_nothing(file, name, seed, rule):
+    found = scenario.read(f"scenarios/{file}.toml", Files())
+    result = swarm.one(swarm.Job(found, seed, name, draw=file == "handshakes"))
     assert (result.breach and result.breach.rule) == rule
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -187,7 +187,7 @@
     return calls
 
 
-async def told_by(outcomes, endpoint, told):
+async def told_by(outcomes, endpoint, told, heard):
     outcomes.extend(told)
 
 
@@ -486,7 +486,8 @@
         assert await site.hand_in("a1", "order") == 202
         await site.until(lambda: site.far.got)
         node.ledger.owed["a1"].ttl_at = CLOCK.now() + int(left * SEC)
-        await node.owner.tell(node.owner.finished, "s-1", [("a1", 0, ending, SEC, 0, True, None)])
+        await node.owner.tell(node.owner.finished, "s-1", [("a1", 0, ending, SEC, 0, True, None)],
+                              CLOCK.now())
         await site.until(lambda: not node.ledger.owed)
         assert [notice["message"] for notice in site.platform.notices] == notices
         assert node.counters["svc.results.order.succeeded"] == (ending == "delivered" and left > 0)
@@ -496,10 +497,10 @@
 def test_when_the_disk_fails_nothing_leaves_and_clients_are_refused(site):
     async def scene(site):
         node = await site.start()
-        whole, node.ledger.append = node.ledger.append, broken
+        whole, node.ledger.added = node.ledger.added, broken
         assert await site.hand_in("a1") == 503
         assert await site.hand_in("a1") == 503  # at once, though the owner waits for the disk
-        node.ledger.append = whole
+        node.ledger.added = whole
         await site.until(lambda: not node.owner.stuck)
         assert await site.hand_in("a2") == 202
         await site.until(lambda: not node.ledger.owed)
@@ -508,10 +509,82 @@
     site.run(scene)
 
 
-def broken(file, data, size):
+def broken(data):
     raise OSError("disk on fire")
 
 
+def test_while_the_disk_fails_what_is_out_is_heard_and_what_is_over_ends(site):
+    gate = trio.Event()
+
+    async def scene(site):
+        node = await site.start()
+        owner = node.owner
+        assert await site.hand_in("a1", "order") == 202  # out, and silent
+        assert await site.hand_in("a2", dest=8, ttl=600) == 202  # waits for an endpoint that drains
+        await site.until(lambda: site.far.got)
+        whole, node.ledger.added = node.ledger.added, broken
+        assert await site.hand_in("a3") == 503
+        gate.set()
+        owner.cancels.clear()
+        await owner.tell(owner.finished, "s-1", [("a1", 0, "delivered", SEC, 0, True, None)], CLOCK.now())
+        await site.until(lambda: not owner.held)
+        assert owner.stuck and node.counters["svc.results.order.succeeded"] == 1
+        await site.until(lambda: site.platform.notices)  # past its TTL it cannot run any more
+        assert [notice["message"] for notice in site.platform.notices] == ["a2"] and owner.stuck
+        node.ledger.added = whole
+        await site.until(lambda: not node.ledger.pending and not node.ledger.owed)
+        assert [notice["message"] for notice in site.platform.notices] == ["a2"]
+    site.run(scene, silent)
+
+
+def test_a_delivery_heard_in_time_counts_however_late_its_round_comes(site):
+    async def scene(site):
+        node = await site.start()
+        assert await site.hand_in("a1", "order") == 202
+        await site.until(lambda: site.far.got)
+        heard = CLOCK.now()
+        node.ledger.owed["a1"].ttl_at = heard + SEC // 5
+        await trio.sleep(0.21)
+        await node.owner.tell(node.owner.finished, "s-1", [("a1", 0, "delivered", SEC, 0, True, None)], heard)
+        await site.until(lambda: not node.ledger.owed)
+        assert not site.platform.notices and node.counters["svc.results.order.succeeded"] == 1
+    site.run(scene, silent)
+
+
+def test_half_a_record_that_could_not_be_cut_off_is_cut_off_before_the_next(tmp_path):
+    ledger = Ledger(tmp_path, 200_000)
+    ledger.take("a1", "news", 7, 1 << 62, "", b"x")
+    write, truncate = ledger.files.write, ledger.files.truncate
+
+    halves = [9]
+
+    def half(file, data):
+        if not halves:
+            raise OSError(5, "Input/output error")
+        return write(file, bytes(data)[:halves.pop()])
+
+    def fails(file, size):
+        raise OSError(5, "Input/output error")
+    ledger.files.write, ledger.files.truncate = half, fails
+    for _ in range(2):
+        with pytest.raises(OSError):
+            ledger.flush()
+    ledger.files.write, ledger.files.truncate = write, truncate
+    ledger.flush()
+    books = Ledger(tmp_path, 200_000)
+    assert list(books.owed) == ["a1"] and not books.skipped
+
+
+def test_an_end_that_cannot_be_written_is_told_and_does_not_break(site):
+    async def scene(site):
+        node = await site.start()
+        assert await site.hand_in("a1", dest=8) == 202
+        node.ledger.added = broken
+        node.owner.end("a1")
+        assert not node.close() and any("could not be written" in text for _, text in site.lines)
+    site.run(scene)
+
+
 def test_a_full_ledger_or_a_full_house_refuses(site):
     site.limits = {"disk_mb": 0.05, "sockets": 256}
     site.wire = WIRE | {"permissions": WIRE["permissions"] | {"most_held": 2}}
@@ -1069,15 +1142,15 @@
     async def scene(site):
         node = await site.start()
         assert await site.hand_in("a1", dest=8, ttl=9000) == 202
-        stream, gate = await site.client(), trio.Event()
-        node.owner.written = gate.wait  # as a disk that is full for a while
+        stream = await site.client()
+        node.owner.carry_out = lambda: None  # as if the round stood still
         await stream.send_all(handed("X-Trace-Id: a1", "X-Addressing: dest=8", "X-Expires-In-Ms: 9000"))
         await site.until(lambda: node.owner.answers)
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         stream.socket.close()
         await trio.sleep(0.05)
-        del node.owner.written
-        gate.set()
+        del node.owner.carry_out
+        await node.owner.tell(len, "")
         await site.until(lambda: any("client=" in text for event, text in site.lines if event == "conn"))
         await trio.sleep(0.05)
         assert list(owed(site)) == ["a1"] and not node.counters["unheard"]
