A view of the fleet kept by the dispatchers themselves, first part: off unless asked for

A dispatcher knew of the others two fixed figures of its file; leases, the plan for a lost site and shared limits all stand on a view of who lives, drains and is cut off, which settles again after joins, crashes and cuts.

Package fleet/: `members` decides (SWIM with Lifeguard's self-doubt; no I/O), `words` are msgspec structs with a keyed blake2b digest, one datagram each, `agent` carries it out through a new seam for datagrams. `[fleet]` in the operators' file alone turns it on; half told it is refused in words; off, nothing of it is imported and no UDP socket is open (a test looks at a `serve` started as `run` does). `FLEET` at the door, gauges in `STATS`, a line for each change.

--- /dev/null
+++ b/juniperlanding/fleet/agent.py
@@ -0,0 +1,182 @@
+"""The I/O half of the fleet: a socket for datagrams, a clock, and the members that the folder remembers."""
+
+from zlib import crc32
+
+import msgspec
+import trio
+
+from juniperlanding import VERSION
+from juniperlanding.choice import SEC
+from juniperlanding.fleet import words
+from juniperlanding.fleet.members import View
+from juniperlanding.fleet.words import PHASES
+from juniperlanding.ground.log import described, where
+
+FILE, MOST_KEY, MOST_REMEMBERED = "fleet", 1 << 12, 256
+WRITE_EVERY, BIND_AGAIN, MOST_TOGETHER = 2.0, 0.05, 256
+
+
+class Agent:
+    """A member from `run` until it is cancelled.  `view` is None until its address is bound.
+
+    `load` gives (owed, outstanding).  `wait(version)` returns once the view has another version."""
+
+    def __init__(self, told, name, state, world, load, log):
+        self.told, self.name, self.world, self.load, self.log = told, name, world, load, log
+        self.path, self.view, self.sock, self.news = f"{state}/{FILE}", None, None, trio.Event()
+        self.key = world.files.read(told.key, MOST_KEY).strip()[:64]
+        self.noise, self.sent, self.received, self.phase = 0, 0, 0, PHASES.index("serving")
+
+    def now(self):
+        """Steady nanoseconds, of this process alone."""
+        return int(trio.current_time() * SEC)
+
+    async def run(self):
+        self.sock = await self.bound()
+        try:
+            host, port = self.told.advertise or self.told.address
+            life = crc32(f"{self.name}/{self.world.clock.now()}/{self.sock.address}".encode()) | 1 << 32
+            me = words.Record(self.name, 0, words.ALIVE, host, port, self.told.site, self.phase, VERSION,
+                              life=life)
+            seeds = list(dict.fromkeys([*self.told.seeds, *self.remembered()]))
+            self.view = View(me, self.told.name, seeds, life, self.now())
+            self.log("fleet", "joining", address=f"{host}:{port}", seeds=len(seeds))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.receive)
+                nursery.start_soon(self.remember)
+                while True:
+                    self.guarded(self.view.tick, self.now())
+                    self.carry_out()
+                    with trio.move_on_after(max(0.001, (self.view.due() - self.now()) / SEC)):
+                        await self.news.wait()
+        finally:
+            self.sock.close()
+            self.sock = None
+
+    async def bound(self):
+        """Threat: the process that we replace still has the address for a moment."""
+        said = None
+        while True:
+            try:
+                return self.world.network.datagrams(self.told.address)
+            except OSError as error:
+                if said != (said := described(error)):
+                    self.log("fleet", "no address yet", why=said)
+                await trio.sleep(BIND_AGAIN)
+
+    async def receive(self):
+        while True:
+            try:
+                data, _ = await self.sock.recv()
+                message = words.decoded(data, self.key, self.told.name)
+            except words.Noise:
+                self.noise += 1
+                continue
+            except OSError as error:
+                self.log("fleet", "cannot receive", why=described(error))
+                await trio.sleep(BIND_AGAIN)
+                continue
+            self.received += 1
+            self.guarded(self.view.heard, message, self.now())
+            self.carry_out()
+
+    def guarded(self, what, *fields):
+        """Threat: one odd message must not end the program."""
+        try:
+            what(*fields)
+        except Exception as error:
+            self.log("fault", part="fleet", why=described(error), at_line=where(error))
+
+    def carry_out(self):
+        view = self.view
+        view.me = msgspec.structs.replace(view.me, load=tuple(self.load()))
+        for address, message in view.out:
+            self.sent += self.sock.send(words.encoded(message, self.key), address)
+        view.out.clear()
+        for member, before in view.changes:
+            self.say(member, before)
+        if view.changes:
+            view.changes.clear()
+            self.wake()
+
+    def wake(self):
+        self.news.set()
+        self.news = trio.Event()
+
+    def say(self, member, before):
+        record, view = member.record, self.view
+        if record.name == self.name:
+            return self.log("fleet", "another process has our name", address=f"{record.host}:{record.port}",
+                            yields=view.me.life > record.life)
+        self.log("fleet", f"{record.name} is {words.STATES[record.state]}",
+                 before="new" if before is None else words.STATES[before], by=member.by, inc=record.inc,
+                 phase=words.PHASES[record.phase], living=len(view.living()) + 1, sure=f"{view.sure():.2f}")
+
+    def enter(self, phase):
+        """We drain, or leave: nobody is to suspect us for it."""
+        self.phase = PHASES.index(phase)
+        if self.view and self.sock:
+            self.view.enter(self.phase)
+            self.carry_out()
+
+    async def wait(self, version):
+        while not self.view or self.view.version == version:
+            await self.news.wait()
+
+    def gauges(self):
+        """For `STATS`, while the fleet is on."""
+        states = [member.state for member in self.view.members.values()] if self.view else []
+        return {f"fleet.{state}": states.count(at) for at, state in enumerate(words.STATES)} | {
+            "fleet.doubt": self.view.doubt if self.view else 0, "fleet.noise": self.noise}
+
+    def lines(self):
+        """The door's `FLEET`: one line a member, ourselves first."""
+        if not self.view:
+            return ["--"]
+        view, now = self.view, self.now()
+        rows = [f"{self.name} alive {words.PHASES[view.me.phase]} inc={view.me.inc} self "
+                f"sure={view.sure():.2f} doubt={view.doubt} version={view.version} noise={self.noise} "
+                f"sent={self.sent} received={self.received}"]
+        for member in sorted(view.members.values(), key=lambda member: member.name):
+            record = member.record
+            fresh = member.load and now - member.load_at < view.tuning.load_for
+            owed = f" owed={member.load[0]} out={member.load[1]}" if fresh else ""
+            rows.append(f"{record.name} {words.STATES[record.state]} {words.PHASES[record.phase]} "
+                        f"inc={record.inc} at={record.host}:{record.port} site={record.site or '-'} "
+                        f"since={(now - member.since) / SEC:.1f}s by={member.by}{owed}")
+        return [*rows, "--"]
+
+    # ---- the folder
+
+    def remembered(self):
+        """Addresses that an earlier process knew.  Threat: a torn or foreign file; it counts as none."""
+        try:
+            found = msgspec.json.decode(self.world.files.read(self.path, 1 << 20), type=list[tuple[str, int]])
+            return found[:MOST_REMEMBERED]
+        except FileNotFoundError:
+            return []
+        except (OSError, msgspec.MsgspecError) as error:
+            self.log("fleet", "remembers nobody", why=described(error))
+            return []
+
+    async def remember(self):
+        """Beside the flow; a disk that fails costs the memory alone."""
+        written, said = None, None
+        while True:
+            await trio.sleep(WRITE_EVERY)
+            living = sorted(member.record.address for member in self.view.living())[:MOST_REMEMBERED]
+            if living == written or not living:
+                continue
+            try:
+                file = self.world.files.open(self.path + ".new", fresh=True)
+                try:
+                    data = memoryview(msgspec.json.encode(living))
+                    while data:
+                        data = data[self.world.files.write(file, data):]
+                finally:
+                    self.world.files.close(file)
+                self.world.files.rename(self.path + ".new", self.path)
+                written = living
+            except OSError as error:
+                if said != (said := described(error)):
+                    self.log("fleet", "cannot write down who is here", why=said)
--- /dev/null
+++ b/juniperlanding/fleet/words.py
@@ -0,0 +1,88 @@
+"""What members say to each other: one datagram a message, a keyed digest before MessagePack.  No I/O.
+
+`decoded` gives a `Message`, or raises `Noise` for what is spoilt, another fleet's or of another form."""
+
+from hashlib import blake2b
+from hmac import compare_digest
+
+import msgspec
+
+VERSIONS = (1,)  # of the protocol that this text speaks
+DIGEST, MOST, MOST_NEWS = 16, 1400, 8  # bytes of the digest and of a datagram; records in one message
+ALIVE, SUSPECT, DEAD, LEFT = range(4)
+STATES = ("alive", "suspect", "dead", "left")
+PHASES = ("starting", "serving", "draining", "leaving")
+PING, ACK, ASK, NACK, SYNC, PULL, NEWS = "ping", "ack", "ask", "nack", "sync", "pull", "news"
+
+
+class Noise(Exception):
+    """A datagram that says nothing to this fleet."""
+
+
+class Record(msgspec.Struct, array_like=True, frozen=True):
+    """What is said of a member.  inc: the member's own incarnation, only it raises it; life: drawn anew by
+    each process, 0 if not known; load: (owed, outstanding)."""
+
+    name: str
+    inc: int
+    state: int
+    host: str
+    port: int
+    site: str = ""
+    phase: int = 0
+    program: str = ""
+    versions: tuple = VERSIONS
+    life: int = 0
+    load: tuple = ()
+
+    @property
+    def address(self):
+        return self.host, self.port
+
+    def but(self, **more):
+        """The same with some fields changed."""
+        return msgspec.structs.replace(self, **more)
+
+
+class Message(msgspec.Struct, array_like=True, frozen=True):
+    """kind: one of the words above; number: joins an answer to what it answers; source: the sender;
+    target: the member that an ask is about, or a sync's sum over who lives."""
+
+    version: int
+    fleet: str
+    kind: str
+    number: int
+    source: Record
+    target: str = ""
+    news: list[Record] = []
+
+
+ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
+
+
+def encoded(message, key):
+    body = ENCODER.encode(message)
+    while len(body) > MOST and message.news:  # long names; what is left out comes with a later message
+        message = msgspec.structs.replace(message, news=message.news[: len(message.news) // 2])
+        body = ENCODER.encode(message)
+    return blake2b(body, digest_size=DIGEST, key=key).digest() + body
+
+
+def decoded(data, key, fleet):
+    """Threats: noise, spoilt datagrams, forgers, another fleet's members, figures that no member says."""
+    if not DIGEST < len(data) <= MOST + DIGEST:
+        raise Noise("size")
+    digest, body = data[:DIGEST], data[DIGEST:]
+    if not compare_digest(digest, blake2b(body, digest_size=DIGEST, key=key).digest()):
+        raise Noise("digest")
+    try:
+        message = DECODER.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        raise Noise("form") from None
+    if message.version not in VERSIONS or message.fleet != fleet:
+        raise Noise("version" if message.fleet == fleet else "fleet")
+    for record in (message.source, *message.news):
+        if not (0 <= record.inc < 1 << 62 and 0 <= record.state < len(STATES) and 0 < record.port < 65536
+                and 0 < len(record.name) <= 64 and 0 <= record.phase < len(PHASES)):
+            raise Noise("figures")
+    return message
--- a/juniperlanding/ground/file.py
+++ b/juniperlanding/ground/file.py
@@ -191,6 +191,8 @@
         state = reader.told.values.get("instance.state")
         if state:
             reader.told.values["instance.state"] = os.path.join(base, state[0]), state[1]
+        if key := reader.told.values.get("fleet.key"):
+            reader.told.values["fleet.key"] = os.path.join(base, key[0]), key[1]
         together(reader)
     if reader.errors:
         raise FileError(reader.errors)
@@ -227,9 +229,10 @@
         if endpoint.zone is not None and endpoint.zone not in zones:
             reader.fault(origin, f"endpoint {endpoint.id}.zone", shown(endpoint.zone), "one of `zones`")
         port(reader, origin, f"endpoint {endpoint.id}.address", endpoint.address)
-    for key in ("instance.listen", "instance.discovery"):
+    for key in ("instance.listen", "instance.discovery", "fleet.address", "fleet.advertise"):
         if key in told.values:
             port(reader, told.values[key][1], key, told.values[key][0])
+    fleet(reader)
     rank, count = (told.values.get(f"instance.{key}", (None, None))[0] for key in ("rank", "dispatchers"))
     if rank is not None and rank >= (count or 1):
         reader.fault(
@@ -242,6 +245,33 @@
             reader.fault(origin, key, value, f"at least {bound}")
 
 
+def fleet(reader):
+    """Threat: half told, a fleet that an operator believes on, or an open socket that nobody asked for."""
+    values = reader.told.values
+    enabled, origin = values.get("fleet.enabled", (False, None))
+    if not enabled:
+        for key in [key for key in values if key.startswith("fleet.") and key != "fleet.enabled"]:
+            reader.fault(values[key][1], key, shown(str(values[key][0])), "`enabled = true` beside it")
+        return
+    for key in ("fleet.address", "fleet.key", "instance.name"):
+        if key not in values:
+            reader.fault(origin, key, "nothing", "this key, since the fleet is enabled")
+    for seed in values.get("fleet.seeds", ([], None))[0]:
+        port(reader, origin, "fleet.seeds", seed)
+    if "fleet.key" in values:
+        path = values["fleet.key"][0]
+        try:
+            found = os.stat(path)
+            mode = found.st_mode & 0o777
+            if mode & 0o077:
+                reader.fault(origin, "fleet.key", f"{shown(path)} of mode {mode:04o}", "a file of mode 0600")
+            elif not 16 <= found.st_size <= 4096:
+                reader.fault(origin, "fleet.key", f"{found.st_size} bytes", "16 to 4096 bytes")
+        except OSError as error:
+            why = f"{shown(path)}: {error.strerror.lower()}"
+            reader.fault(origin, "fleet.key", why, "a file of mode 0600")
+
+
 def port(reader, origin, key, address):
     host, _, number = address.rpartition(":")
     if int(number) > 65535 or any(int(part) > 255 for part in host.split(".")):
--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -18,6 +18,7 @@
 
 BACKLOG = 1024
 MOST_FILE = 256 << 20  # bytes of a file that is read whole
+MOST_DATAGRAM = 2048
 
 
 class Clock:
@@ -115,7 +116,43 @@
         self.raw.close()
 
 
+class Datagrams:
+    """A UDP socket.  Neither method raises once it is bound, but `recv` as the system says."""
+
+    def __init__(self, address):
+        self.raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self.raw.bind(address)
+        except OSError as error:
+            self.raw.close()
+            raise OSError(error.errno, error.strerror, "{}:{}".format(*address)) from None
+        self.raw.setblocking(False)
+        self.sock = trio.socket.from_stdlib_socket(self.raw)
+
+    @property
+    def address(self):
+        return self.raw.getsockname()
+
+    async def recv(self):
+        """The next datagram, cut to 2 KiB, and who sent it."""
+        return await self.sock.recvfrom(MOST_DATAGRAM)
+
+    def send(self, data, address):
+        """Whether the system took it; it may be lost all the same.  Waits for nothing."""
+        try:
+            return self.raw.sendto(data, address) == len(data)
+        except OSError:
+            return False
+
+    def close(self):
+        self.sock.close()
+
+
 class Network:
+    def datagrams(self, address):
+        """A `Datagrams` at (host, port); OSError when the address is in use or not ours."""
+        return Datagrams(address)
+
     async def connect(self, address):
         """A connection to (host, port), or OSError; cancelled, nothing is left open."""
         sock = Socket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -136,6 +136,18 @@
     ordered: told(bool, "One at a time for each key, in the order taken.") = False
 
 
+class Fleet(Section):
+    """The dispatchers' view of each other.  Off unless `enabled` and `address` are both told."""
+
+    enabled: told(bool, "Whether this dispatcher takes part.") = False
+    address: told(Address | None, "Where other members reach it, by UDP.") = None
+    advertise: told(Address | None, "What it tells them instead, if they reach it elsewhere.") = None
+    key: told(str | None, "A file of mode 0600 with the fleet's key; paths start at this file.") = None
+    name: told(Name, "The fleet's name; others' members are not heard.") = "fleet"
+    site: told(str, "The place where it stands.") = ""
+    seeds: told(list[Address], "Members asked at the start, and again while it is alone.") = []
+
+
 class Endpoint(Section):
     """An endpoint known before discovery answers (a table in the list `endpoint`)."""
 
@@ -165,6 +177,7 @@
     connections: Connections = field(default_factory=Connections)
     clients: Clients = field(default_factory=Clients)
     rules: Rules = field(default_factory=Rules)
+    fleet: Fleet = field(default_factory=Fleet)
     kind: list[Kind] = []
     topic: list[Topic] = []
     endpoint: list[Endpoint] = []
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -27,6 +27,7 @@
     connect_within: int
     report: dict
     log: dict
+    fleet: object = None  # the operators' `Fleet`; nothing else turns it on
 
     @property
     def disk(self):
@@ -71,7 +72,7 @@
         limits=ours.limits | told.get("limits", {}), known=told.get("known") or ours.known, settings=settings,
         kinds=wire.get("models") or ours.kinds, zones=wire.get("areas") or ours.zones,
         connect_within=wire.get("permissions", {}).get("connect_timeout_ns", ours.connect_within),
-        report=report, log=ours.log)
+        report=report, log=ours.log, fleet=ours.fleet)
 
 
 def need(value, name):
@@ -97,6 +98,7 @@
     connect_within: int = SEC
     report: dict = None
     log: dict = None
+    fleet: object = None
 
     def __post_init__(self):
         for name in ("limits", "known", "settings", "report", "log"):
@@ -127,7 +129,29 @@
                 known={"members": members} if members else {}, settings=settings,
                 kinds=[kind.name for kind in kinds], zones=list(get("zones")),
                 connect_within=int(get("connections.connect_within")), report=dict(get("reports")),
-                log={"form": get("log.form"), "lines": get("log.lines")})
+                log={"form": get("log.form"), "lines": get("log.lines")}, fleet=fleet(get))
+
+
+@dataclass(slots=True)
+class Fleet:
+    """How a dispatcher takes part in its fleet; addresses are (host, port)."""
+    address: tuple
+    advertise: tuple | None
+    key: str
+    name: str
+    site: str
+    seeds: list
+
+
+def fleet(get):
+    """A `Fleet`, or None unless the operators' own file says `enabled = true`."""
+    if not get("fleet.enabled"):
+        return None
+    advertise = get("fleet.advertise")
+    return Fleet(address=protocol.address(get("fleet.address")),
+                 advertise=protocol.address(advertise) if advertise else None, key=get("fleet.key"),
+                 name=get("fleet.name"), site=get("fleet.site"),
+                 seeds=[*map(protocol.address, get("fleet.seeds"))])
 
 
 def topic(entry):
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -42,9 +42,13 @@
         self.counters = Counters(topic.get("name") for topic in told.settings["topic_types"])
         self.log = log or logs.to(told.name, world.clock.now, **told.log)
         self.rereads, self.reread_after, self.replaced = trio.CancelScope(), REREAD, False
-        self.listener = self.lock = self.door = None
+        self.listener = self.lock = self.door = self.fleet = None
         self.stops_at = 0
         self.succession = Succession(told, world, self.log)
+        if told.fleet:
+            from juniperlanding.fleet.agent import Agent  # off, nothing of it is imported
+
+            self.fleet = Agent(told.fleet, told.name, told.state, world, self.load, self.log)
         try:
             self.claim(offer)
             if told.management:
@@ -114,6 +118,8 @@
             for part in (owner.notices.run, owner.discovery.run, owner.endpoints.sweep):
                 nursery.start_soon(part)
             nursery.start_soon(self.clients.listen, listener, nursery)
+            if self.fleet:
+                nursery.start_soon(self.fleet.run)
             task_status.started(listener.address)
             await owner.run(nursery)
             made = Offer.made(self)
@@ -151,7 +157,12 @@
 
     def calls(self):
         """What operators may ask at the door; further calls go here."""
-        return {"READY": self.takes_clients, "STATS": self.figures}
+        calls = {"READY": self.takes_clients, "STATS": self.figures}
+        return calls | ({"FLEET": self.fleet.lines} if self.fleet else {})
+
+    def load(self):
+        """What others are told of this process: (owed, outstanding)."""
+        return len(self.ledger.owed), self.owner.at.me.slots_out
 
     def takes_clients(self):
         if self.replaced:
@@ -161,7 +172,8 @@
         return []
 
     def figures(self):
-        return [*self.counters.figures(**self.owner.gauges()), "--"]
+        gauges = self.owner.gauges() | (self.fleet.gauges() if self.fleet else {})
+        return [*self.counters.figures(**gauges), "--"]
 
     def release(self):
         """Address and folder are anybody's again."""
@@ -211,6 +223,8 @@
         Clients are sent away once only their own patience is left, so that each still gets its answer.  It
         ends earlier when nobody comes and nothing is owed."""
         begun = trio.current_time()
+        if self.fleet and not self.replaced:
+            self.fleet.enter("draining")
         self.log("stop", "draining", held=len(self.owner.held))
         until = protocol.KILL_AFTER - protocol.PATIENCE / 4
         with trio.move_on_after(until):
@@ -225,6 +239,8 @@
 
     def close(self):
         """The end; whether all that is owed could be written down."""
+        if self.fleet and not self.replaced:
+            self.fleet.enter("leaving")
         try:
             self.ledger.close()
         except OSError as error:
--- a/juniperlanding/standins/trial.py
+++ b/juniperlanding/standins/trial.py
@@ -64,6 +64,15 @@
     late_ms: float = 0.0
 
 
+def topics_file():
+    """The stand-in clients' topic types, as an operators' file has them."""
+    return "".join(
+        f'[[topic]]\nname = "{t.name}"\nkind = "{t.kind}"\nobjective = "{t.objective // MS}ms"\n'
+        f'ttl = "{t.ttl // MS}ms"\n' + (f'window = "{t.window // MS}ms"\n' if t.window else "")
+        for t in TOPICS
+    )
+
+
 class Trial:
     def __init__(self, plan, now):
         self.plan, self.now, self.audit, self.figures = plan, now, Audit(now), Figures()
@@ -127,11 +136,6 @@
         return answer
 
     def operators_file(self):
-        topics = "".join(
-            f'[[topic]]\nname = "{t.name}"\nkind = "{t.kind}"\nobjective = "{t.objective // MS}ms"\n'
-            f'ttl = "{t.ttl // MS}ms"\n' + (f'window = "{t.window // MS}ms"\n' if t.window else "")
-            for t in TOPICS
-        )
         return (
             f'zones = ["a"]\n[instance]\nname = "try"\nlisten = "{self.address[0]}:{self.address[1]}"\n'
             f'discovery = "{self.platform.address[0]}:{self.platform.address[1]}"\nstate = "state"\n'
@@ -140,7 +144,7 @@
             f'tick = "5ms"\n[listing]\nmode = "push"\nmust_ask_in = "20s"\nscale = "nominal"\n'
             f'[connections]\nidle_closes = "10s"\n[rules]\nmay_cancel = true\nstart_capacity = 0.2\n'
             f'warm_within = "3s"\noverload_factor = 2.0\nfall_within = "2s"\n'
-            f'[[kind]]\nname = "shop"\n{topics}'
+            f'[[kind]]\nname = "shop"\n{topics_file()}'
         )
 
     # ---- the process
