--- a/juniperlanding/cli/try_.py
+++ b/juniperlanding/cli/try_.py
@@ -2,12 +2,15 @@
 
 Usage:
   juniperlanding try [--for TIME] [--rate RATE] [--seed SEED] [--trouble NAME] [--json FILE] [--keep FOLDER]
+                     [--dispatchers N]
 
 Options:
   --for TIME      how long clients come [default: 10s]
   --rate RATE     notifications a second, as "50/s" [default: 50/s]
   --seed SEED     what all chance starts from [default: 1]
   --trouble NAME  none, silence, refusal, kill, replace or discovery [default: none]
+  --dispatchers N  N processes with a view of each other, and faults between them: --trouble none, crash, cut,
+                  cut-one-way, island, lossy, slow-peer, rolling, flap or mixed; it lasts as long as it takes
   --json FILE     write all figures there, "-" for standard output
   --keep FOLDER   keep configuration, state and log there; else they go with the run
 
@@ -62,6 +65,8 @@
     from juniperlanding.ground.seams import Clock
     from juniperlanding.standins.trial import Trial
 
+    if asked["--dispatchers"]:
+        return several(asked)
     wanted = plan(asked)
     with tempfile.TemporaryDirectory(prefix="juniperlanding-try-") as scratch:
         wanted.folder = Path(asked["--keep"] or scratch)
@@ -249,3 +254,39 @@
     if not faults and to != "-":
         print("every notification had one final answer")
     return UNWELL if faults else 0
+
+
+def several(asked):
+    """The same with N processes: how long views took to settle, and whether every notification ended once."""
+    import dataclasses
+
+    import trio
+
+    from juniperlanding.processes.rig import Rig
+    from juniperlanding.processes.troubles import TROUBLES, Outcome, play
+
+    text, name = asked["--dispatchers"], asked["--trouble"]
+    if not text.isdigit() or not 2 <= int(text) <= 64:
+        raise Refused(f"--dispatchers: found {text!r}, expected from 2 to 64")
+    if name not in TROUBLES:
+        raise Refused(f"--trouble: found {name!r}, expected one of {', '.join(TROUBLES)}")
+    rate = plan(asked | {"--trouble": "none"}).rate
+    outcome = Outcome(name, int(text), asked["--seed"])
+    with tempfile.TemporaryDirectory(prefix="juniperlanding-try-") as scratch:
+        rig = Rig(outcome.count, asked["--keep"] or scratch, outcome.seed, rate)
+        try:
+            trio.run(rig.run, lambda rig: play(rig, name, outcome))
+        except* (RuntimeError, trio.TooSlowError, OSError) as group:
+            raise Refused(f"the trial could not run: {first(group)}", UNWELL) from None
+    if asked["--json"]:
+        row = json.dumps(dataclasses.asdict(outcome) | {"well": outcome.well})
+        if asked["--json"] == "-":
+            print(row)
+        else:
+            Path(asked["--json"]).write_text(row + "\n", encoding="utf-8")
+    else:
+        for step, took in outcome.steps:
+            print(f"{step:<28} {'not settled' if took is None else f'settled after {took:.1f} s'}")
+        print(f"{outcome.notifications} notifications, faults {outcome.faults or 'none'}; "
+              f"held for dead though alive: {len(outcome.false_deaths)}")
+    return 0 if outcome.well else UNWELL
--- a/juniperlanding/fleet/members.py
+++ b/juniperlanding/fleet/members.py
@@ -97,10 +97,10 @@
 
     def sure(self):
         """How sure we are that it is not ourselves who are cut off: the share of those who have not left that
-        we believe alive, less what we doubt ourselves."""
+        we believe alive, or of the seeds while we know nobody, less what we doubt ourselves."""
         known = [member for member in self.members.values() if member.state != LEFT]
         here = sum(member.state == ALIVE for member in known)
-        return (here + 1) / (len(known) + 1) * (1 - self.doubt / (self.tuning.most_doubt + 1))
+        return (here + 1) / (len(known or self.seeds) + 1) * (1 - self.doubt / (self.tuning.most_doubt + 1))
 
     def chance(self):
         self.counter += 1
--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -166,6 +166,14 @@
         self.key.chmod(0o600)
         self.members = [Process(self, number) for number in range(count)]
 
+    @property
+    def everybody(self):
+        return {member.name for member in self.members}
+
+    def drawn(self, count):
+        """So many members, by the seed."""
+        return self.chance.sample(self.members, count)
+
     def named(self, *numbers):
         return {self.members[number].name for number in numbers}
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,9 @@
 
 import pytest
 import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from juniperlanding.emulator.members import Town
 from juniperlanding.fleet import members, words
@@ -96,6 +99,11 @@
     assert len(words.encoded(said("news", record("b"), *long), KEY)) <= words.MOST + words.DIGEST
 
 
+def test_one_that_found_nobody_is_not_sure_of_itself():
+    alone = View(record("a", port=100, life=5), "f", [("h", 1), ("h", 2)], 1, 0)
+    assert alone.sure() < 0.5 < view("b", "c").sure()
+
+
 # ---- towns
 
 
@@ -387,3 +395,57 @@
         (tmp_path / "f.toml").write_text(f'[instance]\nname = "a"\n[fleet]\n{text}\n')
         with pytest.raises(FileError, match=word):
             read(tmp_path / "f.toml", Files())
+
+
+# ---- any order of faults
+
+
+class AnyOrder(RuleBasedStateMachine):
+    """Whatever happened: once links heal the views meet, and none goes back to an older incarnation."""
+
+    @initialize(count=st.integers(3, 5), seed=st.integers(0, 1000))
+    def begin(self, count, seed):
+        self.town, self.count, self.seen = Town(count, seed), count, {}
+
+    @rule(seconds=st.floats(0.05, 20))
+    def time_goes_by(self, seconds):
+        self.town.run(self.town.now + int(seconds * SEC))
+
+    @rule(number=st.integers(0, 4))
+    def killed_or_started(self, number):
+        if number in self.town.views:
+            self.town.kill(number)
+        elif number < self.count:
+            self.town.start(number)
+
+    @rule(a=st.integers(0, 4), b=st.integers(0, 4), both=st.booleans())
+    def cut_or_healed(self, a, b, both):
+        self.town.cut ^= {(a, b), (b, a)} if both else {(a, b)}
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
+    def weather(self, loss):
+        self.town.loss = loss
+
+    @rule(number=st.integers(0, 4), seconds=st.floats(0.1, 10))
+    def stands_still(self, number, seconds):
+        self.town.stop(number, int(seconds * SEC))
+
+    @invariant()
+    def no_older_incarnation(self):
+        for view_ in getattr(self, "town", Town(0, 1)).views.values():
+            for name, member in view_.members.items():
+                before = self.seen.get((view_.me.life, name), -1)
+                assert member.record.inc >= before
+                self.seen[view_.me.life, name] = member.record.inc
+
+    def teardown(self):
+        if hasattr(self, "town"):
+            self.town.cut, self.town.loss, self.town.paused = set(), 0.0, {}
+            for number in set(range(self.count)) - self.town.views.keys():
+                self.town.start(number)
+            assert self.town.until_settled(90 * SEC), [v.members for v in self.town.views.values()]
+
+
+AnyOrder.TestCase.settings = settings(max_examples=30, stateful_step_count=20, deadline=None,
+                                      derandomize=True)
+TestAnyOrder = AnyOrder.TestCase
