Members are heard by address alone, names fit, and a fault in sending no longer ends the process

Cause, read in the change once more, not met in a run. A record's host went to sendto as it came: a name would be looked up, and the whole process waits for that; a port over 65535 from the remembered file raises OverflowError, and carry_out ran unguarded in the nursery of the dispatcher, so the fleet's part would have ended it. A name of 65 to 128 characters, which the file allows, made a member that all others took for noise; so did a long site, which had no bound. `address = "0.0.0.0:..."` was told to others as it stands. The lives that bore our name were kept without a bound.

Hosts are IPv4 figures, in datagrams and in the remembered file; names to 128, sites to 64; load is two figures or none; what the view asks for is taken off it before it is carried out, and that is guarded; 64 other lives at most; any address without `advertise` is refused in words.

Measured: eight unsound records, each refused as noise; the longest record nine times still makes a datagram that is heard.

--- a/juniperlanding/fleet/agent.py
+++ b/juniperlanding/fleet/agent.py
@@ -22,7 +22,8 @@
     `load` gives (owed, outstanding).  `wait(version)` returns once the view has another version."""
 
     def __init__(self, told, name, state, world, load, log):
-        self.told, self.name, self.world, self.load, self.log = told, name, world, load, log
+        self.told, self.world, self.load, self.log = told, world, load, log
+        self.name = name[: words.MOST_NAME]  # the platform's may be longer than what members hear
         self.path, self.view, self.sock, self.news = f"{state}/{FILE}", None, None, trio.Event()
         self.key = world.files.read(told.key, MOST_KEY).strip()[:64]
         self.noise, self.sent, self.received, self.phase = 0, 0, 0, PHASES.index("serving")
@@ -46,7 +47,7 @@
                 nursery.start_soon(self.remember)
                 while True:
                     self.guarded(self.view.tick, self.now())
-                    self.carry_out()
+                    self.guarded(self.carry_out)
                     with trio.move_on_after(max(0.001, (self.view.due() - self.now()) / SEC)):
                         await self.news.wait()
         finally:
@@ -78,7 +79,7 @@
                 continue
             self.received += 1
             self.guarded(self.view.heard, message, self.now())
-            self.carry_out()
+            self.guarded(self.carry_out)
 
     def guarded(self, what, *fields):
         """Threat: one odd message must not end the program."""
@@ -90,14 +91,15 @@
     def carry_out(self):
         view = self.view
         view.me = msgspec.structs.replace(view.me, load=tuple(self.load()))
-        for address, message in view.out:
-            self.sent += self.sock.send(words.encoded(message, self.key), address)
-        view.out.clear()
-        for member, before in view.changes:
+        # Threat: one that cannot be sent is tried for ever, and keeps all others back.
+        out, view.out = view.out, []
+        changes, view.changes = view.changes, []
+        for member, before in changes:
             self.say(member, before)
-        if view.changes:
-            view.changes.clear()
+        if changes:
             self.wake()
+        for address, message in out:
+            self.sent += self.sock.send(words.encoded(message, self.key), address)
 
     def wake(self):
         self.news.set()
@@ -116,8 +118,8 @@
         """We drain, or leave: nobody is to suspect us for it."""
         self.phase = PHASES.index(phase)
         if self.view and self.sock:
-            self.view.enter(self.phase)
-            self.carry_out()
+            self.guarded(self.view.enter, self.phase)
+            self.guarded(self.carry_out)
 
     async def wait(self, version):
         while not self.view or self.view.version == version:
@@ -152,7 +154,7 @@
         """Addresses that an earlier process knew.  Threat: a torn or foreign file; it counts as none."""
         try:
             found = msgspec.json.decode(self.world.files.read(self.path, 1 << 20), type=list[tuple[str, int]])
-            return found[:MOST_REMEMBERED]
+            return [address for address in found if words.reachable(address)][:MOST_REMEMBERED]
         except FileNotFoundError:
             return []
         except (OSError, msgspec.MsgspecError) as error:
--- a/juniperlanding/fleet/members.py
+++ b/juniperlanding/fleet/members.py
@@ -13,7 +13,7 @@
 from juniperlanding.fleet.words import ALIVE, DEAD, LEFT, SUSPECT, Message, Record
 
 MS, SEC = 1_000_000, 1_000_000_000
-MOST_MEMBERS, MOST_RELAYS = 4096, 256
+MOST_MEMBERS, MOST_RELAYS, MOST_OTHERS = 4096, 256, 64
 
 
 @dataclass(frozen=True)
@@ -212,6 +212,8 @@
             if record.life in self.others and not self.twin:
                 self.twin = record.life
                 self.changes.append((Member(record, now, record.name), None))
+            if len(self.others) >= MOST_OTHERS:
+                self.others.clear()
             self.others.add(record.life)
         if self.twin and self.me.life > self.twin:
             return
--- a/juniperlanding/fleet/words.py
+++ b/juniperlanding/fleet/words.py
@@ -9,6 +9,7 @@
 
 VERSIONS = (1,)  # of the protocol that this text speaks
 DIGEST, MOST, MOST_NEWS = 16, 1400, 8  # bytes of the digest and of a datagram; records in one message
+MOST_NAME, MOST_SITE = 128, 64  # as the operators' file has them
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
 PHASES = ("starting", "serving", "draining", "leaving")
@@ -81,8 +82,20 @@
         raise Noise("form") from None
     if message.version not in VERSIONS or message.fleet != fleet:
         raise Noise("version" if message.fleet == fleet else "fleet")
-    for record in (message.source, *message.news):
-        if not (0 <= record.inc < 1 << 62 and 0 <= record.state < len(STATES) and 0 < record.port < 65536
-                and 0 < len(record.name) <= 64 and 0 <= record.phase < len(PHASES)):
-            raise Noise("figures")
+    if not all(map(sound, (message.source, *message.news))):
+        raise Noise("figures")
     return message
+
+
+def sound(record):
+    return (0 <= record.inc < 1 << 62 and 0 <= record.state < len(STATES) and 0 <= record.phase < len(PHASES)
+            and 0 < len(record.name) <= MOST_NAME and len(record.site) <= MOST_SITE
+            and len(record.load) in (0, 2) and reachable(record.address))
+
+
+def reachable(address):
+    """Threat: a host that is a name would be looked up, and the whole process waits for that."""
+    host, port = address
+    parts = host.split(".")
+    return (len(parts) == 4 and all(part.isascii() and part.isdigit() and len(part) <= 3 and int(part) < 256
+                                    for part in parts) and 0 < port < 65536)
--- a/juniperlanding/ground/file.py
+++ b/juniperlanding/ground/file.py
@@ -256,6 +256,8 @@
     for key in ("fleet.address", "fleet.key", "instance.name"):
         if key not in values:
             reader.fault(origin, key, "nothing", "this key, since the fleet is enabled")
+    if values.get("fleet.address", ("",))[0].startswith("0.0.0.0:") and "fleet.advertise" not in values:
+        reader.fault(origin, "fleet.advertise", "nothing", "what others reach, since the address is any")
     for seed in values.get("fleet.seeds", ([], None))[0]:
         port(reader, origin, "fleet.seeds", seed)
     if "fleet.key" in values:
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -144,7 +144,7 @@
     advertise: told(Address | None, "What it tells them instead, if they reach it elsewhere.") = None
     key: told(str | None, "A file of mode 0600 with the fleet's key; paths start at this file.") = None
     name: told(Name, "The fleet's name; others' members are not heard.") = "fleet"
-    site: told(str, "The place where it stands.") = ""
+    site: told(Annotated[str, Meta(max_length=64)], "The place where it stands.") = ""
     seeds: told(list[Address], "Members asked at the start, and again while it is alone.") = []
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -24,7 +24,7 @@
 
 
 def record(name, inc=0, state=ALIVE, port=1, life=0, **more):
-    return Record(name, inc, state, "h", port, life=life, **more)
+    return Record(name, inc, state, more.pop("host", "127.0.0.1"), port, life=life, **more)
 
 
 def view(*others, life=5):
@@ -88,15 +88,18 @@
     good = words.encoded(said("ping", record("b", life=9), number=1), KEY)
     assert words.decoded(good, KEY, "f").source.name == "b"
     spoilt = [good[:at] + bytes([good[at] ^ 1]) + good[at + 1:] for at in range(len(good))]
-    bad = words.encoded(said("ping", record("b", inc=-1)), KEY)
-    for data in [b"", b"x", os.urandom(200), good[:-1], good + b"x", good * 20, bad, *spoilt]:
+    bad = [words.encoded(said("ping", one), KEY) for one in (
+        record("b", inc=-1), record("b", port=70_000), record("b", host="a.name.to.look.up"), record("b", load=(1,)),
+        record("b", host="1.2.3.999"), record("x" * 129), record("b", site="y" * 65), record("b", state=9))]
+    for data in [b"", b"x", os.urandom(200), good[:-1], good + b"x", good * 20, *bad, *spoilt]:
         with pytest.raises(Noise):
             words.decoded(data, KEY, "f")
     for key, fleet in ((b"other" * 4, "f"), (KEY, "g")):
         with pytest.raises(Noise):
             words.decoded(good, key, fleet)
-    long = [record("x" * 64, site="y" * 200) for _ in range(8)]
-    assert len(words.encoded(said("news", record("b"), *long), KEY)) <= words.MOST + words.DIGEST
+    long = record("x" * 128, site="y" * 64)
+    whole = words.encoded(said("news", long, *[long] * 8), KEY)
+    assert words.decoded(whole, KEY, "f").news and len(whole) <= words.MOST + words.DIGEST
 
 
 def test_one_that_found_nobody_is_not_sure_of_itself():
@@ -391,7 +394,8 @@
     (tmp_path / "key").chmod(0o644)
     for text, word in (("enabled = true", "fleet.address"), ('address = "127.0.0.1:5"', "enabled = true"),
                        ('enabled = true\naddress = "127.0.0.1:5"\nkey = "key"', "0600"),
-                       ('enabled = true\naddress = "127.0.0.1:5"\nkey = "none"', "no such file")):
+                       ('enabled = true\naddress = "127.0.0.1:5"\nkey = "none"', "no such file"),
+                       ('enabled = true\naddress = "0.0.0.0:5"\nkey = "key"', "address is any")):
         (tmp_path / "f.toml").write_text(f'[instance]\nname = "a"\n[fleet]\n{text}\n')
         with pytest.raises(FileError, match=word):
             read(tmp_path / "f.toml", Files())
