A test from the command line: a full disk refuses, SIGTERM ends with one line and exit code 1

The promise on exit code and line was tested on a node alone, never on `serve` as a person starts it.

A real `serve` whose files may not grow past 300 bytes (RLIMIT_FSIZE stands for the disk): two hand-ins are refused, the process goes on, SIGTERM ends it with the line, code 1 and no traceback.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -89,7 +89,8 @@
     assert words.decoded(good, KEY, "f").source.name == "b"
     spoilt = [good[:at] + bytes([good[at] ^ 1]) + good[at + 1:] for at in range(len(good))]
     bad = [words.encoded(said("ping", one), KEY) for one in (
-        record("b", inc=-1), record("b", port=70_000), record("b", host="a.name.to.look.up"), record("b", load=(1,)),
+        record("b", inc=-1), record("b", port=70_000), record("b", host="a.name.to.look.up"),
+        record("b", load=(1,)),
         record("b", host="1.2.3.999"), record("x" * 129), record("b", site="y" * 65), record("b", state=9))]
     for data in [b"", b"x", os.urandom(200), good[:-1], good + b"x", good * 20, *bad, *spoilt]:
         with pytest.raises(Noise):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import struct
@@ -1155,3 +1156,29 @@
         await trio.sleep(0.05)
         assert list(owed(site)) == ["a1"] and not node.counters["unheard"]
     site.run(scene)
+
+
+def test_from_the_command_line_a_full_disk_refuses_and_sigterm_ends_with_a_line_and_code_1(site):
+    """Real writes that the system refuses: a bound on the size of files stands for the disk."""
+    async def scene(site):
+        site.config()
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            site.address = free.getsockname()
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", "juniperlanding", "serve"], stderr=subprocess.PIPE,
+            env=os.environ | site.environ | {"EDGE_LISTEN": f"127.0.0.1:{site.address[1]}"},
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (300, 300)))
+        try:
+            heard = b""
+            while b"start" not in heard:
+                heard += await process.stderr.receive_some()
+            assert await site.hand_in("a1", body=b"x" * 400) in (500, 503)
+            assert await site.hand_in("a2", body=b"x" * 400) == 503 and process.returncode is None
+            process.terminate()
+            while part := await process.stderr.receive_some():
+                heard += part
+            assert await process.wait() == 1 and b"could not be written" in heard
+            assert b"Traceback" not in heard
+        finally:
+            process.kill()
+    site.run(scene)
