Idle limits are used after throttling; connections of several calls are kept

Change: where reports tell what is left (a mean of it), the pace after throttling is a quarter of that at least, over one more than the refusals in a row; not where a call carries several, which gain by waiting. Connections that carry several calls count their reuses as many times, and a rough list no longer closes them.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -364,6 +364,7 @@
         route, dest, now = push.endpoint.route, push.ntf.destination, self.at.now
         if report.get("limit"):
             first, route.limit = not route.limit, report["limit"]
+            route.left += (report.get("limit_left", 0) - route.left) * (1 if first else SMOOTHING)
             route.pace = self.most(route) if first else route.pace
         if ending == "throttled":
             self.filled(route)
@@ -371,7 +372,11 @@
                 # Threat: a quarter of the limit at each of many; back to what this one has really used.
                 even = known(route) / self.me.dispatchers
                 used = usual(dest, now) + even if even else route.pace
-                route.pace = max(min(route.pace, used) * SLOWER, even / 2 or FIRST_PACE / 10)
+                # Threat: among many, half an even share holds the next one past its objective, and a limit
+                # that the reports show idle is not used.  A call that carries several gains by its wait.
+                spare = SPARE * route.limit * route.left / (1 + route.refusals)
+                least = max(even / 2, spare * (self.at.most_in_call(push.endpoint) == 1))
+                route.pace = max(min(route.pace, used) * SLOWER, least or FIRST_PACE / 10)
                 if not route.slowed_at or now - route.slowed_at > CALM:
                     self.at.host.log(f"destination {dest.id} throttles: pace {route.pace:.2f}")
                 route.slowed_at = now
@@ -399,8 +404,9 @@
     def seldom(self, endpoint):
         whole, get = known(endpoint.route), self.me.settings.get
         part = max(whole / self.me.dispatchers, usual(endpoint.destination, self.at.now))
-        reuses = part * get("idle_closes", 0) / SEC  # until the connection closes by itself
-        scarce = endpoint.kind in self.me.scarce or get("scale_kind") == "rough"
+        carried = get("calls_a_connection", 1)  # at once; only where it is one do idle ones pile up
+        reuses = carried * part * get("idle_closes", 0) / SEC  # until the connection closes by itself
+        scarce = endpoint.kind in self.me.scarce or (carried == 1 and get("scale_kind") == "rough")
         return part * PLACES < whole and (scarce or reuses < PLACES)
 
 
@@ -626,12 +632,15 @@
                 return True
         return False
 
+    def most_in_call(self, endpoint):
+        sizes = self.me.settings.get("batch_by_kind", [])
+        return sizes[endpoint.kind] if endpoint.kind < len(sizes) else 1
+
     def send(self, push, ready):
         endpoint, dest, call = push.endpoint, push.ntf.destination, Call()
-        sizes = self.me.settings.get("batch_by_kind", [])
         # Threats: a batch shares one fate; one that an endpoint cannot digest fails its mates each time.
         single = push.trial or endpoint.bad_since or push.ntf.may_have_run
-        most = 1 if single or endpoint.kind >= len(sizes) else sizes[endpoint.kind]
+        most = 1 if single else self.most_in_call(endpoint)
         self.launch(push, endpoint, call)
         free = (Push(n, n.pushes) for n in ready if not (n.out or n.over or n.may_have_run))
         mates = (mate for mate in free if self.order.out(mate) == PASS)
--- a/juniperlanding/settings.py
+++ b/juniperlanding/settings.py
@@ -9,6 +9,7 @@
     "permissions.retry_after": "advises_again", "permissions.max_retry_after_ns": "most_again_in",
     "permissions.peer_messages": "may_note", "permissions.cancel": "may_cancel",
     "permissions.conn_idle_ns": "idle_closes",
+    "permissions.streams_per_conn": "calls_a_connection",
     "report.fields": "report",
     "safety.must_ask_in_ns": "must_ask_in", "safety.start_capacity": "start_capacity",
     "safety.warm_within_ns": "warm_within", "safety.overload_factor": "overload_factor",
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -57,6 +57,7 @@
     tokens: float = 1.0
     filled_at: int = 0
     slowed_at: int = 0
+    left: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -348,6 +348,15 @@
     assert most / 2 < bed.endpoint().route.pace < most
 
 
+@pytest.mark.parametrize("left, batch, least, most", [(0.8, 1, 0.9, 1.01), (0.0, 1, 0, 0.2), (0.8, 5, 0, 0.2)])
+def test_a_limit_that_reports_show_idle_is_used_after_throttling(left, batch, least, most):
+    bed = Bed(scale=20.0, dispatchers=200, batch_by_kind=[batch])
+    ntf = bed.take()
+    bed.turn()
+    bed.end(ntf, "throttled", report={"limit": 5.0, "limit_left": left})
+    assert least <= bed.endpoint().route.pace <= most
+
+
 def test_dispatchers_rank_endpoints_in_orders_of_their_own():
     firsts = set()
     for rank in range(8):
@@ -542,9 +551,13 @@
     assert bed.turn(0.1) == 5  # what the call weighed is paid off first
 
 
-@pytest.mark.parametrize("dispatchers, closed", [(2, 0), (200, 1)])
-def test_idle_connections_close_where_reuse_is_unlikely(dispatchers, closed):
-    bed = Bed(scale=10.0, dispatchers=dispatchers)
+@pytest.mark.parametrize("dispatchers, more, closed", [
+    (2, {}, 0), (200, {}, 1), (200, {"idle_closes": 100 * SEC}, 1),
+    (200, {"idle_closes": 100 * SEC, "calls_a_connection": 8}, 0),
+    (200, {"idle_closes": 1000 * SEC, "calls_a_connection": 8, "scale_kind": "rough"}, 0),
+    (200, {"idle_closes": 1000 * SEC, "scale_kind": "rough"}, 1)])
+def test_idle_connections_close_where_reuse_is_unlikely(dispatchers, more, closed):
+    bed = Bed(scale=10.0, dispatchers=dispatchers, **more)
     bed.deliver(1)
     assert len(bed.host.all("close_idle")) == closed
 
