--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -143,12 +143,13 @@
     """One at a time, in the order taken, for topic types that ask for it."""
 
     def out(self, push):
-        ntf = push.ntf
+        return PASS if self.in_turn(push.ntf) else KEEP
+
+    def in_turn(self, ntf):
         if not ntf.key or not ntf.topic.get("ordered"):
-            return PASS
+            return True
         until, by = self.me.key_rest.get(ntf.key, (0, None))
-        first = self.me.keys[ntf.key][0] is ntf
-        return PASS if first and (until <= self.at.now or by is ntf) else KEEP
+        return self.me.keys[ntf.key][0] is ntf and (until <= self.at.now or by is ntf)
 
     def back(self, push, ending, latency, wait, report):
         ntf = push.ntf
@@ -616,7 +617,8 @@
     def serve(self, dest):
         """Send the best of what waits for one destination, if anything may go now."""
         now = self.now
-        ready = [n for n in dest.waiting if n.not_before <= now]
+        # Threat: those behind others of their key are looked at first, and hide all that may go.
+        ready = [n for n in dest.waiting if n.not_before <= now and self.order.in_turn(n)]
         # Threat: hundreds wait, and are ranked anew at every event though none may go: the core is used up.
         first = Push(min(ready, key=lambda n: n.pushes), 0) if ready else None
         if not ready or any(stage.out(first) != PASS for stage in self.stages[2:6]):
@@ -643,7 +645,7 @@
         most = 1 if single else self.most_in_call(endpoint)
         self.launch(push, endpoint, call)
         free = (Push(n, n.pushes) for n in ready if not (n.out or n.over or n.may_have_run))
-        mates = (mate for mate in free if self.order.out(mate) == PASS)
+        mates = (mate for mate in free if self.order.in_turn(mate.ntf))
         for _, mate in zip(range(most - 1), mates, strict=False):
             self.timeout.out(mate)
             self.launch(mate, endpoint, call)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -348,7 +348,16 @@
     assert most / 2 < bed.endpoint().route.pace < most
 
 
-@pytest.mark.parametrize("left, batch, least, most", [(0.8, 1, 0.9, 1.01), (0.0, 1, 0, 0.2), (0.8, 5, 0, 0.2)])
+def test_those_behind_others_of_their_key_hide_nothing():
+    bed = Bed()
+    for _ in range(6):
+        bed.take(ORDERED, key=5)
+    bed.turn()
+    other = bed.take()
+    assert bed.turn(0.5) == 2 and bed.pushed[-1][0] == other
+
+
+@pytest.mark.parametrize("left, batch, least, most", [(0.8, 1, 0.9, 1.01), (0, 1, 0, 0.2), (0.8, 5, 0, 0.2)])
 def test_a_limit_that_reports_show_idle_is_used_after_throttling(left, batch, least, most):
     bed = Bed(scale=20.0, dispatchers=200, batch_by_kind=[batch])
     ntf = bed.take()
