--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -385,10 +385,12 @@
 
 
 class Pick(Stage):
-    """First in rank; the next when that has enough."""
+    """First in rank, of the own zone where crossing has a price; the next when that has enough."""
 
     def out(self, push):
-        push.endpoint = min(push.options, key=lambda e: (max(len(e.calls) + 1 - ENOUGH, 0), e.rank))
+        near = self.me.settings.get("zone") if self.me.settings.get("crossing_price") else None
+        push.endpoint = min(push.options, key=lambda e: (
+            max(len(e.calls) + 1 - ENOUGH, 0), near is not None and e.zone != near, e.rank))
         return PASS
 
     def back(self, push, ending, latency, wait, report):
--- a/juniperlanding/settings.py
+++ b/juniperlanding/settings.py
@@ -10,6 +10,7 @@
     "permissions.peer_messages": "may_note", "permissions.cancel": "may_cancel",
     "permissions.conn_idle_ns": "idle_closes",
     "permissions.streams_per_conn": "calls_a_connection",
+    "az": "zone", "costs.cross_zone": "crossing_price",
     "report.fields": "report",
     "safety.must_ask_in_ns": "must_ask_in", "safety.start_capacity": "start_capacity",
     "safety.warm_within_ns": "warm_within", "safety.overload_factor": "overload_factor",
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -366,6 +366,18 @@
     assert least <= bed.endpoint().route.pace <= most
 
 
+@pytest.mark.parametrize("price, chosen", [(0.03, {11}), (0, {10, 11})])
+def test_the_own_zone_goes_first_where_crossing_has_a_price(price, chosen):
+    firsts = set()
+    for rank in range(8):
+        bed = Bed(endpoints=2, rank=rank, zone=1, crossing_price=price)
+        bed.endpoint(11).zone = 1
+        bed.take()
+        bed.turn()
+        firsts.add(bed.pushed[0][1])
+    assert firsts == chosen
+
+
 def test_dispatchers_rank_endpoints_in_orders_of_their_own():
     firsts = set()
     for rank in range(8):
