Connections that idling broke are told from sick endpoints; the spare pace is bounded

Change: a call that breaks at once on a connection idle for over 0.5 s is put down to the connection; from then on, for 30 s after the last such break, connections idle for over a quarter of that time are closed before a call. An endpoint that breaks new ones too is found out as before. Only throttling counts as shut from three replies in a row on.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -26,6 +26,7 @@
 SILENCE = 500 * MS  # a push that fails later than this met silence
 USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual deliveries at a destination are counted
 RAMP_SHARE = 0.8  # of what the rule allows
+STALE = 4  # one part in so many of the idle time that broke a connection is what the next may have
 REST, MOST_REST = 250 * MS, 2 * SEC
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
@@ -272,8 +273,17 @@
         elif ending == "throttled":
             # Threat: a shut destination throttles everything and comes back cold.
             since = endpoint.route.refused_since
-            if endpoint.down or (since and now - since > SHUT_AFTER):
+            refused = since and now - since > SHUT_AFTER and endpoint.route.refusals >= LEAST_RUN
+            if endpoint.down or refused:
                 self.strike(endpoint, ending, since or now)
+        elif ending == "reset" and push.call.idle > SILENCE and now - push.sent_at < SILENCE:
+            # Threat: what stands between drops idle connections unseen, and the next call on one breaks.
+            # The endpoint may be sound; the next call goes over a new one, so if it is not, that shows.
+            idle = push.call.idle
+            if not self.me.stale_after:
+                self.at.host.log(f"connections idle for {idle // MS} ms break: new ones from now on")
+            self.me.stale_after = max(SILENCE, min(self.me.stale_after or idle, idle) // STALE)
+            self.me.stale_seen = now
         elif ending != "cancelled":
             self.strike(endpoint, ending, push.sent_at)
         push.call.judged = True
@@ -375,7 +385,7 @@
                 used = usual(dest, now) + even if even else route.pace
                 # Threat: among many, half an even share holds the next one past its objective, and a limit
                 # that the reports show idle is not used.  A call that carries several gains by its wait.
-                spare = SPARE * route.limit * route.left / (1 + route.refusals)
+                spare = min(SPARE * route.limit * route.left, SEC / MOST_REST) / (1 + route.refusals)
                 least = max(even / 2, spare * (self.at.most_in_call(push.endpoint) == 1))
                 route.pace = max(min(route.pace, used) * SLOWER, least or FIRST_PACE / 10)
                 if not route.slowed_at or now - route.slowed_at > CALM:
@@ -400,9 +410,11 @@
             endpoint.calls.remove(call)
             endpoint.destination.calls_out -= 1
             self.me.slots_out -= 1
+            endpoint.quiet_since = self.at.now
             # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
             if not endpoint.calls and not endpoint.destination.waiting and self.seldom(endpoint):
                 self.at.host.close_idle(endpoint.id)
+                endpoint.quiet_since = 0
 
     def seldom(self, endpoint):
         whole, get = known(endpoint.route), self.me.settings.get
@@ -645,6 +657,13 @@
         # Threats: a batch shares one fate; one that an endpoint cannot digest fails its mates each time.
         single = push.trial or endpoint.bad_since or push.ntf.may_have_run
         most = 1 if single else self.most_in_call(endpoint)
+        if not endpoint.calls and endpoint.quiet_since:
+            call.idle = self.now - endpoint.quiet_since
+            if self.me.stale_after and self.now - self.me.stale_seen > USUAL_SPAN:
+                self.me.stale_after = 0
+            if 0 < self.me.stale_after < call.idle:
+                self.host.close_idle(endpoint.id)
+                call.idle = 0
         self.launch(push, endpoint, call)
         free = (Push(n, n.pushes) for n in ready if not (n.out or n.over or n.may_have_run))
         mates = (mate for mate in free if self.order.in_turn(mate.ntf))
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -9,6 +9,7 @@
     pushes: list = field(default_factory=list)
     judged: bool = False
     lost_at: int = 0
+    idle: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -76,6 +77,7 @@
     run: int = 0
     good_at: int = 0
     full_at: int = 0
+    quiet_since: int = 0
     down: bool = False
     trial_at: int = 0
     back_at: int = 0
@@ -128,4 +130,6 @@
     list_failures: int = 0
     subscribe_at: int = 0
     shedding: bool = False
+    stale_after: int = 0
+    stale_seen: int = 0
     stops_at: int = 0
