No spare pace at what is shut; a push is overdue after 2.5 s at least

Change: a refusal that comes with eight tenths of the limit left gives no spare pace; the rule of three replies in a row is taken back. The spare pace is divided by what a call carries, in place of none there.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -17,7 +17,7 @@
 SAMPLES, SPAN, SMOOTHING = 3, 10, 0.2  # deliveries until a forecast counts; what the predictors look at
 SPACING, MOST_SPACING = 100 * MS, 3 * SEC  # between pushes of one notification
 TRAVEL_SHARE = 20  # a collapsible's window is taken as shorter by this part, for travel
-OVERDUE_FACTOR, LEAST_OVERDUE, LOST = 4, 1500 * MS, 2  # once-only loses its slot at LOST times it
+OVERDUE_FACTOR, LEAST_OVERDUE, LOST = 4, 2500 * MS, 2  # once-only loses its slot at LOST times it
 TROUBLE_STEP, LOSS_STEP = 0.4, 0.03  # how far one bad outcome moves its endpoint's trouble; a push, our share
 LEAST_RUN, CHANCE_RUN = 3, 0.001  # bad outcomes in a row: at least so many, and so unlikely by chance
 ASIDE, ASIDE_RANDOM, TURN_SLICE = 1 * SEC, 500 * MS, 300 * MS
@@ -30,7 +30,7 @@
 REST, MOST_REST = 250 * MS, 2 * SEC
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
-SPARE = 0.25  # of a limit that any one dispatcher may use, since it mostly stands idle
+SPARE, NEARLY_ALL = 0.25, 0.8  # of a limit that any one may use, since it mostly stands idle; that is left
 BURST, FIRST_PACE = 0.5, 2.0  # seconds of the pace that go at once; calls a second where no limit is known
 BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
 ENOUGH = 2  # calls out at an endpoint to take the next in rank
@@ -273,8 +273,7 @@
         elif ending == "throttled":
             # Threat: a shut destination throttles everything and comes back cold.
             since = endpoint.route.refused_since
-            refused = since and now - since > SHUT_AFTER and endpoint.route.refusals >= LEAST_RUN
-            if endpoint.down or refused:
+            if endpoint.down or (since and now - since > SHUT_AFTER):
                 self.strike(endpoint, ending, since or now)
         elif ending == "reset" and push.call.idle > SILENCE and now - push.sent_at < SILENCE:
             # Threat: what stands between drops idle connections unseen, and the next call on one breaks.
@@ -384,9 +383,11 @@
                 even = known(route) / self.me.dispatchers
                 used = usual(dest, now) + even if even else route.pace
                 # Threat: among many, half an even share holds the next one past its objective, and a limit
-                # that the reports show idle is not used.  A call that carries several gains by its wait.
+                # that the reports show idle is not used.  A call that carries several gains by its wait;
+                # who refuses with all but the whole limit left is shut.
                 spare = min(SPARE * route.limit * route.left, SEC / MOST_REST) / (1 + route.refusals)
-                least = max(even / 2, spare * (self.at.most_in_call(push.endpoint) == 1))
+                shut = report.get("limit_left", 0) >= NEARLY_ALL
+                least = max(even / 2, (not shut) * spare / self.at.most_in_call(push.endpoint))
                 route.pace = max(min(route.pace, used) * SLOWER, least or FIRST_PACE / 10)
                 if not route.slowed_at or now - route.slowed_at > CALM:
                     self.at.host.log(f"destination {dest.id} throttles: pace {route.pace:.2f}")
