A break on an idle connection is excused only until the next call tells

An endpoint that crashes breaks its idle connections just so, and its first strike was lost. Change: the break is remembered at the endpoint; the next call goes over a new connection. Delivered: the idling broke it, and that time is learned. Any other outcome: the break counts too, as two bad outcomes. Nothing is excused at an endpoint already in doubt.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -275,20 +275,22 @@
             since = endpoint.route.refused_since
             if endpoint.down or (since and now - since > SHUT_AFTER):
                 self.strike(endpoint, ending, since or now)
-        elif ending == "reset" and push.call.idle > SILENCE and now - push.sent_at < SILENCE:
+        elif (ending == "reset" and not endpoint.bad_since
+                and push.call.idle > SILENCE and now - push.sent_at < SILENCE):
             # Threat: what stands between drops idle connections unseen, and the next call on one breaks.
-            # The endpoint may be sound; the next call goes over a new one, so if it is not, that shows.
-            idle = push.call.idle
-            if not self.me.stale_after:
-                self.at.host.log(f"connections idle for {idle // MS} ms break: new ones from now on")
-            self.me.stale_after = max(SILENCE, min(self.me.stale_after or idle, idle) // STALE)
-            self.me.stale_seen = now
+            # The endpoint may be sound or have crashed: the next call goes over a new connection and tells.
+            endpoint.excused = push.call.idle
         elif ending != "cancelled":
             self.strike(endpoint, ending, push.sent_at)
         push.call.judged = True
 
     def good(self, endpoint, told=False):
         now = self.at.now
+        if idle := endpoint.excused:
+            if not self.me.stale_after:
+                self.at.host.log(f"connections idle for {idle // MS} ms break: new ones from now on")
+            self.me.stale_after = max(SILENCE, min(self.me.stale_after or idle, idle) // STALE)
+            endpoint.excused, self.me.stale_seen = 0, now
         outage = endpoint.down or endpoint.run >= self.unlikely()
         if told or outage and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at, endpoint.filled_at, gone = now, now, (now - endpoint.bad_since) // MS
@@ -305,7 +307,8 @@
         surely = why == "unreachable"  # no lost call: the endpoint itself is not there
         # Threat: what took its time to fail is silent, not full, and has many waiting for it to come back.
         full = surely and self.at.now - since < SILENCE
-        endpoint.run += 1 if full else 2 + surely
+        endpoint.run += (1 if full else 2 + surely) + 2 * bool(endpoint.excused)  # the break was its own
+        endpoint.excused = 0
         if full:
             self.me.scarce.add(endpoint.kind)
             endpoint.full_at = self.at.now
@@ -662,7 +665,7 @@
             call.idle = self.now - endpoint.quiet_since
             if self.me.stale_after and self.now - self.me.stale_seen > USUAL_SPAN:
                 self.me.stale_after = 0
-            if 0 < self.me.stale_after < call.idle:
+            if endpoint.excused or 0 < self.me.stale_after < call.idle:
                 self.host.close_idle(endpoint.id)
                 call.idle = 0
         self.launch(push, endpoint, call)
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -78,6 +78,7 @@
     good_at: int = 0
     full_at: int = 0
     quiet_since: int = 0
+    excused: int = 0
     down: bool = False
     trial_at: int = 0
     back_at: int = 0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -464,20 +464,29 @@
     assert bed.endpoint().down
 
 
-def test_a_break_at_once_on_an_idle_connection_is_no_fault_of_the_endpoint():
+@pytest.mark.parametrize("then, strikes", [("delivered", 0), ("reset", 4), ("unreachable", 3)])
+def test_a_break_on_an_idle_connection_is_excused_until_the_next_call_tells(then, strikes):
     bed = Bed(dispatchers=1)
     bed.deliver(1)
-    for strikes, closed in [(0, 0), (2, 1), (4, 2)]:  # from the second on the connections are new ones
+    for ending, run, closed in [("reset", 0, 0), (then, strikes, 1)]:  # the second goes over a new connection
         ntf = bed.take()
         bed.turn(8)
         assert len(bed.host.all("close_idle")) == closed
-        bed.end(ntf, "reset")
+        bed.end(ntf, ending)
         bed.at.withdrawn(ntf)
-        assert bed.endpoint().run == strikes
-    bed.at.now += 40 * SEC
-    bed.take()
-    bed.turn()
-    assert len(bed.host.all("close_idle")) == 2  # forgotten, since nothing broke for long
+        assert bed.endpoint().run == run
+    assert bool(bed.at.me.stale_after) == (then == "delivered")
+
+
+def test_connections_idle_for_as_long_as_one_that_broke_are_closed_for_a_while():
+    bed = Bed(dispatchers=1)
+    bed.deliver(1)
+    bed.at.me.stale_after, bed.at.me.stale_seen = 2 * SEC, bed.at.now
+    for idle, closed in [(1, 0), (3, 1), (28, 1)]:  # the last after what is remembered
+        ntf = bed.take()
+        bed.turn(idle)
+        bed.end(ntf, "delivered")
+        assert len(bed.host.all("close_idle")) == closed
 
 
 def test_all_throttled_means_shut(bed):
