An answer that waits unread when a time-out ends counts

Cause: stopped between the last byte of a request and the first look for its answer, a call was given up at once as the process went on, though the answer lay in its socket (rig of 9 processes with stops of 2 s: order told 202 in 1 ms, stop, delivered meanwhile, 'conn end=gave_up' 5 ms after it went on, then a notice: two ends; 1 in about 3,000 orders, 1 in 4 stops). Trio looks at sockets before time-outs, so a call that already waits was safe; one at its next checkpoint was not (ruled out by a test that sleeps within the wait, which passed before). Change: before a call that was written whole is broken off, what has arrived is looked at; one line with 200 counts as delivered.

--- a/juniperlanding/emulator/network.py
+++ b/juniperlanding/emulator/network.py
@@ -210,13 +210,13 @@
             return await trio.lowlevel.checkpoint()
         await self.inward.wait()
 
-    def peek(self):
+    def peek(self, most=1):
         if self.closed or self.broken:
             return b""
         if not self.inward.arrived():
             return None
         piece = self.inward.pieces[0][1]
-        return b"" if piece is END or piece is RESET else piece[:1]
+        return b"" if piece is END or piece is RESET else piece[:most]
 
     async def sendmsg(self, parts):
         self.check()
--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -50,10 +50,10 @@
         """Wait until `recv` would return at once."""
         await trio.lowlevel.wait_readable(self.raw)
 
-    def peek(self):
+    def peek(self, most=1):
         """What came and was not read yet: None for nothing, b"" for the end or a reset; waits for nothing."""
         try:
-            return self.raw.recv(1, socket.MSG_PEEK)
+            return self.raw.recv(most, socket.MSG_PEEK)
         except BlockingIOError:
             return None
         except OSError:
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -127,6 +127,9 @@
                 self.carried.append(call)
             else:
                 if call.line:
+                    if call.written:
+                        # Threat: we stood still right after the last byte, and the answer waits unread.
+                        call.line.head = call.line.arrived()
                     # Threat: a path that is cut holds the request, and delivers it once it heals, past its
                     # window or beside a copy; a reset takes back what has not left yet.
                     call.line.abort()
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -131,6 +131,11 @@
         """What came and was not read yet: None for nothing, b"" for the end or a reset."""
         return self.early or self.sock.peek()
 
+    def arrived(self):
+        """What came of an answer whose head could not be read yet, looked at or not."""
+        unread = self.sock.peek(CHUNK) if self.http.their_state is h11.SEND_RESPONSE else b""
+        return self.head + (unread or b"")
+
     def quiet(self):
         """Whether nothing came on an idle connection: bytes that nobody asked for, or its end, spoil it."""
         return self.waiting() is None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 import sys
 import threading
 import time
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from functools import partial
 
 import pytest
@@ -25,6 +25,7 @@
 from juniperlanding.net.counters import Counters
 from juniperlanding.net.endpoints import Endpoints, Send
 from juniperlanding.net.ledger import Books, Ledger, line
+from juniperlanding.net.line import Line
 from juniperlanding.net.node import Node
 from juniperlanding.standins.peers import Far, Platform, http, member
 
@@ -296,6 +297,35 @@
     site.run(scene)
 
 
+@pytest.mark.parametrize("answer, ending",
+                         [(http(200), "delivered"), (http(500), "timeout"), (b"", "timeout")])
+def test_an_answer_that_came_before_our_first_look_at_it_counts(site, monkeypatch, answer, ending):
+    outcomes, write = [], Line.write
+
+    def elsewhere(listener):
+        with listener.accept()[0] as sock:
+            sock.recv(4096)
+            sock.sendall(answer)
+            with suppress(OSError):
+                sock.recv(4096)
+
+    async def and_stand_still(line, parts):
+        last = len(parts) == 1 and len(parts[0]) == 1
+        await write(line, parts)
+        if last:
+            time.sleep(0.2)  # the last byte has left; the time-out passes before its answer is looked for
+            await trio.lowlevel.cancel_shielded_checkpoint()
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+        monkeypatch.setattr(Line, "write", and_stand_still)
+        with in_a_thread(elsewhere, calls):
+            calls.start(site.nursery, "s-1", [send("a", SEC // 10)])
+            await site.until(lambda: outcomes)
+        assert outcomes[0][2] == ending
+    site.run(scene)
+
+
 @pytest.mark.parametrize("spoil", ["unasked", "old"])
 def test_a_spoilt_idle_connection_is_not_used_again(site, spoil):
     outcomes = []
