Optional parts of a dispatcher plug in at one list

Each part is a `ground.part.Part`; `net.parts.made` builds those that the operators' file turned on. Off, the list is empty and nothing is imported. Words at the door may take the rest of their line (`asks`).

--- a/juniperlanding/fleet/agent.py
+++ b/juniperlanding/fleet/agent.py
@@ -11,16 +11,19 @@
 from juniperlanding.fleet.members import View
 from juniperlanding.fleet.words import PHASES
 from juniperlanding.ground.log import described, where
+from juniperlanding.ground.part import Part
 
 FILE, MOST_KEY, MOST_REMEMBERED = "fleet", 1 << 12, 256
 WRITE_EVERY, BIND_AGAIN, MOST_TOGETHER = 2.0, 0.05, 256
 
 
-class Agent:
+class Agent(Part):
     """A member from `run` until it is cancelled.  `view` is None until its address is bound.
 
     `load` gives (owed, outstanding).  `wait(version)` returns once the view has another version."""
 
+    section = "fleet"
+
     def __init__(self, told, name, state, world, load, log):
         self.told, self.world, self.load, self.log = told, world, load, log
         self.name = name[: words.MOST_NAME]  # the platform's may be longer than what members hear
@@ -131,6 +134,9 @@
         return {f"fleet.{state}": states.count(at) for at, state in enumerate(words.STATES)} | {
             "fleet.doubt": self.view.doubt if self.view else 0, "fleet.noise": self.noise}
 
+    def calls(self):
+        return {"FLEET": self.lines}
+
     def lines(self):
         """The door's `FLEET`: one line a member, ourselves first."""
         if not self.view:
--- a/juniperlanding/net/door.py
+++ b/juniperlanding/net/door.py
@@ -19,10 +19,12 @@
 
 
 class Door:
-    """`calls` maps a word to a function that gives the lines after `ACK`, or raises `No`."""
+    """`calls` maps a word to a function that gives the lines after `ACK`, or raises `No`; so does
+    `asks`, whose functions take the rest of the line."""
 
-    def __init__(self, listener, calls, counters, log):
+    def __init__(self, listener, calls, counters, log, asks=()):
         self.listener, self.calls, self.counters, self.log = listener, calls, counters, log
+        self.asks = dict(asks)
         self.unfinished = {}  # callers, longest first
 
     async def listen(self, nursery):
@@ -84,6 +86,9 @@
             word = line.decode("ascii")
         except UnicodeDecodeError:
             raise No("not ASCII text") from None
+        first, _, rest = word.partition(" ")
+        if first in self.asks:
+            return self.asks[first](rest.strip())
         if word not in self.calls:
-            raise No(f"unknown call, expected one of {' '.join(sorted(self.calls))}")
+            raise No(f"unknown call, expected one of {' '.join(sorted([*self.calls, *self.asks]))}")
         return self.calls[word]()
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -7,7 +7,7 @@
 from juniperlanding.choice import SEC
 from juniperlanding.ground import log as logs
 from juniperlanding.ground.log import described
-from juniperlanding.net import door, protocol
+from juniperlanding.net import door, parts, protocol
 from juniperlanding.net.clients import ROOM, Clients
 from juniperlanding.net.counters import Counters
 from juniperlanding.net.discovery import Discovery
@@ -42,18 +42,15 @@
         self.counters = Counters(topic.get("name") for topic in told.settings["topic_types"])
         self.log = log or logs.to(told.name, world.clock.now, **told.log)
         self.rereads, self.reread_after, self.replaced = trio.CancelScope(), REREAD, False
-        self.listener = self.lock = self.door = self.fleet = None
+        self.listener = self.lock = self.door = None
         self.stops_at = 0
         self.succession = Succession(told, world, self.log)
-        if told.fleet:
-            from juniperlanding.fleet.agent import Agent  # off, nothing of it is imported
-
-            self.fleet = Agent(told.fleet, told.name, told.state, world, self.load, self.log)
+        self.parts = parts.made(self)
         try:
             self.claim(offer)
             if told.management:
-                bound = world.network.bind(told.management)
-                self.door = door.Door(bound, self.calls(), self.counters, self.log)
+                bound, asks = world.network.bind(told.management), parts.merged(self.parts, "asks", {})
+                self.door = door.Door(bound, self.calls(), self.counters, self.log, asks)
             self.build(offer)
         except BaseException:
             self.release()
@@ -81,6 +78,11 @@
         owner.notices = Notices(world.network, told.discovery, partial(owner.tell, owner.end), *common)
         owner.discovery = Discovery(told, world.network, partial(owner.tell, owner.listed), self.log)
         self.clients = owner.clients = Clients(told, world.clock, most_clients, owner, *common)
+        handed = offer.state.get("parts", {}) if offer else {}
+        for part in self.parts:
+            if part.section in handed:
+                part.taken(handed[part.section])
+            part.built(self)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled; while another process has taken over, stand by."""
@@ -118,8 +120,8 @@
             for part in (owner.notices.run, owner.discovery.run, owner.endpoints.sweep):
                 nursery.start_soon(part)
             nursery.start_soon(self.clients.listen, listener, nursery)
-            if self.fleet:
-                nursery.start_soon(self.fleet.run)
+            for part in self.parts:
+                nursery.start_soon(part.run)
             task_status.started(listener.address)
             await owner.run(nursery)
             made = Offer.made(self)
@@ -156,9 +158,8 @@
                 await trio.sleep(AGAIN)
 
     def calls(self):
-        """What operators may ask at the door; further calls go here."""
-        calls = {"READY": self.takes_clients, "STATS": self.figures}
-        return calls | ({"FLEET": self.fleet.lines} if self.fleet else {})
+        """What operators may ask at the door."""
+        return parts.merged(self.parts, "calls", {"READY": self.takes_clients, "STATS": self.figures})
 
     def load(self):
         """What others are told of this process: (owed, outstanding)."""
@@ -169,11 +170,13 @@
             raise door.No("replaced")
         if not self.owner.ready or self.clients.draining:
             raise door.No("draining" if self.clients.draining else "starting")
+        for part in self.parts:
+            if why := part.unready():
+                raise door.No(why)
         return []
 
     def figures(self):
-        gauges = self.owner.gauges() | (self.fleet.gauges() if self.fleet else {})
-        return [*self.counters.figures(**gauges), "--"]
+        return [*self.counters.figures(**parts.merged(self.parts, "gauges", self.owner.gauges())), "--"]
 
     def release(self):
         """Address and folder are anybody's again."""
@@ -208,6 +211,8 @@
             self.owner.discovery.move(discovery)
             self.owner.notices.move(discovery)
         self.reread_after = REREAD
+        for part in self.parts:
+            part.reload()
 
     async def reread(self, read, scope):
         """Try a failed reload again: soon, then less and less often."""
@@ -217,14 +222,18 @@
         if not scope.cancelled_caught:
             self.reload(read)
 
+    def enter(self, phase):
+        """Tell the parts; those of a process that was replaced say nothing any more."""
+        for part in [] if self.replaced else self.parts:
+            part.enter(phase)
+
     async def drain(self):
         """Serve on for as long as the platform lets us; what is taken on meanwhile stays in the ledger.
 
         Clients are sent away once only their own patience is left, so that each still gets its answer.  It
         ends earlier when nobody comes and nothing is owed."""
         begun = trio.current_time()
-        if self.fleet and not self.replaced:
-            self.fleet.enter("draining")
+        self.enter("draining")
         self.log("stop", "draining", held=len(self.owner.held))
         until = protocol.KILL_AFTER - protocol.PATIENCE / 4
         with trio.move_on_after(until):
@@ -239,8 +248,7 @@
 
     def close(self):
         """The end; whether all that is owed could be written down."""
-        if self.fleet and not self.replaced:
-            self.fleet.enter("leaving")
+        self.enter("leaving")
         try:
             self.ledger.close()
         except OSError as error:
--- /dev/null
+++ b/juniperlanding/net/parts.py
@@ -0,0 +1,19 @@
+"""The one place where optional parts plug in: a list in the order in which they need each other."""
+
+
+def made(node):
+    """The parts (`ground.part.Part`) that the operators' file turned on; off, nothing of them is imported."""
+    told, parts = node.config, []
+    if told.fleet:
+        from juniperlanding.fleet.agent import Agent
+
+        fleet = Agent(told.fleet, told.name, told.state, node.world, node.load, node.log)
+        parts.append(fleet)
+    return parts
+
+
+def merged(parts, what, before):
+    """One map of `before` and of what each part's method of that name gives."""
+    for part in parts:
+        before = before | getattr(part, what)()
+    return before
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -67,6 +67,8 @@
                        [[s.id, s.number, s.until, s.ttl_at, s.leave_by, s.over, s.cancelled]
                         for s in call.sends]] for call in calls],
             "idle": [[endpoint, line.used_at] for endpoint, line in idle]}
+        if parts := {part.section: said for part in node.parts if (said := part.given()) is not None}:
+            state["parts"] = parts
         lines = [*clients, *(call.line for call in calls), *(line for _, line in idle)]
         socks = [line.sock for line in lines]
         return cls(json.loads(json.dumps(state)), node.lock, node.listener, socks)
