A policy in force everywhere or nowhere: folder, datagrams, door and the owner's licence

The owner takes on new work only under a licence for the number it has in force, looks again once the ledger is written and right before the answer leaves, and writes the number with what it takes on. Off: ledger and offer as before, one `is None` in the way in.

--- a/juniperlanding/carry.py
+++ b/juniperlanding/carry.py
@@ -22,9 +22,14 @@
     """Records that this version cannot read."""
 
 
-def taken_from(me):
-    """All that an instance knows: {"records": [[kind, field...]...], "instance": [field...]}."""
-    topics = {id(topic): at for at, topic in enumerate(me.settings.get("topic_types", []))}
+def taken_from(me, terms=None):
+    """All that an instance knows: {"records": [[kind, field...]...], "instance": [field...]}.
+
+    terms: number -> topic types of each policy that something owed was taken on under; 0 is the process's own
+    settings."""
+    known = terms or {0: me.settings.get("topic_types", [])}
+    topics = {id(topic): [at, number] if number else [at]
+              for number, types in known.items() for at, topic in enumerate(types)}
     numbers, found, records = {}, [], []
 
     def plain(value):
@@ -42,7 +47,7 @@
 
     def field(record, name):
         value = getattr(record, name)
-        return [TOPIC, topics.get(id(value), -1)] if name == "topic" else plain(value)
+        return [TOPIC, *topics.get(id(value), [-1])] if name == "topic" else plain(value)
 
     instance = [field(me, name) for name in GOES]
     for record in found:  # grows while it is read
@@ -50,9 +55,9 @@
     return {"records": records, "instance": instance}
 
 
-def given_to(me, told):
+def given_to(me, told, terms=None):
     """Make an instance know what `taken_from` wrote down; `Unknown` leaves it as it was."""
-    topics = me.settings.get("topic_types", [])
+    topics = (terms or {}) | {0: me.settings.get("topic_types", [])}
     try:
         kinds = [RECORDS[kind] for kind, *_ in told["records"]]
         found = [kind.__new__(kind) for kind in kinds]
@@ -64,7 +69,7 @@
             if kind == RECORD:
                 return found[rest[0]]
             if kind == TOPIC:
-                return topics[rest[0]] if rest[0] >= 0 else {}
+                return topics[sum(rest[1:])][rest[0]] if rest[0] >= 0 else {}
             if kind == DICT:
                 return {whole(key): whole(one) for key, one in rest}
             return (list, tuple, set)[kind - LIST](map(whole, rest))
--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -499,6 +499,12 @@
     def stopping(self, at):
         self.me.stops_at = at
 
+    def settled(self, settings):
+        """Other settings are in force; what was taken on keeps the topic type that it was taken on with."""
+        self.me.settings = settings
+        for dest in self.me.destinations.values():
+            dest.idle_until = dest.look_at = 0
+
     def listed(self, news, entries):
         """List news: (endpoint, destination, kind, scale, zone, state) for each entry."""
         me = self.me
--- a/juniperlanding/emulator/clock.py
+++ b/juniperlanding/emulator/clock.py
@@ -51,3 +51,6 @@
 
     def now(self):
         return self.base + elapsed()
+
+    def steady(self):
+        return elapsed()
--- a/juniperlanding/emulator/disk.py
+++ b/juniperlanding/emulator/disk.py
@@ -43,6 +43,9 @@
     def __init__(self, disk, die=lambda: None):
         self.disk, self.die, self.open_files, self.next, self.dead = disk, die, {}, 3, False
 
+    async def aside(self, what, *fields):
+        return what(*fields)
+
     def step(self, name, path=""):
         """Count a call and let its fault happen; returns "kill_after" or "short" for those of it that come
         later."""
--- a/juniperlanding/fleet/agent.py
+++ b/juniperlanding/fleet/agent.py
@@ -30,6 +30,7 @@
         self.path, self.view, self.sock, self.news = f"{state}/{FILE}", None, None, trio.Event()
         self.key = world.files.read(told.key, MOST_KEY).strip()[:64]
         self.noise, self.sent, self.received, self.phase = 0, 0, 0, PHASES.index("serving")
+        self.channels = {}
 
     def now(self):
         """Steady nanoseconds, of this process alone."""
@@ -44,6 +45,7 @@
                               life=life)
             seeds = list(dict.fromkeys([*self.told.seeds, *self.remembered()]))
             self.view = View(me, self.told.name, seeds, life, self.now())
+            self.wake()
             self.log("fleet", "joining", address=f"{host}:{port}", seeds=len(seeds))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.receive)
@@ -71,7 +73,12 @@
     async def receive(self):
         while True:
             try:
-                data, _ = await self.sock.recv()
+                data, address = await self.sock.recv()
+                if (byte := words.on_channel(data)) is not None:
+                    if handler := self.channels.get(byte):
+                        said = words.decoded_aside(data, self.key, self.told.name)
+                        self.guarded(handler, said.name, said.life, said.payload, address)
+                    continue
                 message = words.decoded(data, self.key, self.told.name)
             except words.Noise:
                 self.noise += 1
@@ -84,6 +91,27 @@
             self.guarded(self.view.heard, message, self.now())
             self.guarded(self.carry_out)
 
+    # ---- other packages' words over our socket
+
+    def channel(self, byte, handler):
+        """`handler(name, life, payload, address)` gets what members say there; else it is passed over."""
+        self.channels[byte] = handler
+
+    def send(self, byte, to, payload):
+        """To a member by name, or to an address; whether it left.  payload: at most `words.MOST_PAYLOAD`."""
+        if isinstance(to, str) and self.view:
+            member = self.view.members.get(to)
+            to = member and member.record.address
+        if not self.sock or not to or len(payload) > words.MOST_PAYLOAD:
+            return False
+        said = words.Aside(self.told.name, self.name, self.view.me.life, payload)
+        return self.sock.send(words.aside(byte, said, self.key), to)
+
+    async def joined(self):
+        """Returns once the address is bound, and with it this process's life is known."""
+        while not (self.view and self.sock):
+            await self.news.wait()
+
     def guarded(self, what, *fields):
         """Threat: one odd message must not end the program."""
         try:
--- a/juniperlanding/fleet/words.py
+++ b/juniperlanding/fleet/words.py
@@ -9,6 +9,9 @@
 
 VERSIONS = (1,)  # of the protocol that this text speaks
 DIGEST, MOST, MOST_NEWS = 16, 1400, 8  # bytes of the digest and of a datagram; records in one message
+# A datagram of another package begins so.  No MessagePack does, and older members count it as noise.
+CHANNEL = 0xC1
+MOST_PAYLOAD, MOST_ASIDE = 1400, 1800  # bytes of what another package says, and of its whole datagram
 MOST_NAME, MOST_SITE = 128, 64  # as the operators' file has them
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
@@ -58,7 +61,17 @@
     news: list[Record] = []
 
 
+class Aside(msgspec.Struct, array_like=True, frozen=True):
+    """What another package says over the fleet's socket; life: of the process that says it."""
+
+    fleet: str
+    name: str
+    life: int
+    payload: bytes
+
+
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
+ASIDE = msgspec.msgpack.Decoder(Aside)
 
 
 def encoded(message, key):
@@ -66,16 +79,50 @@
     while len(body) > MOST and message.news:  # long names; what is left out comes with a later message
         message = msgspec.structs.replace(message, news=message.news[: len(message.news) // 2])
         body = ENCODER.encode(message)
+    return sealed(body, key)
+
+
+def sealed(body, key):
     return blake2b(body, digest_size=DIGEST, key=key).digest() + body
 
 
-def decoded(data, key, fleet):
-    """Threats: noise, spoilt datagrams, forgers, another fleet's members, figures that no member says."""
-    if not DIGEST < len(data) <= MOST + DIGEST:
+def aside(byte, message, key):
+    """An `Aside` for the channel of that byte."""
+    return sealed(bytes((CHANNEL, byte)) + ENCODER.encode(message), key)
+
+
+def on_channel(data):
+    """The byte of the channel that a datagram is for, or None."""
+    return data[DIGEST + 1] if len(data) > DIGEST + 1 and data[DIGEST] == CHANNEL else None
+
+
+def decoded_aside(data, key, fleet):
+    """Threats as in `decoded`."""
+    body = opened(data, key, MOST_ASIDE)
+    try:
+        message = ASIDE.decode(body[2:])
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        raise Noise("form") from None
+    if message.fleet != fleet:
+        raise Noise("fleet")
+    if not (0 < len(message.name) <= MOST_NAME and 0 <= message.life < 1 << 62
+            and len(message.payload) <= MOST_PAYLOAD):
+        raise Noise("figures")
+    return message
+
+
+def opened(data, key, most):
+    if not DIGEST < len(data) <= most + DIGEST:
         raise Noise("size")
     digest, body = data[:DIGEST], data[DIGEST:]
     if not compare_digest(digest, blake2b(body, digest_size=DIGEST, key=key).digest()):
         raise Noise("digest")
+    return body
+
+
+def decoded(data, key, fleet):
+    """Threats: noise, spoilt datagrams, forgers, another fleet's members, figures that no member says."""
+    body = opened(data, key, MOST)
     try:
         message = DECODER.decode(body)
     except (msgspec.MsgspecError, ValueError, RecursionError):
--- a/juniperlanding/ground/file.py
+++ b/juniperlanding/ground/file.py
@@ -191,15 +191,16 @@
         state = reader.told.values.get("instance.state")
         if state:
             reader.told.values["instance.state"] = os.path.join(base, state[0]), state[1]
-        if key := reader.told.values.get("fleet.key"):
-            reader.told.values["fleet.key"] = os.path.join(base, key[0]), key[1]
-        together(reader)
+        for name in ("fleet.key", "policy.folder", "policy.file"):
+            if key := reader.told.values.get(name):
+                reader.told.values[name] = os.path.join(base, key[0]), key[1]
+        together(reader, base)
     if reader.errors:
         raise FileError(reader.errors)
     return reader.told
 
 
-def together(reader):
+def together(reader, base):
     """Faults that show only where keys are seen together."""
     told = reader.told
     names = {name: [entry.name for entry, _ in told.tables[name]] for name in ("kind", "topic")}
@@ -207,19 +208,7 @@
     for name, found in names.items():
         for twice in sorted({one for one in found if found.count(one) > 1}) if len(found) < 10_000 else ():
             reader.fault(told.tables[name][0][1], name, f'"{twice}" twice', "each name once")
-    for topic, origin in told.tables["topic"]:
-        key = f"topic {topic.name}"
-        if not 0 < topic.objective <= topic.ttl:
-            reader.fault(
-                origin,
-                f"{key}.objective",
-                topic.objective,
-                f"more than 0, and no more than the TTL of {topic.ttl}",
-            )
-        if topic.kind == "collapsible" and not topic.window:
-            reader.fault(
-                origin, f"{key}.window", "nothing", "a duration, since the topic type is collapsible"
-            )
+    topics(reader)
     zones = told.values.get("zones", ([], None))[0]
     for endpoint, origin in told.tables["endpoint"]:
         if endpoint.kind not in names["kind"]:
@@ -233,6 +222,7 @@
         if key in told.values:
             port(reader, told.values[key][1], key, told.values[key][0])
     fleet(reader)
+    policy(reader, base)
     rank, count = (told.values.get(f"instance.{key}", (None, None))[0] for key in ("rank", "dispatchers"))
     if rank is not None and rank >= (count or 1):
         reader.fault(
@@ -245,6 +235,23 @@
             reader.fault(origin, key, value, f"at least {bound}")
 
 
+def topics(reader):
+    """Faults within a topic type; a policy's are looked at in the same way."""
+    for topic, origin in reader.told.tables["topic"]:
+        key = f"topic {topic.name}"
+        if not 0 < topic.objective <= topic.ttl:
+            reader.fault(
+                origin,
+                f"{key}.objective",
+                topic.objective,
+                f"more than 0, and no more than the TTL of {topic.ttl}",
+            )
+        if topic.kind == "collapsible" and not topic.window:
+            reader.fault(
+                origin, f"{key}.window", "nothing", "a duration, since the topic type is collapsible"
+            )
+
+
 def fleet(reader):
     """Threat: half told, a fleet that an operator believes on, or an open socket that nobody asked for."""
     values = reader.told.values
@@ -274,6 +281,33 @@
             reader.fault(origin, "fleet.key", why, "a file of mode 0600")
 
 
+def policy(reader, base):
+    """Threat: half told, or told otherwise at one member, two majorities that know nothing of each other."""
+    values = reader.told.values
+    enabled, origin = values.get("policy.enabled", (False, None))
+    if not enabled:
+        for key in [key for key in values if key.startswith("policy.") and key != "policy.enabled"]:
+            reader.fault(values[key][1], key, shown(str(values[key][0])), "`enabled = true` beside it")
+        return
+    values.setdefault("policy.folder", (os.path.join(base, sections.Policy().folder), origin))
+    if not values.get("fleet.enabled", (False,))[0]:
+        reader.fault(origin, "policy.enabled", "true", "`[fleet]` with `enabled = true` beside it")
+    voters = [voter.rpartition("@")[::2] for voter in values.get("policy.voters", ([], None))[0]]
+    if len(voters) not in (3, 5, 7):
+        reader.fault(origin, "policy.voters", f"{len(voters)} voters", "3, 5 or 7")
+    for at, what in enumerate(("name", "address")):
+        if len({voter[at] for voter in voters}) < len(voters):
+            reader.fault(origin, "policy.voters", f"one {what} twice", f"each {what} once")
+    own = [values[key][0] for key in ("fleet.advertise", "fleet.address") if key in values][:1]
+    for name, address in voters:
+        port(reader, origin, "policy.voters", address)
+        if name == values.get("instance.name", ("",))[0] and own and address != own[0]:
+            reader.fault(origin, "policy.voters", shown(f"{name}@{address}"), f"our own address {own[0]}")
+    licence, origin = values.get("policy.licence", (sections.Policy().licence, origin))
+    if not 500 * 10**6 <= licence <= 60 * 10**9:
+        reader.fault(origin, "policy.licence", licence, "500ms to 60s")
+
+
 def port(reader, origin, key, address):
     host, _, number = address.rpartition(":")
     if int(number) > 65535 or any(int(part) > 255 for part in host.split(".")):
@@ -305,3 +339,11 @@
 def plain_value(value):
     """A value as a module or a JSON reader takes it."""
     return int(value) if isinstance(value, Quantity) else value
+
+
+def topic(entry):
+    """A topic type under the module's names; a window that is not there stays out."""
+    plain = {"name": entry.name, "kind": entry.kind, "objective": int(entry.objective), "ttl": int(entry.ttl),
+             "benefit": entry.benefit, "late_share": entry.late_share, "group": entry.group,
+             "ordered": entry.ordered, "fades": entry.fades}
+    return plain | ({"window": int(entry.window)} if entry.window else {})
--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -19,6 +19,7 @@
 BACKLOG = 1024
 MOST_FILE = 256 << 20  # bytes of a file that is read whole
 MOST_DATAGRAM = 2048
+STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock:
@@ -30,6 +31,12 @@
     def now(self):
         return self.base + time.monotonic_ns()
 
+    def steady(self):
+        """Nanoseconds of a clock that nobody sets and that goes on while the machine sleeps.
+
+        Threat: a licence that stood still with its machine, and the others have gone on without it."""
+        return time.clock_gettime_ns(STEADY)
+
 
 class Socket:
     """One TCP connection.  Every method raises OSError, or trio's closed-resource error after `close`.
@@ -222,6 +229,10 @@
     def unlink(self, path):
         os.unlink(path)
 
+    async def aside(self, what, *fields):
+        """Do what may wait for the disk for long, while all else goes on; not broken off once begun."""
+        return await trio.to_thread.run_sync(what, *fields)
+
     def size(self, path):
         return os.stat(path).st_size
 
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -16,6 +16,9 @@
 Name = Annotated[str, Meta(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._:/-]+\Z")]
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z", description="IPV4:PORT")]
 
+Voter = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._:/-]{1,128}@\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z",
+                            description="NAME@IPV4:PORT")]
+
 
 def told(kind, text, setting=None):
     """A type with the words of the reference page, and the module's name for it."""
@@ -148,6 +151,21 @@
     seeds: told(list[Address], "Members asked at the start, and again while it is alone.") = []
 
 
+class Policy(Section):
+    """A policy that is in force everywhere or nowhere.  Off unless `enabled`, with `[fleet]` on."""
+
+    enabled: told(bool, "Whether this dispatcher takes on new work under the fleet's policy alone.") = False
+    voters: told(list[Voter], "Three, five or seven members that decide, the same at all.") = []
+    folder: told(str, "Where the files are that may be proposed; a relative one starts at this file.") = (
+        "policies"
+    )
+    file: told(str | None, "A file that SIGHUP proposes if it differs from what is in force.") = None
+    licence: told(Duration, "How long new work is taken on without word from a majority; 500ms to 60s.") = (
+        Duration(3 * 10**9)
+    )
+    drift: told(Annotated[float, Meta(ge=0, le=0.05)], "The share by which steady clocks may differ.") = 0.01
+
+
 class Endpoint(Section):
     """An endpoint known before discovery answers (a table in the list `endpoint`)."""
 
@@ -178,6 +196,7 @@
     clients: Clients = field(default_factory=Clients)
     rules: Rules = field(default_factory=Rules)
     fleet: Fleet = field(default_factory=Fleet)
+    policy: Policy = field(default_factory=Policy)
     kind: list[Kind] = []
     topic: list[Topic] = []
     endpoint: list[Endpoint] = []
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -6,7 +6,7 @@
 from juniperlanding.choice import SEC
 from juniperlanding.ground.log import described, where
 from juniperlanding.net import protocol
-from juniperlanding.net.counters import DECLINED
+from juniperlanding.net.counters import ABORTED, DECLINED
 from juniperlanding.net.line import GONE, Line
 from juniperlanding.net.owner import Answer
 
@@ -160,7 +160,8 @@
     async def answer(self, line, request, body):
         path = request.target.partition(b"?")[0]
         if request.method == b"GET" and path == protocol.READY:
-            return await self.respond(line, 200 if self.owner.ready and not self.draining else 503)
+            well = self.owner.ready and not self.draining and self.owner.licensed(self.owner.in_force)
+            return await self.respond(line, 200 if well else 503)
         if request.method == b"GET" and path == protocol.COUNTERS:
             return await self.respond(line, 200, payload=self.counters.text().encode())
         if path != protocol.HAND_IN:
@@ -188,7 +189,16 @@
             self.counters.ended(topic, DECLINED)
             return await self.respond(line, 503)
         await answer.ready.wait()
-        again = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
+        if self.owner.licence is not None and answer.took and answer.status == 202:
+            if self.owner.licensed(answer.under):
+                again = [(protocol.POLICY, str(answer.under))]
+            else:
+                # Threat: we stood still with the answer in hand, and the others went on; it may have begun.
+                await self.owner.tell(self.owner.unheard, ntf_id)
+                self.counters.ended(topic, ABORTED)
+                answer.status, again = 500, []
+        else:
+            again = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
         try:
             return await self.respond(line, answer.status, again)
         except GONE:
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -28,6 +28,7 @@
     report: dict
     log: dict
     fleet: object = None  # the operators' `Fleet`; nothing else turns it on
+    policy: object = None  # their `Policy`, in the same way
 
     @property
     def disk(self):
@@ -72,7 +73,7 @@
         limits=ours.limits | told.get("limits", {}), known=told.get("known") or ours.known, settings=settings,
         kinds=wire.get("models") or ours.kinds, zones=wire.get("areas") or ours.zones,
         connect_within=wire.get("permissions", {}).get("connect_timeout_ns", ours.connect_within),
-        report=report, log=ours.log, fleet=ours.fleet)
+        report=report, log=ours.log, fleet=ours.fleet, policy=ours.policy)
 
 
 def need(value, name):
@@ -99,6 +100,7 @@
     report: dict = None
     log: dict = None
     fleet: object = None
+    policy: object = None
 
     def __post_init__(self):
         for name in ("limits", "known", "settings", "report", "log"):
@@ -117,7 +119,7 @@
     settings["batch_by_kind"] = [kind.batch for kind in kinds]
     settings["routes_apart"] = [kind.routes_apart for kind in kinds]
     if told.tables["topic"]:
-        settings["topic_types"] = [topic(entry) for entry, _ in told.tables["topic"]]
+        settings["topic_types"] = [file.topic(entry) for entry, _ in told.tables["topic"]]
     members = [{"id": e.id, "host_port": e.address, "locality": e.zone or "", "flavor": e.kind,
                 "cell": e.destination, "phase": "in_service", "size": e.scale}
                for e, _ in told.tables["endpoint"]]
@@ -129,7 +131,8 @@
                 known={"members": members} if members else {}, settings=settings,
                 kinds=[kind.name for kind in kinds], zones=list(get("zones")),
                 connect_within=int(get("connections.connect_within")), report=dict(get("reports")),
-                log={"form": get("log.form"), "lines": get("log.lines")}, fleet=fleet(get))
+                log={"form": get("log.form"), "lines": get("log.lines")}, fleet=fleet(get),
+                policy=policy(get))
 
 
 @dataclass(slots=True)
@@ -154,9 +157,21 @@
                  seeds=[*map(protocol.address, get("fleet.seeds"))])
 
 
-def topic(entry):
-    """A topic type under the module's names; a window that is not there stays out."""
-    plain = {"name": entry.name, "kind": entry.kind, "objective": int(entry.objective), "ttl": int(entry.ttl),
-             "benefit": entry.benefit, "late_share": entry.late_share, "group": entry.group,
-             "ordered": entry.ordered, "fades": entry.fades}
-    return plain | ({"window": int(entry.window)} if entry.window else {})
+@dataclass(slots=True)
+class Policy:
+    """How a dispatcher is bound by the fleet's policy; voters: name -> (host, port), licence in ns."""
+    voters: dict
+    folder: str
+    file: str | None
+    licence: int
+    drift: float
+
+
+def policy(get):
+    """A `Policy`, or None unless the operators' own file says `enabled = true`."""
+    if not get("policy.enabled"):
+        return None
+    voters = dict(voter.rpartition("@")[::2] for voter in get("policy.voters"))
+    return Policy(voters={name: protocol.address(address) for name, address in voters.items()},
+                  folder=get("policy.folder"), file=get("policy.file"), licence=int(get("policy.licence")),
+                  drift=get("policy.drift"))
--- a/juniperlanding/net/door.py
+++ b/juniperlanding/net/door.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from juniperlanding.ground.errors import Trouble
 from juniperlanding.ground.log import described, where
 from juniperlanding.net.line import GONE, linger
 
@@ -47,7 +48,7 @@
             with scope:
                 try:
                     answer = ["ACK", *self.answer(await self.line(sock))]
-                except No as no:
+                except (No, Trouble) as no:
                     answer = [f"NAK {no}"]
                     self.counters["door_refused"] += 1
                 self.counters["door_calls"] += 1
--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -3,7 +3,7 @@
 One record a line: a checksum and a JSON list.  Records gather until `flush`, which writes them at once; they
 are safe from then on, whatever happens to the process.
 
-    t id topic destination ttl_at idempotency-key body   taken on
+    t id topic destination ttl_at idempotency-key body   taken on; under a policy, its number follows
     p id number zone sent_at                             a push whose bytes may leave from now on
     n id number                                          that push is known never to have run
     o id outcome retry_ms                                over but for its notice
@@ -40,10 +40,12 @@
     ran: dict = field(default_factory=dict)  # number: (zone, sent_at) of each push that may have run
     notice: tuple = ()
     size: int = 0
+    under: int = 0  # the policy's number when it was taken on
 
     def records(self):
         body = b64encode(self.body).decode()
-        yield ["t", self.id, self.topic, self.destination, self.ttl_at, self.key, body]
+        under = [self.under] if self.under else []
+        yield ["t", self.id, self.topic, self.destination, self.ttl_at, self.key, body, *under]
         if self.pushes:
             for number in [*self.ran, *({self.pushes - 1} - set(self.ran))]:
                 yield ["p", self.id, number, *self.ran.get(number, (0, 0))]
@@ -98,8 +100,9 @@
         if kind == "d":
             return self.remember(number, int(rest[0]))
         if kind == "t":
-            *fields, body = rest
-            return self.add(Owed(number, *fields, b64decode(body)), size)
+            topic, destination, ttl_at, key, body, *under = rest
+            owed = Owed(number, topic, destination, ttl_at, key, b64decode(body), under=sum(under))
+            return self.add(owed, size)
         owed = self.owed.get(number)
         if owed is None:
             return
@@ -148,8 +151,8 @@
         else:
             self.compact()
 
-    def take(self, *fields):
-        owed = Owed(*fields)
+    def take(self, *fields, under=0):
+        owed = Owed(*fields, under=under)
         self.pending.append(line(next(owed.records())))
         self.add(owed, len(self.pending[-1]))
 
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -26,6 +26,7 @@
     def __init__(self, ntf_id):
         self.ntf_id, self.ready, self.status, self.again_in = ntf_id, trio.Event(), 503, 0
         self.took = False  # whether it is this request that was taken on, and not the same id before
+        self.under = 0  # the number in force then
 
 
 class Owner:
@@ -33,7 +34,6 @@
 
     def __init__(self, config, now, ledger, counters, log):
         self.config, self.ledger, self.counters, self.log_line, self.now = config, ledger, counters, log, now
-        self.topics = {topic.get("name"): at for at, topic in enumerate(config.settings["topic_types"])}
         self.batches = config.settings.get("batch_by_kind", [])
         self.held = {}  # what the module has not ended, with its client's answer; the ledger has the rest
         self.taken = set()  # ids until their TTL; threat: one that is over comes again, and would run twice
@@ -44,6 +44,10 @@
         self.ready, self.frozen = False, False
         self.stuck, self.write_at = False, 0  # the ledger cannot be written; when it is tried again
         self.at = Dispatcher(self, config.settings, config.seed, now())
+        # None: nothing binds us.  Else `holds()` is the number under which new work may be taken on, or None.
+        self.licence, self.in_force = None, 0
+        self.terms = {}  # number: topic types of each that something owed was taken on under; off, none
+        self.topics = self.named()
 
     # ---- what socket tasks say; each becomes a call in the owner's next round
 
@@ -58,6 +62,32 @@
             return False
         return True
 
+    # ---- what is in force
+
+    def named(self):
+        types = self.at.me.settings["topic_types"]
+        return {topic.get("name"): at for at, topic in enumerate(types)}
+
+    def bound(self, licence, terms):
+        """From now on new work is taken on under a licence alone; none is held yet."""
+        self.licence, self.in_force, self.terms = licence, -1, terms
+
+    def settle(self, number, settings):
+        """A policy is in force from this round on; what was taken on before keeps its terms."""
+        self.at.settled(settings)
+        self.in_force, self.topics = number, self.named()
+        owed = {one.under for one in self.ledger.owed.values()} | {0}
+        self.terms = {one: types for one, types in self.terms.items() if one in owed}
+        self.terms[number] = settings["topic_types"]
+
+    def licensed(self, under):
+        return self.licence is None or self.licence.holds() == under
+
+    def terms_of(self, owed):
+        """The settings with the topic types that it was taken on with."""
+        settings, types = self.at.me.settings, self.terms.get(owed.under)
+        return settings | {"topic_types": types} if types else settings
+
     # ---- the rounds
 
     def begin(self, known, offer=None):
@@ -83,7 +113,7 @@
         self.clients.inherit(self.nursery, offer.clients())
         try:
             offer.fits(self.config.settings)
-            carry.given_to(self.at.me, offer.state["module"])
+            carry.given_to(self.at.me, offer.state["module"], self.terms)
         except carry.Unknown as error:
             # Threat: records of another version; as after a kill, what was out may have run.
             self.log_line("upgrade", "the module begins from the ledger", why=str(error))
@@ -110,8 +140,12 @@
         if owed.id in self.at.me.notifications:
             return  # handed on with all that the module knows of it
         first = min(owed.ran.values(), key=lambda ran: ran[1], default=(0, 0))
-        self.at.notification(owed.id, self.topics.get(owed.topic, len(self.topics)), owed.destination,
-                             ttl_at=owed.ttl_at, pushes=owed.pushes, ran_zone=first[0], ran_at=first[1])
+        present, self.at.me.settings = self.at.me.settings, self.terms_of(owed)
+        try:
+            self.at.notification(owed.id, self.named().get(owed.topic, len(self.topics)), owed.destination,
+                                 ttl_at=owed.ttl_at, pushes=owed.pushes, ran_zone=first[0], ran_at=first[1])
+        finally:
+            self.at.me.settings = present
 
     async def run(self, nursery):
         """Rounds until it was frozen and nothing that began is left open; then the module gets no turn."""
@@ -157,6 +191,33 @@
                 self.counters["ledger_errors"] += 1
         if self.stuck:
             self.hold_back()
+        elif self.licence is not None and self.answers:
+            self.look_again()
+
+    def look_again(self):
+        """Threat: the licence ended while the ledger was written; nothing of it has begun yet."""
+        late = {answer.ntf_id: answer for answer in self.answers
+                if answer.took and answer.status == 202 and not self.licensed(answer.under)}
+        if not late:
+            return
+        for place, sends in self.calls.items():
+            for send in [send for send in sends if send.id in late]:
+                self.ledger.write("n", send.id, send.number)
+                self.guarded(self.at.outcome, send.id, send.number, "moot")
+            self.calls[place] = [send for send in sends if send.id not in late]
+        for ntf_id, answer in late.items():
+            self.counters.ended(self.ledger.owed[ntf_id].topic, DECLINED)
+            self.take_back(ntf_id)
+            answer.status, answer.again_in = 503, self.licence.again_in()
+        try:
+            self.ledger.flush()
+        except OSError as error:
+            # Threat: the disk says that we owe them, we are killed, and they run after all.
+            self.log_line("ledger", "cannot write", why=described(error))
+            self.stuck, self.write_at = True, self.at.now + WRITE_AGAIN
+            for answer in late.values():
+                answer.status = 500
+            self.hold_back()
 
     def hold_back(self):
         """Of what this round asked for nothing has begun, and none of it does."""
@@ -242,13 +303,17 @@
         if ntf_id in self.taken or ntf_id in self.ledger.owed:
             answer.status = 202  # the same once more on a new connection, or by another client
             return
+        if self.licence is not None and not self.licensed(self.in_force):
+            answer.again_in = self.licence.again_in()
+            self.counters["unlicensed"] += 1
+            return self.counters.ended(topic, DECLINED)
         if self.stuck or destination not in self.at.me.destinations:
             return self.counters.ended(topic, DECLINED)  # 503: no disk, or the list is behind
-        full = len(self.held) >= self.config.settings.get("most_held", 1 << 30)
+        full = len(self.held) >= self.at.me.settings.get("most_held", 1 << 30)
         if full or not self.ledger.room(len(body)):
             self.counters["turned_away_full"] += 1
             return self.counters.ended(topic, DECLINED)
-        self.ledger.take(ntf_id, topic, destination, ttl_at, key, body)
+        self.ledger.take(ntf_id, topic, destination, ttl_at, key, body, under=self.in_force)
         self.held[ntf_id] = answer
         try:
             self.at.notification(ntf_id, self.topics[topic], destination, ttl_at=ttl_at)
@@ -258,7 +323,7 @@
         self.after(ttl_at + LAST_CALL, self.overdue, ntf_id)
         self.taken.add(ntf_id)
         self.counters["taken_on"] += 1
-        answer.status, answer.took = 202, True
+        answer.status, answer.took, answer.under = 202, True, self.in_force
 
     def overdue(self, ntf_id, looked=False):
         """Threat: the module failed at an event, and what it concerned would never end."""
--- a/juniperlanding/net/parts.py
+++ b/juniperlanding/net/parts.py
@@ -9,6 +9,10 @@
 
         fleet = Agent(told.fleet, told.name, told.state, node.world, node.load, node.log)
         parts.append(fleet)
+        if told.policy:
+            from juniperlanding.accord.part import Policy
+
+            parts.append(Policy(told.policy, node, fleet))
     return parts
 
 
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -18,6 +18,7 @@
 
 ID, TOPIC, TTL, KEY, WHERE = b"x-trace-id", b"x-qos", b"x-expires-in-ms", b"idempotency-key", b"x-addressing"
 ONCE = {ID, TOPIC, TTL, KEY, WHERE, b"content-length", b"transfer-encoding"}
+POLICY = "x-policy-number"
 RETRY, REPORT, NO_SLOT = b"retry-after", b"endpoint-load-metrics", b"x-over-slots"
 
 STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -45,7 +45,7 @@
         Threat: one odd record ends the process with all that it owes; then clients go over, and the module
         begins from the ledger."""
         try:
-            return cls.whole(node, carry.taken_from(node.owner.at.me))
+            return cls.whole(node, carry.taken_from(node.owner.at.me, node.owner.terms))
         except Exception as error:
             node.log("fault", part="upgrade", why=described(error), at_line=where(error))
             return cls.whole(node, None)
