--- a/juniperlanding/accord/accord.py
+++ b/juniperlanding/accord/accord.py
@@ -20,6 +20,8 @@
 __all__ = ["Accord", "Kept", "Refused", "Tuning"]
 MS, SEC = 1_000_000, 1_000_000_000
 MOST_MEMBERS = 4096
+STEPS = {words.Check: "check", words.Prepare: "close", words.Leads: "release", words.Release: "release",
+         words.Accept: "accept"}
 
 
 @dataclass(frozen=True)
@@ -47,6 +49,18 @@
         return ceil(self.licence * (1 + self.drift))
 
 
+@dataclass(eq=False)
+class Rival:
+    """A change that another leads, as heard here."""
+
+    number: int
+    by: str
+    since: int
+    step: str = ""
+    digest: str = ""
+    at: int = 0
+
+
 class Accord:
     def __init__(self, name, life, voters, kept, read, check, seed, now, tuning=None):
         self.name, self.life, self.seed, self.tuning = name, life, seed, tuning or Tuning()
@@ -59,7 +73,8 @@
         self.texts = Texts(self, kept.documents)
         self.holder, self.leader = Holder(self, now), Leader(self, now)
         self.voter = Voter(self, now) if name in self.voters else None
-        self.foreign, self.checks = set(), {}  # digest -> [(who asked, its Check)]
+        self.foreign, self.others = set(), None
+        self.checks = {}  # digest -> [(who asked, its Check)]
 
     # ---- what the process asks
 
@@ -130,9 +145,10 @@
             return
         if hasattr(message, "stamp") and source in self.voters and kind is not words.Recalled:
             self.stamps[source] = max(message.stamp, self.stamps.get(source, 0))
-        for ballot in (getattr(message, "ballot", None), getattr(message, "promised", None)):
-            if ballot:
-                self.seen(ballot)
+        for field in ("ballot", "leader", "promised"):
+            self.round = max(self.round, getattr(message, field, words.NONE)[0])
+        if kind in STEPS and source != self.name and message.number > max(self.known[0], 0):
+            self.rival(STEPS[kind], source, message, now)
         match message:
             case words.Ask():
                 self.learn(message.number, message.digest, source, now)
@@ -161,7 +177,7 @@
                     voter.leads(source, message, now)
             case words.Yields():
                 if voter:
-                    voter.yields(source, message, now)
+                    voter.yields(message, now)
             case words.Release():
                 holder.release(source, message, now)
             case words.Released():
@@ -189,22 +205,39 @@
             case words.Piece():
                 self.texts.piece(source, message, now)
 
+    def rival(self, step, source, message, now):
+        found = self.others
+        if not found or (found.number, found.by) != (message.number, source):
+            found = self.others = Rival(message.number, source, now)
+        found.step, found.at, found.digest = step, now, found.digest or (
+            message.digest if step in ("check", "accept") else "")
+
+    def other(self, now):
+        """The change that another leads, if it was heard of lately."""
+        found = self.others
+        if found and found.number > self.known[0] and now - found.at < self.tuning.takeover:
+            return found
+
     def learn(self, number, digest, source, now):
         """Somebody says that a number is decided."""
         if number > self.known[0]:
             self.known = number, digest
             self.leader.learned(number, digest, now)
             self.texts.want(digest, source, now)
+            self.holder.give_up(now)
             if self.voter:
                 self.voter.learned(number, digest, now)
-            self.holder.learned(number, digest, now)
+            self.holder.take_up(now)
+        elif (number, digest) != self.known and number == self.known[0] and number >= 0:
+            # Threat: a folder was restored while those who knew better were away (voter.py, (a)).
+            self.tell("two texts", number=number, by=source)
 
     def arrived(self, digest, now):
         """A document came that was wanted."""
         if self.voter:
             self.voter.arrived(digest, now)
         if digest == self.known[1]:
-            self.holder.learned(*self.known, now)
+            self.holder.take_up(now)
         for source, message in self.checks.pop(digest, []):
             self.checking(source, message, now)
 
@@ -272,11 +305,3 @@
 
     def by_name(self, epochs):
         return dict(zip(self.voters, epochs, strict=False))
-
-    def seen(self, ballot):
-        """Threat: a round used once must not be used again by others, nor one so high that none is left."""
-        self.round = max(self.round, min(ballot[0], 1 << 61))
-
-    def next_round(self):
-        self.round = max(self.round, self.kept.promised[0]) + 1
-        return self.round
--- a/juniperlanding/accord/holder.py
+++ b/juniperlanding/accord/holder.py
@@ -1,5 +1,11 @@
-"""A member that takes on new work: licences for the number in force, and what it knows to be decided.
-No I/O, clock or trio."""
+"""A member that takes on new work: licences for the number in force, and what it knows to be decided. No
+I/O, clock or trio.
+
+A licence is valid on this process's steady clock from the moment that its round was begun, before any ask
+left, for `shortest`; each voter that granted it fears it for `longest` from the moment of the grant.  A clock
+that is off by `drift` at most makes `shortest` at most the licence's true length, and `longest` at least
+that. On a release all rounds so far are void.  A round begun later needs a grant of one of the voters that
+had closed the number before the release was said, and none of them gives one."""
 
 from zlib import crc32
 
@@ -10,11 +16,13 @@
 
 class Holder:
     def __init__(self, home, now):
+        """until: end of the licence; had: whether there was one when last looked; rounds: round -> (when it
+        was begun, voters that granted); closed: voter -> (ballot that it promised, when it last heard its
+        leader, when it said so); unable: why this process cannot take what is decided."""
         self.home = home
         self.number, self.digest, self.document, self.unable = -1, "", b"", ""
         self.until, self.had, self.rounds, self.round = 0, False, {}, 0
-        self.ask_at, self.again_at, self.pace, self.repeats = now, 0, home.tuning.again, 0
-        self.closed = {}  # voter -> (ballot it promised, when its leader was last heard, when that was told)
+        self.ask_at, self.again_at, self.pace, self.repeats, self.closed = now, 0, home.tuning.again, 0, {}
 
     def holds(self, now):
         return self.number if now < self.until else None
@@ -25,13 +33,15 @@
     # ---- asking
 
     def due(self):
-        return min(self.ask_at, self.again_at) if self.again_at else self.ask_at
+        return min([self.ask_at, *[self.again_at] * bool(self.again_at), *[self.until] * self.had])
 
     def tick(self, now):
         if self.had and now >= self.until:
             self.had = False
             self.home.tell("licence lost", number=self.number)
         if now >= self.ask_at:
+            if self.unable:  # for a reason that may have gone
+                self.take_up(now)
             self.begin(now)
         elif self.again_at and now >= self.again_at:
             granted = self.rounds.get(self.round, (0, set()))[1]
@@ -41,25 +51,24 @@
             self.ask([name for name in self.home.voters if name not in granted])
 
     def begin(self, now):
-        """A new round.  Nobody asks for a number that is known to be over, or that it cannot take."""
-        home, sixth = self.home, self.home.tuning.licence // 6
-        if self.unable:  # for a reason that may have gone
-            self.learned(*home.known, now)
+        """A new round: by turns while there is a licence, soon and then ever later while there is none."""
+        home, tuning = self.home, self.home.tuning
         self.round += 1
         self.rounds[self.round] = now, set()
         self.rounds.pop(self.round - MOST_ROUNDS, None)
         spread = crc32(f"{home.name}/{home.seed}/{self.round}".encode()) / 2**32
         if self.holds(now) is not None:
-            self.pace, wait = home.tuning.again, int(sixth * (0.9 + 0.2 * spread))
+            self.pace, wait = tuning.again, int(tuning.licence // 6 * (0.9 + 0.2 * spread))
         else:
             wait = int(self.pace * (0.75 + 0.5 * spread))
-            self.pace = min(sixth, self.pace + self.pace // 4)
-        self.ask_at = now + wait
-        self.repeats, self.again_at = 0, now + home.tuning.again
+            self.pace = min(tuning.licence // 6, tuning.takeover // 4, self.pace + self.pace // 4)
+        self.ask_at, self.again_at, self.repeats = now + wait, now + tuning.again, 0
         self.ask(home.voters)
 
     def ask(self, names):
-        number, digest = (-1, "") if self.home.known[0] > self.number else (self.number, self.digest)
+        """Nobody asks for a number that it knows to be over."""
+        over = self.home.known[0] > self.number
+        number, digest = (-1, "") if over else (self.number, self.digest)
         for name in names:
             self.home.say(name, words.Ask(self.round, number, digest, self.home.sum))
 
@@ -104,21 +113,17 @@
         self.until, self.had, self.rounds, self.again_at = 0, False, {}, 0
         self.pace, self.ask_at = self.home.tuning.again, min(self.ask_at, now + self.home.tuning.again)
 
-    def learned(self, number, digest, now):
-        """A number is decided; it is taken up once its document is here."""
-        if number <= self.number:
+    def take_up(self, now):
+        """What is known to be decided, once its document is here; never an older number."""
+        home, (number, digest) = self.home, self.home.known
+        if number <= self.number or (document := home.texts.get(digest)) is None:
             return
-        self.give_up(now)
-        document = self.home.texts.get(digest)
-        if document is None:
-            return self.home.texts.want(digest, None, now)
-        why = self.home.checked(digest)
-        if why != self.unable and why:
-            self.home.tell("cannot take", number=number, why=why)
+        why = home.checked(digest)
+        if why and why != self.unable:
+            home.tell("cannot take", number=number, digest=digest, why=why)
         self.unable = why
-        if why:
-            return
-        self.number, self.digest, self.document = number, digest, document
-        self.closed.clear()
-        self.home.tell("in force", number=number, digest=digest)
-        self.begin(now)
+        if not why:
+            self.number, self.digest, self.document = number, digest, document
+            self.closed.clear()
+            home.tell("in force", number=number, digest=digest)
+            self.begin(now)
--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -1,5 +1,22 @@
 """Who leads a change: check, close, release, accept, decided; and who takes over from one that fell silent.
-No I/O, clock or trio."""
+No I/O, clock or trio.
+
+- *check*: every member that can be reached reads the text and may say no; then nothing has happened
+  anywhere.
+- *close*: a majority of voters promises; from then on no licence for the old number is granted by a
+  majority.
+- *release*: holders are told only now.  It ends once a majority of the voters that promised have no holder
+  left that neither gave up nor is surely past its licence: each licence has a grant of one of them.
+- *accept*: a text that a promise brought along is finished, whoever began it.  Its own leader had waited for
+  all holders before it asked anybody to accept, and the number has been closed since; so there is no second
+  wait.
+- *decided* by a majority that accepted; told to all, and asked for by those who missed it.
+
+A leader that hears no majority for `takeover` says that it goes no further, and others take over.  A voter
+refuses a second leader only while it hears the first, so one who is heard but hears nobody (a one-way cut)
+holds the rest back no longer than that.  Of two who lead at once the lower ballot gives way when neither gets
+on. Whoever has no licence and hears that voters are closed by a leader long silent, leads: it finishes a
+text that was accepted, or decides the next number with the text that is in force."""
 
 from dataclasses import dataclass, field
 from math import ceil
@@ -9,7 +26,7 @@
 from juniperlanding.accord.voter import agreeing
 from juniperlanding.accord.words import NONE
 
-MOST_TELLS = 20
+MOST_TELLS, MOST_YIELDS = 20, 3
 
 
 class Refused(ValueError):
@@ -33,11 +50,16 @@
     def whole(self):
         return len(self.pieces) == self.of
 
+    def clean(self, now):
+        """Nobody can hold a licence any more that this voter granted."""
+        return self.blind_until <= now and max(self.holders.values(), default=0) <= now
+
 
 @dataclass(eq=False)
 class Change:
     """What this process leads now.  digest: of the text that it wants; own: proposed here, else taken over;
-    said: (member) -> reason; pledges: voter -> Pledge; others: voter -> ballot it follows instead."""
+    said: member -> reason; pledges: voter -> Pledge; others: voter -> ballot it follows instead;
+    accepted: voter -> (epoch, epochs it knows); heard: voter -> when it last answered."""
 
     number: int
     digest: str
@@ -53,57 +75,62 @@
     others: dict = field(default_factory=dict)
     released: set = field(default_factory=set)
     accepted: dict = field(default_factory=dict)
-    heard: dict = field(default_factory=dict)  # voter -> when it last answered
+    heard: dict = field(default_factory=dict)
     again_at: int = 0
 
 
 class Leader:
     def __init__(self, home, now):
-        self.home, self.change, self.last = home, None, None
-        self.proposed = None  # (number, digest) of a proposal that is led no more, its outcome unknown
-        self.telling, self.tell_at, self.tries, self.not_before = {}, 0, 0, now
+        """last: (number, outcome, by, why) of the last proposal here; proposed: (number, digest) of one that
+        is led here no more and may yet be decided; telling: member -> times that it was told the news."""
+        self.home, self.change, self.last, self.proposed, self.leaving = home, None, None, None, False
+        self.telling, self.tell_at, self.tries, self.not_before, self.at = {}, 0, 0, now, now
+        self.yielding, self.yield_at, self.yields = None, 0, 0
 
     # ---- what people ask for
 
     def propose(self, document, now):
-        home = self.home
-        if len(document) > words.MOST_DOCUMENT or not document:
-            raise Refused(f"a document of {len(document)} bytes; 1 to {words.MOST_DOCUMENT} are taken")
+        home, holder = self.home, self.home.holder
+        if not 0 < len(document) <= words.MOST_DOCUMENT:
+            raise Refused(f"a document of {len(document)} bytes, 1 to {words.MOST_DOCUMENT} are taken")
+        if self.leaving:
+            raise Refused("this process drains")
         if self.change or self.proposed:
-            under_way = self.change.number if self.change else self.proposed[0]
-            raise Refused(f"number {under_way} is under way here")
-        if home.holder.holds(now) is None:
+            number = self.change.number if self.change else self.proposed[0]
+            raise Refused(f"number {number} is under way here")
+        if other := home.other(now):
+            raise Refused(f"{other.by} leads a change to number {other.number}")
+        if holder.holds(now) is None:
             raise Refused("no licence here")
         if home.voter and not home.voter.cleared:
             raise Refused("this voter is not cleared yet")
         digest = words.digest_of(document)
-        if digest == home.holder.digest:
-            raise Refused(f"already in force as number {home.holder.number}")
+        if digest == holder.digest:
+            raise Refused(f"already in force as number {holder.number}")
         home.texts.put(digest, document)
         if why := home.checked(digest):
             raise Refused(why)
-        number = home.holder.number + 1
-        bound = home.roster(home.holder.digest), home.roster(digest)
-        asked = frozenset(name for name in home.members - {home.name}
-                          if not all(bound) or any(name in roster for roster in bound))
-        tuning = home.tuning
-        self.change = Change(number, digest, True, now, now + tuning.give_up, asked=asked, step_at=now)
-        home.tell("proposal", number=number, digest=digest, asked=len(asked))
+        rosters = home.roster(holder.digest), home.roster(digest)
+        bound = frozenset().union(*rosters) if all(rosters) else home.members
+        asked = frozenset(home.members & bound) - {home.name}
+        self.change = Change(holder.number + 1, digest, True, now, now + home.tuning.give_up, asked=asked,
+                             step_at=now)
+        home.tell("proposal", number=self.change.number, digest=digest, asked=len(asked))
         self.tick(now)
-        return number
+        return holder.number + 1
 
     def leave(self, now):
         """The process drains: what nobody promised yet is withdrawn, the rest goes on while it can."""
+        self.leaving = True
         if self.change and self.change.step == "check":
             self.end("withdrawn", "this process drains")
-        self.not_before = now + (1 << 60)
 
     # ---- time
 
     def due(self):
-        times = [self.tell_at] if self.telling else []
+        times = [self.tell_at] * bool(self.telling) + [self.yield_at] * bool(self.yielding)
         if self.change:
-            times += [self.change.again_at, *self.ends(self.change)]
+            times += [self.change.again_at, *(at for at in self.ends(self.change) if at > self.at)]
         elif (at := self.takeover_at()) is not None:
             times.append(at)
         return min(times, default=1 << 62)
@@ -114,22 +141,26 @@
             return [change.step_at + self.home.tuning.check_within]
         if change.step == "release":
             return [until for pledge in change.pledges.values()
-                    for until in (pledge.blind_until, *pledge.holders.values()) if until > change.step_at]
+                    for until in (pledge.blind_until, *pledge.holders.values())]
         return []
 
     def tick(self, now):
+        self.at = now
         if self.change:
             self.forward(now)
         change = self.change
         if change and now >= change.again_at:
             if self.lost_majority(change, now):
-                return self.stop("no majority of the voters answers", now)
-            change.again_at = now + self.home.tuning.again
-            self.repeat(change, now)
+                self.stop("no majority of the voters answers", now)
+            else:
+                change.again_at = now + self.home.tuning.again
+                self.repeat(change, now)
         if not self.change and (at := self.takeover_at()) is not None and now >= at:
             self.take_over(now)
         if self.telling and now >= self.tell_at:
             self.tell(now)
+        if self.yielding and now >= self.yield_at:
+            self.say_yields(now)
 
     def lost_majority(self, change, now):
         """Threat: one whose words arrive and who hears no answer would hold all others back for ever."""
@@ -137,31 +168,31 @@
             return False
         within = self.home.tuning.takeover
         fresh = sum(now - at < within for at in change.heard.values())
-        return now >= change.until or (now - change.step_at >= within and fresh < self.home.majority)
+        return now >= change.until or now - change.step_at >= within and fresh < self.home.majority
 
     def repeat(self, change, now):
         """Whatever was not answered is said again."""
         home, ballot, number = self.home, change.ballot, change.number
+        prepare = words.Prepare(ballot, number, home.known[1], home.sum)
         if change.step == "check":
             for name in sorted(change.asked - change.said.keys()):
                 home.say(name, words.Check(number, change.digest))
         elif change.step == "close":
+            promised = self.promised(change)
             for name in home.voters:
-                if name not in change.pledges or not change.pledges[name].whole:
-                    home.say(name, words.Prepare(ballot, number, home.known[1], home.sum))
+                if name not in promised:
+                    home.say(name, prepare)
         elif change.step == "release":
-            waits = {holder[0] for holder in self.waits_for(change, now)}
-            for name in sorted(home.members | {home.name} | waits):
-                if name in waits or not any(held[0] == name for held in change.released):
-                    home.say(name, words.Release(ballot, number))
+            waits, promised = self.waits_for(change, now), self.promised(change)
+            done = {name for name, _ in change.released} - waits
+            for name in sorted((home.members | {home.name} | waits) - done):
+                home.say(name, words.Release(ballot, number))
             for name in home.voters:
-                if name in change.pledges and change.pledges[name].whole:
-                    home.say(name, words.Leads(ballot, number))
-                else:
-                    home.say(name, words.Prepare(ballot, number, home.known[1], home.sum))
+                home.say(name, words.Leads(ballot, number) if name in promised else prepare)
         elif change.step == "accept":
+            accepted = agreeing(change.accepted)
             for name in home.voters:
-                if name not in change.accepted:
+                if name not in accepted:
                     home.say(name, words.Accept(ballot, number, change.digest))
 
     # ---- steps
@@ -169,20 +200,23 @@
     def forward(self, now):
         change, home = self.change, self.home
         if change.step == "check":
-            refusals = [(name, why) for name, why in sorted(change.said.items()) if why]
+            refusals = [f"{name}: {why}" for name, why in sorted(change.said.items()) if why]
             if refusals:
-                return self.end("refused", "; ".join(f"{name}: {why}" for name, why in refusals))
+                return self.end("refused", "; ".join(refusals)[:1000])
             if change.said.keys() >= change.asked or now >= change.step_at + home.tuning.check_within:
                 self.close(change, now)
-        if change.step == "close":
+        elif change.step == "close":
             if len(self.promised(change)) >= home.majority:
                 self.closed(change, now)
             elif self.outrun(change, now):
-                name = max(change.others.values())[1]
-                return self.end("lost" if not change.own else "refused", f"{name} leads a change", told=True)
-        if change.step == "release" and len(self.clean(change, now)) >= home.majority:
-            self.step(change, "accept", now)
-        if change.step == "accept" and len(agreeing(change.accepted)) >= home.majority:
+                leader = max(change.others.values())[1]
+                self.not_before = now + home.tuning.takeover
+                self.end("refused", f"{leader} leads a change to number {change.number}")
+        elif change.step == "release":
+            promised = self.promised(change)
+            if sum(change.pledges[name].clean(now) for name in promised) >= home.majority:
+                self.step(change, "accept", now)
+        elif len(agreeing(change.accepted)) >= home.majority:
             home.learn(change.number, change.digest, home.name, now)
 
     def step(self, change, step, now):
@@ -190,20 +224,27 @@
         self.home.tell("step", number=change.number, step=step, since=now - change.since)
 
     def close(self, change, now):
-        change.ballot = (self.home.next_round(), self.home.name, self.home.life)
+        """Threat: one that is heard and hears nothing would close the number for all; its licence, renewed
+        every sixth, shows it."""
+        home = self.home
+        if change.own and home.holder.rest(now) < home.tuning.shortest // 2:
+            other = home.other(now)
+            return self.end("refused", f"{other.by} leads a change to number {other.number}" if other
+                            else "too few voters answer here")
+        home.round = max(home.round, home.kept.promised[0]) + 1
+        change.ballot = home.round, home.name, home.life
         self.step(change, "close", now)
 
     def closed(self, change, now):
-        """A majority promised.  Whatever one of them accepted may be decided already, and is finished; for it
-        the waiting for holders was over before."""
-        found = max((pledge.accepted, pledge.accepted_digest)
-                    for name, pledge in change.pledges.items() if name in self.promised(change))
-        if found[0] != NONE:
-            if change.own and found[1] != change.digest:
-                self.proposed, change.own = (change.number, change.digest), False
-            change.digest = found[1]
-            return self.step(change, "accept", now)
-        self.step(change, "release", now)
+        """A majority promised."""
+        accepted, digest = max((change.pledges[name].accepted, change.pledges[name].accepted_digest)
+                               for name in self.promised(change))
+        if accepted == NONE:
+            return self.step(change, "release", now)
+        if change.own:
+            self.proposed, change.own = (change.number, change.digest), False
+        change.digest = digest
+        self.step(change, "accept", now)
 
     def promised(self, change):
         return agreeing({name: (pledge.epoch, pledge.epochs)
@@ -211,23 +252,14 @@
 
     def outrun(self, change, now):
         """A majority cannot promise any more, or a higher ballot holds on where we have none."""
-        if not change.others:
-            return False
-        higher = max(change.others.values()) > change.ballot
-        return (len(change.others) > len(self.home.voters) - self.home.majority
-                or higher and now - change.step_at >= 4 * self.home.tuning.again)
-
-    def clean(self, change, now):
-        """Voters that promised and whose holders have all given up, or whose licences are surely over."""
-        return {name for name in self.promised(change) if not self.left(change.pledges[name], change, now)}
-
-    def left(self, pledge, change, now):
-        rest = [holder for holder, until in pledge.holders.items()
-                if until > now and holder not in change.released]
-        return rest + [("others", 0)] * (pledge.blind_until > now)
+        others = change.others.values()
+        return (len(others) > len(self.home.voters) - self.home.majority
+                or max(others, default=NONE) > change.ballot
+                and now - change.step_at >= 4 * self.home.tuning.again)
 
     def waits_for(self, change, now):
-        return {holder for pledge in change.pledges.values() for holder in self.left(pledge, change, now)}
+        return {name for pledge in change.pledges.values()
+                for (name, _), until in pledge.holders.items() if until > now}
 
     # ---- answers
 
@@ -236,9 +268,10 @@
         if change and change.step == "check" and source in change.asked and (
                 message.number, message.digest) == (change.number, change.digest):
             change.said[source] = message.reason
-            self.forward(now)
+            self.go_on(now)
 
     def promise(self, source, message, now):
+        """Threat: a voter started again in between, and its pieces are of two lives."""
         change = self.change
         if not change or message.ballot != change.ballot or source not in self.home.voters:
             return
@@ -247,19 +280,20 @@
         pledge = change.pledges.get(source)
         if pledge is None or pledge.epoch < message.epoch:
             pledge = change.pledges[source] = Pledge(
-                message.epoch, self.home.by_name(message.epochs), message.accepted, message.accepted_digest,
-                message.of, self.over(message.blind, now))
+                message.epoch, {}, message.accepted, message.accepted_digest, message.of,
+                self.over(message.blind, now))
         if pledge.epoch != message.epoch or message.of != pledge.of or message.piece >= message.of:
             return
         pledge.pieces.add(message.piece)
         pledge.epochs = self.home.by_name(message.epochs)
         for name, life, rest in message.holders:
-            until = self.over(rest, now)
-            pledge.holders[name, life] = min(until, pledge.holders.get((name, life), until))
+            if (name, life) not in change.released:
+                until = self.over(rest, now)
+                pledge.holders[name, life] = min(until, pledge.holders.get((name, life), until))
         self.go_on(now)
 
     def over(self, rest, now):
-        """When a rest told by another's clock is surely over."""
+        """When a rest told by another's clock is surely over by ours."""
         return now + ceil(rest * (1 + self.home.tuning.drift)) if rest else 0
 
     def follows(self, source, message, now):
@@ -267,33 +301,35 @@
         if not change or message.ballot != change.ballot or source not in self.home.voters:
             return
         change.heard[source] = now
-        self.home.seen(message.leader)
         if message.leader == change.ballot:
             return
         change.others[source] = message.leader
-        if change.step != "close" and message.leader > change.ballot and sum(
-                leader > change.ballot for leader in change.others.values()) > len(
-                self.home.voters) - self.home.majority:
-            return self.stop(f"{message.leader[1]} took over", now)
+        higher = [leader for leader in change.others.values() if leader > change.ballot]
+        if change.step != "close" and len(higher) > len(self.home.voters) - self.home.majority:
+            return self.stop(f"{max(higher)[1]} took over", now)
         self.go_on(now)
 
     def released(self, source, life, message, now):
+        """Threat: a release of an older ballot; since then the holder may have asked again."""
         change = self.change
-        if change and message.ballot == change.ballot:
-            change.released.add((source, life))
+        if not change or message.ballot != change.ballot or len(change.released) >= 2 * words.MOST_HOLDERS:
+            return
+        change.released.add((source, life))
+        found = [pledge for pledge in change.pledges.values() if pledge.holders.pop((source, life), None)]
+        if any(not pledge.holders for pledge in found):
             self.go_on(now)
 
     def accepted(self, source, message, now):
         change = self.change
-        if not change or message.ballot != change.ballot or change.step != "accept":
-            return
-        change.heard[source] = now
-        if source in self.home.voters and message.epoch >= change.accepted.get(source, (0,))[0]:
-            change.accepted[source] = message.epoch, self.home.by_name(message.epochs)
-        self.go_on(now)
+        if (change and message.ballot == change.ballot and change.step == "accept"
+                and source in self.home.voters):
+            change.heard[source] = now
+            if message.epoch >= change.accepted.get(source, (0,))[0]:
+                change.accepted[source] = message.epoch, self.home.by_name(message.epochs)
+            self.go_on(now)
 
     def go_on(self, now):
-        """One answer may have been the last."""
+        """One answer may have been the last that was waited for."""
         step = self.change.step
         self.forward(now)
         if self.change and self.change.step != step:
@@ -301,59 +337,63 @@
 
     # ---- ends
 
-    def end(self, outcome, why="", told=False):
+    def end(self, outcome, why):
         change, self.change = self.change, None
-        if told:
-            for name in self.home.voters:
-                self.home.say(name, words.Yields(change.ballot, change.number))
+        if change.ballot != NONE:
+            self.yielding = words.Yields(change.ballot, change.number, change.step != "accept")
+            self.yield_at = self.yields = 0
         if change.own:
             self.last = change.number, outcome, self.home.name, why
-            self.home.tell(outcome, number=change.number, digest=change.digest, why=why)
+        self.home.tell(outcome if change.own else "stopped", number=change.number, digest=change.digest,
+                       step=change.step, why=why)
 
     def stop(self, why, now):
-        """Others go on; what became of it is told when its number is decided."""
-        change, self.change = self.change, None
+        """Others go on.  What was never to be accepted anywhere is over; of the rest the number will tell."""
+        change = self.change
         self.tries += 1
         self.not_before = now + self.home.tuning.takeover
-        if change.own:
-            self.proposed = change.number, change.digest
-        self.home.tell("stopped", number=change.number, step=change.step, why=why)
+        if change.own and change.step == "accept":
+            self.proposed, change.own = (change.number, change.digest), False
+        self.end("refused", why)
+
+    def say_yields(self, now):
+        """A few times: who is not told thinks us silent only after `takeover`, and stays closed."""
         for name in self.home.voters:
-            self.home.say(name, words.Yields(change.ballot, change.number))
+            self.home.say(name, self.yielding)
+        self.yields += 1
+        self.yield_at = now + self.home.tuning.again
+        if self.yields >= MOST_YIELDS:
+            self.yielding = None
 
     def learned(self, number, digest, now):
         """A number is decided, by whomever."""
-        change, home = self.change, self.home
-        mine = change and change.own and (change.number, change.digest) or self.proposed
+        change, home, mine = self.change, self.home, self.proposed
+        if change and change.own:
+            mine = change.number, change.digest
         led = change and change.step == "accept" and (change.number, change.digest) == (number, digest)
         if change and change.number <= number:
             self.change = None
         if mine and mine[0] <= number:
-            self.proposed = None
-            outcome = ("decided" if mine == (number, digest) else
-                       "kept" if mine[0] == number and digest == home.holder.digest else "lost")
+            same = mine[0] == number
+            outcome = "decided" if same and mine[1] == digest else (
+                "kept" if same and digest == home.holder.digest else "lost")
             why = "" if outcome == "decided" else f"number {number} is decided"
             self.last = mine[0], outcome, home.name, why
+            self.proposed = None
             home.tell(outcome, number=mine[0], digest=mine[1])
+        self.telling, self.tries = {}, 0
         if led:
-            home.tell("decided", number=number, digest=digest, own=change.own, after=now - change.since)
-            self.telling = {name: 0 for name in home.everybody()}
-            self.tell_at = now
+            home.tell("led", number=number, digest=digest, after=now - change.since)
+            self.telling = dict.fromkeys(home.everybody(), 0)
             self.tell(now)
-        elif self.telling:
-            self.telling = {}
 
     def tell(self, now):
         """The news, to each until it says that it heard it, or often enough; the rest learn it by asking."""
-        home, most = self.home, 0
-        for name, times in list(self.telling.items()):
-            if times >= MOST_TELLS or name not in home.members and times > 3:
-                del self.telling[name]
-                continue
+        home = self.home
+        self.telling = {name: times + 1 for name, times in self.telling.items() if times < MOST_TELLS}
+        for name in self.telling:
             home.say(name, words.Decided(*home.known))
-            self.telling[name] = times + 1
-            most = max(most, times)
-        self.tell_at = now + (home.tuning.again << min(most, 5))
+        self.tell_at = now + (home.tuning.again << min(max(self.telling.values(), default=0), 5) - 1)
 
     def taken(self, source, message):
         if message.number == self.home.known[0]:
@@ -361,39 +401,40 @@
 
     # ---- taking over
 
+    def silent(self):
+        """Ballot and time of the last word of each leader for whom voters are closed, as they lately said."""
+        fresh = 2 * self.home.tuning.takeover
+        return [(heard, ballot) for ballot, heard, told in self.home.holder.closed.values()
+                if self.at - told <= fresh]
+
     def takeover_at(self):
-        """When we would lead, from what voters last said: each is closed, its leader silent; None if not."""
-        home = self.home
-        holder = home.holder
-        if holder.had or not holder.closed or holder.number < home.known[0]:
+        """When we would lead; None if there is no need.  Threat: all members at once."""
+        home, holder, within = self.home, self.home.holder, self.home.tuning.takeover
+        roster = home.roster(holder.digest)
+        if (holder.had or holder.number < home.known[0] or self.leaving or not (silent := self.silent())
+                or roster and home.name not in roster and not home.voter):
             return None
-        heard = max(heard for _, heard, _ in holder.closed.values())
-        within = home.tuning.takeover
         share = crc32(f"{home.name}/{home.seed}/{holder.number}/{self.tries}".encode()) / 2**32
-        return max(self.not_before, heard + within + int(share * within * min(1 + self.tries, 4)))
+        return max(self.not_before, max(silent)[0] + within + int(share * within * min(1 + self.tries, 4)))
 
     def take_over(self, now):
-        home = self.home
-        holder = home.holder
-        if any(now - told > 2 * home.tuning.takeover for _, _, told in holder.closed.values()):
-            holder.closed = {voter: said for voter, said in holder.closed.items()
-                             if now - said[2] <= 2 * home.tuning.takeover}
-            return
-        for ballot, _, _ in holder.closed.values():
-            home.seen(ballot)
+        home, holder = self.home, self.home.holder
         self.change = Change(holder.number + 1, holder.digest, False, now, now + home.tuning.give_up)
-        home.tell("took over", number=self.change.number,
-                  silent=sorted({ballot[1] for ballot, _, _ in holder.closed.values()}))
+        home.tell("took over", number=self.change.number, silent=max(self.silent())[1][1])
         self.close(self.change, now)
         self.tick(now)
 
     def state(self, now):
-        change = self.change
+        change, home = self.change, self.home
         if not change:
-            return {"step": "-", "proposal": None, "last": self.last}
+            other = home.other(now)
+            return {"step": other.step if other else "-", "proposal": other and other.number,
+                    "proposal_digest": other.digest if other else "", "by": other.by if other else "",
+                    "since": now - other.since if other else 0, "waits": [], "last": self.last}
         waits = {"check": lambda: change.asked - change.said.keys(),
-                 "close": lambda: set(self.home.voters) - self.promised(change),
-                 "release": lambda: {name for name, _ in self.waits_for(change, now)},
-                 "accept": lambda: set(self.home.voters) - change.accepted.keys()}[change.step]()
+                 "close": lambda: set(home.voters) - self.promised(change),
+                 "release": lambda: self.waits_for(change, now) | {
+                     name for name, pledge in change.pledges.items() if pledge.blind_until > now},
+                 "accept": lambda: set(home.voters) - agreeing(change.accepted)}[change.step]()
         return {"step": change.step, "proposal": change.number, "proposal_digest": change.digest,
-                "by": self.home.name, "since": now - change.since, "waits": sorted(waits), "last": self.last}
+                "by": home.name, "since": now - change.since, "waits": sorted(waits), "last": self.last}
--- a/juniperlanding/accord/voter.py
+++ b/juniperlanding/accord/voter.py
@@ -1,52 +1,83 @@
-"""A voter: it promises, accepts, grants licences and remembers.  No I/O, clock or trio."""
+"""A voter: it promises, accepts, grants licences and remembers.  No I/O, clock or trio.
+
+For each number the voters choose one text by ballots (Paxos, one instance a number).  What that rests on:
+
+- *Never two texts for one number.*  A voter answers a ballot only if it promised no higher one, and writes
+  down what it answers before the answer leaves.  Any two majorities share a voter, so who leads a higher
+  ballot hears of a text that may be chosen, and proposes that one.
+- *A voter that lost what it wrote* (a lost or older folder) answers nothing until it is cleared.  (b) A
+  majority of the others, themselves cleared, tell it their records and write its new epoch down first:
+  whatever majority its earlier lives were part of has a member among them.  If that member's part came
+  before, its record holds the ballot and the text, and is adopted; if it came later, it says the new epoch
+  beside its part, and the part of the earlier life no longer counts (`agreeing`).  (a) A folder is believed
+  without that, if a majority with ourselves has answered and nobody ever heard a higher stamp than the
+  folder's.  What is open there: an older copy, while all who heard more are away.
+- *No licence for n once n + 1 is decided.*  A promise for n + 1 closes n.  Each licence has the grants of a
+  majority, so it has one of a voter among those whose promises the leader waited for.  That voter granted
+  before it promised, and then names the holder in its promise, or has started since, and then is `blind` for
+  as long as any grant that it forgot may last: `longest` by its clock from its start, more than any licence
+  from before it was asked for.  After its promise it grants n no more: what the promise closed is opened
+  again only if the leader of that ballot says that it asked nobody to accept and never will, and if no
+  earlier promise closed n (`owed`).
+- *What is decided stays.*  Numbers here only grow, in memory and on disk; an older record grants for n only
+  to those that ask for n, and a majority of voters is closed for it."""
 
 from juniperlanding.accord import words
 from juniperlanding.accord.words import NONE
 
 
 def agreeing(answers):
-    """Of `answers` (voter -> (its epoch, epochs it knows by name)) those that count together.
-
-    Threat: a voter lost its folder after an answer, started again and remembers nothing of it; whoever helped
-    it to start knows its later epoch, and any two majorities have such a one in common."""
+    """Of `answers` (voter -> (its epoch, epochs it knows by name)) those that count together."""
     return {name for name, (epoch, _) in answers.items()
             if all(known.get(name, 0) <= epoch for _, known in answers.values())}
 
 
 class Voter:
     def __init__(self, home, now):
-        """home: the `Accord`, whose `kept` it changes."""
+        """home: the `Accord`, whose `kept` it changes.
+
+        holders: (name, life) -> until when it may hold a licence; listed: what it promised to which ballot;
+        wanted: what it is asked to accept, while the document is fetched."""
         self.home, self.cleared, self.began = home, False, now
-        self.holders, self.listed, self.wanted = {}, (NONE, []), None
+        self.holders, self.listed, self.wanted = {}, (NONE, [], 0), None
         self.blind_until = now + home.tuning.longest
-        self.leader_heard, self.answers, self.doubted, self.recall_at = now, {}, False, now
-        home.kept = home.kept.but(epoch=home.kept.epoch + 1)
+        self.leader_heard, self.answers, self.doubted = now, {}, False
+        self.recall_at, self.pace, self.doubts = now, home.tuning.again, ""
+        home.kept = home.kept.but(epoch=words.epoch_after(home.kept.epoch, home.life))
 
     # ---- after a start
 
     def tick(self, now):
-        if not self.cleared and now >= self.recall_at:
-            self.recall_at = now + self.home.tuning.again
-            for name in self.home.everybody():
-                if name not in self.answers:
-                    self.say(name, words.Recall(self.home.kept.epoch, self.home.sum))
-            self.clear(now)
+        if self.cleared or now < self.recall_at:
+            return
+        self.recall_at = now + self.pace
+        self.pace = min(self.home.tuning.licence // 6, self.pace + self.pace // 4)
+        for name in self.home.everybody():
+            answer = self.answers.get(name)
+            if not answer or answer.voter and not answer.sure:
+                self.say(name, words.Recall(self.home.kept.epoch, self.home.sum))
+        self.clear(now)
+        if not self.cleared and now > self.began + 2 * self.home.tuning.clear_after:
+            doubts = "others heard more from us" if self.doubted else "no majority answers"
+            if doubts != self.doubts:
+                self.doubts = doubts
+                self.home.tell("not cleared", why=doubts, answered=len(self.answers))
 
     def recalled(self, source, message, now):
         home = self.home
         if self.cleared or message.epoch != home.kept.epoch:
             return
         self.doubted |= message.stamp > home.kept.stamp
-        if message.before > home.kept.epoch:  # the folder is a copy older than a start
-            home.kept = home.kept.but(epoch=message.before + 1)
+        if message.before > home.kept.epoch:  # the folder is older than a start of ours
+            home.kept = home.kept.but(epoch=words.epoch_after(message.before, home.life))
             self.answers, self.recall_at = {}, now
             return
         self.answers[source] = message
         self.clear(now)
 
     def clear(self, now):
-        """Cleared once (b) a majority without us has answered, or (a) one with us has, and nobody heard more
-        from us than we have written down."""
+        """Once (b) a majority without us has answered that is itself cleared, or (a) a majority with us has,
+        nobody heard more from us than the folder holds, and there was time to say so."""
         home = self.home
         voters = {name: answer for name, answer in self.answers.items()
                   if answer.voter and name in home.voters}
@@ -55,30 +86,33 @@
         if len(sure) < home.majority and (self.doubted or now < self.began + home.tuning.clear_after
                                           or len(voters) + 1 < home.majority):
             return
-        self.cleared = True
-        kept, before = home.kept, home.kept
+        self.cleared, self.leader_heard, kept = True, now, home.kept
         for answer in voters.values():
-            kept = merged(kept, answer)
-            kept = kept.but(epochs=later(kept.epochs, home.by_name(answer.epochs)))
+            epochs = home.by_name(answer.epochs)
+            kept = merged(kept, answer).but(epochs={
+                name: max(kept.epochs.get(name, 0), epochs.get(name, 0)) for name in home.voters
+                if name != home.name})
         stamp = max([kept.stamp, *(answer.stamp for answer in self.answers.values())])
-        if kept != before or stamp > before.stamp:
+        if kept != home.kept or stamp > kept.stamp:
             home.kept = kept.but(stamp=stamp + 1)
-        self.leader_heard = now
-        home.tell("cleared", number=kept.number, epoch=kept.epoch,
+        home.tell("cleared", number=kept.number, stamp=home.kept.stamp,
                   by="voters" if len(sure) >= home.majority else "folder")
-        home.learn(home.kept.number, home.kept.digest, home.name, now)
+        home.learn(kept.number, kept.digest, home.name, now)
         self.learned(*home.known, now)
+        for digest in (home.kept.digest, home.kept.accepted_digest):
+            home.texts.want(digest, None, now)
 
     def recall(self, source, message, now):
-        """What we know of a voter that started, and of the record."""
+        """What we know of a voter that started, and of the record.  Only who is cleared itself may vouch for
+        another; a stamp that grew before would hide that our own folder is old."""
         home = self.home
+        before = home.kept.epochs.get(source, 0)
+        if self.cleared and message.epoch > before and source in home.voters:
+            home.write(epochs=home.kept.epochs | {source: message.epoch})
         kept = home.kept
-        before = kept.epochs.get(source, 0)
-        if source != home.name and message.epoch > before:
-            home.kept = kept = kept.but(epochs=kept.epochs | {source: message.epoch})
         self.say(source, words.Recalled(
             message.epoch, before, home.stamps.get(source, 0), True, self.cleared, kept.number, kept.digest,
-            kept.promised, kept.accepted, kept.accepted_digest, kept.epoch, self.epochs()))
+            kept.promised, kept.closed, kept.accepted, kept.accepted_digest, kept.epoch, self.epochs()))
 
     # ---- licences
 
@@ -87,18 +121,19 @@
         why = self.why_not(source, life, message, now)
         if why:
             number, digest = (kept.number, kept.digest) if self.cleared else (-1, "")
-            return self.say(source, words.Denied(life, message.round, why, number, digest, kept.promised,
-                                                 now - self.leader_heard, kept.epoch, kept.stamp))
+            silent = max(0, now - self.leader_heard)
+            return self.say(source, words.Denied(
+                life, message.round, why, number, digest, kept.promised, silent, kept.epoch, kept.stamp))
         self.holders[source, life] = now + home.tuning.longest
         self.say(source, words.Grant(life, message.round, kept.number, kept.digest, kept.epoch, kept.stamp))
 
     def why_not(self, source, life, message, now):
         home, kept = self.home, self.home.kept
         if not self.cleared:
-            return "clearing"
+            return "not cleared"
         if (message.number, message.digest) != (kept.number, kept.digest):
             return "number"
-        if kept.promised != NONE:
+        if kept.closed:
             return "closed"
         roster = home.roster(kept.digest)
         if roster is None:
@@ -118,30 +153,37 @@
         if not self.cleared or self.passed(source, message):
             return
         if ballot != kept.promised:
-            if ballot < kept.promised or self.follows(kept.promised, source, now):
+            if ballot < kept.promised or self.follows(source, now):
                 return self.say(source, words.Follows(ballot, message.number, kept.promised))
-            home.write(promised=ballot)
+            home.write(promised=ballot, owed=kept.closed, open=False)
             home.tell("closed", number=kept.number, by=source, ballot=ballot[0])
+        elif kept.open:  # a late copy of what its leader gave up
+            return
         self.leader_heard = now
         self.promise(source, message, now)
 
-    def follows(self, promised, source, now):
+    def follows(self, source, now):
         """Threat: two who lead in turn keep each other from ending."""
-        return (promised != NONE and promised[1] != source
+        kept = self.home.kept
+        return (kept.closed and kept.promised[1] != source
                 and now - self.leader_heard < self.home.tuning.takeover)
 
     def promise(self, source, message, now):
-        """In pieces that fit, the same holders in each every time: nothing is granted any more."""
-        kept, blind = self.home.kept, max(0, self.blind_until - now)
+        """In pieces that fit, the same holders in each every time: nothing is granted any more.  Threat: a
+        holder that fits no piece; it is told as one whom we forgot."""
+        kept = self.home.kept
+        base = words.Promise(
+            message.ballot, message.number, 0, 1, [], self.home.tuning.longest, kept.accepted,
+            kept.accepted_digest, kept.epoch, kept.stamp, self.epochs())
         if self.listed[0] != message.ballot:
-            self.listed = message.ballot, pieces((*holder, until) for holder, until in self.holders.items()
-                                                 if until > now)
-        parts = self.listed[1]
+            self.listed = message.ballot, *pieces(
+                [(*holder, until) for holder, until in self.holders.items() if until > now],
+                words.MOST - len(words.encoded(base)) - 16)
+        _, parts, unlisted = self.listed
+        blind = max(0, self.blind_until - now, unlisted - now)
         for at, part in enumerate(parts):
-            self.say(source, words.Promise(
-                message.ballot, message.number, at, len(parts),
-                [(name, life, max(0, until - now)) for name, life, until in part], blind, kept.accepted,
-                kept.accepted_digest, kept.epoch, kept.stamp, self.epochs()))
+            holders = [(name, life, max(0, until - now)) for name, life, until in part]
+            self.say(source, base.but(piece=at, of=len(parts), holders=holders, blind=blind))
 
     def leads(self, source, message, now):
         if self.cleared and not self.passed(source, message):
@@ -149,9 +191,13 @@
                 self.leader_heard = now
             self.say(source, words.Follows(message.ballot, message.number, self.home.kept.promised))
 
-    def yields(self, source, message, now):
-        if message.ballot == self.home.kept.promised and message.number == self.home.kept.number + 1:
+    def yields(self, message, now):
+        kept = self.home.kept
+        if self.cleared and message.number == kept.number + 1 and message.ballot == kept.promised:
             self.leader_heard = now - self.home.tuning.takeover
+            if message.void and not kept.owed and not kept.open:
+                self.home.write(open=True)
+                self.home.tell("open again", number=kept.number)
 
     def accept(self, source, message, now):
         home, kept, ballot = self.home, self.home.kept, message.ballot
@@ -160,13 +206,12 @@
         if ballot < kept.promised:
             return self.say(source, words.Follows(ballot, message.number, kept.promised))
         self.leader_heard = now
-        document = home.texts.get(message.digest)
-        if document is None:
+        if home.texts.get(message.digest) is None:
             self.wanted = source, message
             return home.texts.want(message.digest, source, now)
         if ballot != kept.accepted:
-            home.write(promised=ballot, accepted=ballot, accepted_digest=message.digest,
-                       documents=home.texts.some(kept.digest, message.digest))
+            home.write(promised=ballot, owed=True, open=False, accepted=ballot,
+                       accepted_digest=message.digest, documents=home.texts.some(kept.digest, message.digest))
         kept = home.kept
         self.say(source, words.Accepted(ballot, message.number, kept.epoch, kept.stamp, self.epochs()))
 
@@ -176,8 +221,9 @@
         if self.wanted and self.wanted[1].digest == digest:
             wanted, self.wanted = self.wanted, None
             self.accept(*wanted, now)
-        if self.cleared and digest == home.kept.digest and digest not in home.kept.documents:
-            home.write(documents=home.texts.some(digest, home.kept.accepted_digest))
+        if self.cleared and digest in (home.kept.digest, home.kept.accepted_digest):
+            if digest not in home.kept.documents:
+                home.write(documents=home.texts.some(home.kept.digest, home.kept.accepted_digest))
 
     def passed(self, source, message):
         """Whether what was said is about another number than the next."""
@@ -190,15 +236,15 @@
         """A number is decided: licences for older ones are over, and so is all that was said about it."""
         home = self.home
         if self.cleared and number > home.kept.number:
-            self.holders, self.listed, self.wanted = {}, (NONE, []), None
-            home.write(number=number, digest=digest, promised=NONE, accepted=NONE, accepted_digest="",
-                       documents=home.texts.some(digest))
+            self.holders, self.listed, self.wanted = {}, (NONE, [], 0), None
+            home.write(number=number, digest=digest, promised=NONE, owed=False, open=False, accepted=NONE,
+                       accepted_digest="", documents=home.texts.some(digest))
 
     # ---- saying
 
     def epochs(self):
         """In the order of the voters."""
-        kept, home = self.home.kept, self.home
+        home, kept = self.home, self.home.kept
         return [kept.epoch if name == home.name else kept.epochs.get(name, 0) for name in home.voters]
 
     def say(self, name, message):
@@ -207,29 +253,32 @@
 
 
 def merged(kept, answer):
-    """The later of two records: of the higher number, else the higher ballots of both."""
-    if answer.number != kept.number:
-        return kept if answer.number < kept.number else kept.but(
-            number=answer.number, digest=answer.digest, promised=answer.promised, accepted=answer.accepted,
-            accepted_digest=answer.accepted_digest)
-    kept = kept.but(promised=max(kept.promised, answer.promised))
+    """The later of two records: of the higher number, else the higher ballots of both.  What one of them
+    closed stays closed."""
+    if answer.number < kept.number:
+        return kept
+    if answer.number > kept.number:
+        kept = kept.but(number=answer.number, digest=answer.digest, promised=NONE, owed=False, open=False,
+                        accepted=NONE, accepted_digest="")
+    closed = kept.closed or answer.closed
+    kept = kept.but(promised=max(kept.promised, answer.promised), owed=kept.owed or answer.closed)
+    kept = kept.but(open=kept.promised != NONE and not closed)
     return kept if answer.accepted <= kept.accepted else kept.but(
         accepted=answer.accepted, accepted_digest=answer.accepted_digest)
 
 
-def later(mine, told):
-    """Of two tables of epochs the higher of each."""
-    return {name: max(mine.get(name, 0), told.get(name, 0)) for name in mine.keys() | told.keys()}
-
-
-def pieces(holders):
-    """Lists of (name, life, until) that fit one word each, at least one."""
-    parts, room = [[]], words.HOLDERS_ROOM
+def pieces(holders, room):
+    """Lists of (name, life, until) that fit `room` bytes each, at least one; until when the others may
+    hold."""
+    parts, left, unlisted = [[]], room, 0
     for holder in holders:
         size = len(holder[0].encode()) + 24
         if size > room:
+            unlisted = max(unlisted, holder[2])
+            continue
+        if size > left:
             parts.append([])
-            room = words.HOLDERS_ROOM
+            left = room
         parts[-1].append(holder)
-        room -= size
-    return parts
+        left -= size
+    return parts, unlisted
--- a/juniperlanding/accord/words.py
+++ b/juniperlanding/accord/words.py
@@ -12,7 +12,6 @@
 MOST, MOST_NAME, MOST_WHY = 1400, 128, 200  # bytes of a word; characters of a name and of a reason
 PIECE, MOST_DOCUMENT = 1000, 64 << 10  # bytes of a document in one word, and of a whole one
 MOST_HOLDERS, MOST_VOTERS = 4096, 7
-HOLDERS_ROOM = 1000  # bytes for the holders in one piece of a promise
 # Every figure has bounds: the wire gives no other.
 Count = Annotated[int, msgspec.Meta(ge=0, lt=1 << 62)]
 Number = Annotated[int, msgspec.Meta(ge=-1, lt=1 << 62)]
@@ -22,6 +21,7 @@
 Epochs = Annotated[list[Count], msgspec.Meta(max_length=MOST_VOTERS)]
 Ballot = tuple[Count, Name, Count]
 NONE = (0, "", 0)
+LIFE_BITS = 33
 
 
 class Noise(Exception):
@@ -31,6 +31,10 @@
 class Word(msgspec.Struct, array_like=True, frozen=True, tag=str.lower):
     """epoch, stamp: of the voter that says it, as in `Kept`; epochs: as known, in the voters' order."""
 
+    def but(self, **more):
+        """The same with some fields changed."""
+        return msgspec.structs.replace(self, **more)
+
 
 class Ask(Word):
     """A licence for a number, -1 if the asker knows none; among: `voters_sum`."""
@@ -122,10 +126,11 @@
 
 
 class Yields(Word):
-    """The leader of this ballot goes no further."""
+    """The leader of this ballot goes no further; void: it never asked anybody to accept under it."""
 
     ballot: Ballot
     number: Number
+    void: bool
 
 
 class Release(Word):
@@ -182,6 +187,7 @@
     number: Number = 0
     digest: Digest = ""
     promised: Ballot = NONE
+    closed: bool = False
     accepted: Ballot = NONE
     accepted_digest: Digest = ""
     own: Count = 0
@@ -224,6 +230,11 @@
     return blake2b(document, digest_size=16).hexdigest() if document else ""
 
 
+def epoch_after(epoch, life):
+    """Threat: a folder that is an older copy begins the same epoch twice; the life tells the two apart."""
+    return ((epoch >> LIFE_BITS) + 1 << LIFE_BITS) | life % (1 << LIFE_BITS)
+
+
 def voters_sum(voters):
     """Threat: two members whose files name other voters would count other majorities."""
     return crc32("\n".join(voters).encode())
@@ -232,9 +243,11 @@
 class Kept(msgspec.Struct, array_like=True, frozen=True):
     """What a voter writes down before it says it.
 
-    stamp: grows with each write of what counts; number, digest: decided; promised, accepted, accepted_digest:
-    for number + 1; documents: digest -> bytes.  epoch: grows with each start; epochs, stamps: of the other
-    voters, as heard."""
+    stamp: grows with each write of what counts; number, digest: decided; promised, accepted,
+    accepted_digest: for number + 1; documents: digest -> bytes, in force and accepted.  owed: an earlier
+    promise for number + 1 closed `number` too; open: no promise closes it any more, the last one's leader
+    asked nobody to accept. epoch: greater with each start, its last `LIFE_BITS` those of the life; epochs,
+    stamps: of the other voters, as heard."""
 
     stamp: int = 0
     number: int = 0
@@ -246,6 +259,13 @@
     epoch: int = 0
     epochs: dict[str, int] = {}
     stamps: dict[str, int] = {}
+    owed: bool = False
+    open: bool = False
+
+    @property
+    def closed(self):
+        """Whether licences for `number` are over."""
+        return self.promised != NONE and not self.open
 
     def but(self, **more):
         """The same with some fields changed."""
