--- a/juniperlanding/accord/document.py
+++ b/juniperlanding/accord/document.py
@@ -15,6 +15,7 @@
 from juniperlanding.ground.sections import Clients, Count, Figure, Name, Section, Share, Size, told
 
 MOST_ROSTER = 4096
+DISK_SHARE = 512  # of the folder's bytes, one document may have one part in so many; several are kept
 HELD_BYTES = 2 << 10  # the least that one held notification takes of the memory, body not counted
 
 
@@ -135,10 +136,12 @@
         reader.fault(name, "shards.least", least, "no more than half of `shards.most`")
 
 
-def refusal(policy, own, owner, ledger, memory, sockets):
-    """Why a process cannot take a policy in its present state; "" if it can.
+def refusal(data, own, owner, ledger, memory, sockets, disk):
+    """Why a process cannot take a document in its present state; "" if it can.
 
-    own: its settings from its file; memory: bytes it may use; sockets: calls out that it has places for."""
+    own: its settings from its file; memory, disk: bytes it may use; sockets: calls out that it has places
+    for."""
+    policy = read(data)
     kinds = {one.get("name"): one.get("kind") for one in own["topic_types"]}
     told = {one["name"]: one["kind"] for one in policy.topics}
     owed = {one.topic for one in ledger.owed.values()}
@@ -155,4 +158,6 @@
         reasons.append(f"most_held is {held}, and its memory has room for {memory // HELD_BYTES}")
     if "holding.slots" in policy.values and slots > sockets:
         reasons.append(f"slots is {slots}, and it has sockets for {sockets}")
+    if len(data) > disk // DISK_SHARE:
+        reasons.append(f"it has {len(data)} bytes, and its folder room for {disk // DISK_SHARE}")
     return "; ".join(reasons[:4]) + (f"; {len(reasons) - 4} more" if len(reasons) > 4 else "")
--- a/juniperlanding/accord/part.py
+++ b/juniperlanding/accord/part.py
@@ -20,6 +20,7 @@
 CHANNEL = 1  # of the fleet's socket
 FILE = re.compile(r"[A-Za-z0-9_-][A-Za-z0-9._-]{0,99}\.toml")
 MOST_WAITING, MOST_TERMS, MOST_ADDRESSES = 1024, 16, 4096
+TERMS_SHARE = 128  # of the folder's bytes, the documents that something owed needs may have one part
 AGAIN = 0.05  # seconds until what could not be read or written is tried again
 TIMES = ("rest", "since", "after")  # figures of log lines that are nanoseconds
 
@@ -68,8 +69,8 @@
         return self.tuning.licence // 6
 
     def check(self, document):
-        node, policy = self.node, read(document)
-        return refusal(policy, self.own, node.owner, node.ledger, node.config.memory, node.most_calls)
+        node, told = self.node, self.node.config
+        return refusal(document, self.own, node.owner, node.ledger, told.memory, node.most_calls, told.disk)
 
     # ---- while it serves
 
@@ -203,6 +204,8 @@
             kept |= {number: document} if number else {}
             # At the bound what is owed under the oldest gets the operators' own terms after a restart.
             kept = dict(sorted(kept.items())[-MOST_TERMS:])
+            while len(kept) > 1 and sum(map(len, kept.values())) > self.node.config.disk // TERMS_SHARE:
+                del kept[min(kept)]
             try:
                 settings = self.settings(document)
                 if kept != self.documents:
--- a/juniperlanding/carry.py
+++ b/juniperlanding/carry.py
@@ -29,7 +29,7 @@
     settings."""
     known = terms or {0: me.settings.get("topic_types", [])}
     topics = {id(topic): [at, number] if number else [at]
-              for number, types in known.items() for at, topic in enumerate(types)}
+              for number, types in sorted(known.items(), reverse=True) for at, topic in enumerate(types)}
     numbers, found, records = {}, [], []
 
     def plain(value):
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -6,7 +6,7 @@
 from juniperlanding.choice import SEC
 from juniperlanding.ground.log import described, where
 from juniperlanding.net import protocol
-from juniperlanding.net.counters import ABORTED, DECLINED
+from juniperlanding.net.counters import DECLINED
 from juniperlanding.net.line import GONE, Line
 from juniperlanding.net.owner import Answer
 
@@ -194,8 +194,7 @@
                 again = [(protocol.POLICY, str(answer.under))]
             else:
                 # Threat: we stood still with the answer in hand, and the others went on; it may have begun.
-                await self.owner.tell(self.owner.unheard, ntf_id)
-                self.counters.ended(topic, ABORTED)
+                await self.owner.tell(self.owner.late, answer)
                 answer.status, again = 500, []
         else:
             again = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -74,11 +74,12 @@
 
     def settle(self, number, settings):
         """A policy is in force from this round on; what was taken on before keeps its terms."""
-        self.at.settled(settings)
+        # What an earlier process took on under the same number has its topic types already.
+        types = self.terms.get(number, settings["topic_types"])
+        self.at.settled(settings | {"topic_types": types})
         self.in_force, self.topics = number, self.named()
         owed = {one.under for one in self.ledger.owed.values()} | {0}
-        self.terms = {one: types for one, types in self.terms.items() if one in owed}
-        self.terms[number] = settings["topic_types"]
+        self.terms = {one: told for one, told in self.terms.items() if one in owed} | {number: types}
 
     def licensed(self, under):
         return self.licence is None or self.licence.holds() == under
@@ -205,9 +206,11 @@
                 self.ledger.write("n", send.id, send.number)
                 self.guarded(self.at.outcome, send.id, send.number, "moot")
             self.calls[place] = [send for send in sends if send.id not in late]
-        for ntf_id, answer in late.items():
+        for ntf_id in late:
             self.counters.ended(self.ledger.owed[ntf_id].topic, DECLINED)
             self.take_back(ntf_id)
+        told = [answer for answer in self.answers if answer.ntf_id in late]  # the same id twice in a round
+        for answer in told:
             answer.status, answer.again_in = 503, self.licence.again_in()
         try:
             self.ledger.flush()
@@ -215,9 +218,9 @@
             # Threat: the disk says that we owe them, we are killed, and they run after all.
             self.log_line("ledger", "cannot write", why=described(error))
             self.stuck, self.write_at = True, self.at.now + WRITE_AGAIN
-            for answer in late.values():
-                answer.status = 500
             self.hold_back()
+            for answer in told:
+                answer.status = 500
 
     def hold_back(self):
         """Of what this round asked for nothing has begun, and none of it does."""
@@ -302,6 +305,8 @@
         self.answers.append(answer)
         if ntf_id in self.taken or ntf_id in self.ledger.owed:
             answer.status = 202  # the same once more on a new connection, or by another client
+            if self.licence is not None and ntf_id in self.held:
+                self.held[ntf_id] = None  # threat: `late` takes back what another is told yes for
             return
         if self.licence is not None and not self.licensed(self.in_force):
             answer.again_in = self.licence.again_in()
@@ -342,6 +347,12 @@
         self.take_back(ntf_id)
         self.counters["unheard"] += 1
 
+    def late(self, answer):
+        """The licence ended with the answer in hand: nobody was told yes."""
+        if self.held.get(answer.ntf_id) is answer:
+            self.counters.ended(self.ledger.owed[answer.ntf_id].topic, ABORTED)
+            self.take_back(answer.ntf_id)
+
     def take_back(self, ntf_id):
         self.taken.discard(ntf_id)
         self.at.withdrawn(ntf_id)
