--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -175,6 +175,8 @@
         for number in (1, 1):
             a.node.reload(a.reread)
             await c.in_force(number)
+            await a.in_force(number)
+        assert not any("not proposed" in text for _, text in a.lines)
         (a.folder / "policy.toml").write_text("this is no policy")
         a.node.reload(a.reread)
         assert any("not proposed" in text for event, text in a.lines if event == "policy")
@@ -239,7 +241,8 @@
 # ---- the folder
 
 
-@pytest.mark.parametrize("spoil", [lambda data: data[:-3], lambda data: b"", lambda data: b"x" * 200])
+@pytest.mark.parametrize("spoil", [lambda data: data[:-3], lambda data: b"", lambda data: b"x" * 200,
+                                   lambda data: data[:-1] + bytes([data[-1] ^ 1])])
 def test_a_spoilt_record_counts_as_none_and_the_others_tell_what_it_was(three, spoil):
     async def scene(a, b, c):
         a.policy.propose(a.write(TOPICS % "1s"))
