--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -393,7 +393,7 @@
         self.telling = {name: times + 1 for name, times in self.telling.items() if times < MOST_TELLS}
         for name in self.telling:
             home.say(name, words.Decided(*home.known))
-        self.tell_at = now + (home.tuning.again << min(max(self.telling.values(), default=0), 5) - 1)
+        self.tell_at = now + (home.tuning.again << min(max(self.telling.values(), default=0), 5))
 
     def taken(self, source, message):
         if message.number == self.home.known[0]:
