--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -231,9 +231,15 @@
             other = home.other(now)
             return self.end("refused", f"{other.by} leads a change to number {other.number}" if other
                             else "too few voters answer here")
-        home.round = max(home.round, home.kept.promised[0]) + 1
-        change.ballot = home.round, home.name, home.life
         self.step(change, "close", now)
+        self.raise_ballot(change, now)
+
+    def raise_ballot(self, change, now):
+        """A ballot higher than any heard of."""
+        home = self.home
+        home.round = max(home.round, home.kept.promised[0]) + 1
+        change.ballot, change.again_at = (home.round, home.name, home.life), now
+        change.pledges, change.others = {}, {}
 
     def closed(self, change, now):
         """A majority promised."""
@@ -303,6 +309,10 @@
         change.heard[source] = now
         if message.leader == change.ballot:
             return
+        if change.step == "close" and not message.busy:  # of one that gave up or fell silent
+            if message.leader > change.ballot:
+                self.raise_ballot(change, now)
+            return
         change.others[source] = message.leader
         higher = [leader for leader in change.others.values() if leader > change.ballot]
         if change.step != "close" and len(higher) > len(self.home.voters) - self.home.majority:
--- a/juniperlanding/accord/voter.py
+++ b/juniperlanding/accord/voter.py
@@ -153,8 +153,8 @@
         if not self.cleared or self.passed(source, message):
             return
         if ballot != kept.promised:
-            if ballot < kept.promised or self.follows(source, now):
-                return self.say(source, words.Follows(ballot, message.number, kept.promised))
+            if ballot < kept.promised or self.busy(source, now):
+                return self.follows(source, message, now)
             home.write(promised=ballot, owed=kept.closed, open=False)
             home.tell("closed", number=kept.number, by=source, ballot=ballot[0])
         elif kept.open:  # a late copy of what its leader gave up
@@ -162,12 +162,16 @@
         self.leader_heard = now
         self.promise(source, message, now)
 
-    def follows(self, source, now):
+    def busy(self, source, now):
         """Threat: two who lead in turn keep each other from ending."""
         kept = self.home.kept
         return (kept.closed and kept.promised[1] != source
                 and now - self.leader_heard < self.home.tuning.takeover)
 
+    def follows(self, source, message, now):
+        self.say(source, words.Follows(message.ballot, message.number, self.home.kept.promised,
+                                       self.busy(source, now)))
+
     def promise(self, source, message, now):
         """In pieces that fit, the same holders in each every time: nothing is granted any more.  Threat: a
         holder that fits no piece; it is told as one whom we forgot."""
@@ -189,7 +193,7 @@
         if self.cleared and not self.passed(source, message):
             if message.ballot == self.home.kept.promised:
                 self.leader_heard = now
-            self.say(source, words.Follows(message.ballot, message.number, self.home.kept.promised))
+            self.follows(source, message, now)
 
     def yields(self, message, now):
         kept = self.home.kept
@@ -204,7 +208,7 @@
         if not self.cleared or self.passed(source, message):
             return
         if ballot < kept.promised:
-            return self.say(source, words.Follows(ballot, message.number, kept.promised))
+            return self.follows(source, message, now)
         self.leader_heard = now
         if home.texts.get(message.digest) is None:
             self.wanted = source, message
--- a/juniperlanding/accord/words.py
+++ b/juniperlanding/accord/words.py
@@ -111,11 +111,13 @@
 
 
 class Follows(Word):
-    """To what was said under `ballot`: the voter follows `leader`, perhaps the same."""
+    """To what was said under `ballot`: the voter promised `leader`, perhaps the same; busy: which is another
+    that lives."""
 
     ballot: Ballot
     number: Number
     leader: Ballot
+    busy: bool
 
 
 class Leads(Word):
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -5,7 +5,7 @@
 import pytest
 
 from juniperlanding.accord import words
-from juniperlanding.accord.accord import MS, SEC, Accord, Kept, Tuning
+from juniperlanding.accord.accord import MS, SEC, Accord, Kept
 
 NEW, OTHER = b"text = 1\n", b"text = 2\n"
 
@@ -15,7 +15,8 @@
     while it was."""
 
     def __init__(self, fleet, name, life, disk):
-        self.fleet, self.name, self.life, self.disk, self.full, self.stopped = fleet, name, life, disk, False, None
+        self.fleet, self.name, self.life, self.disk = fleet, name, life, disk
+        self.full, self.stopped = False, None
         self.rate, self.held, self.events, self.due = fleet.rates.get(name, 1), [], [], 0
         self.accord = Accord(name, life, fleet.voters, disk, lambda document: frozenset(), self.check, life,
                              self.now, fleet.tuning)
