--- a/juniperlanding/accord/document.py
+++ b/juniperlanding/accord/document.py
@@ -16,7 +16,7 @@
 
 MOST_ROSTER = 4096
 DISK_SHARE = 512  # of the folder's bytes, one document may have one part in so many; several are kept
-HELD_BYTES = 2 << 10  # the least that one held notification takes of the memory, body not counted
+HELD_BYTES = 1500  # measured: what one held notification takes of the memory, its body not counted
 
 
 class Unfit(Trouble, ValueError):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -148,11 +148,22 @@
         old, made = a.node, partial(lambda offer: Node(told, a.world, log=a.log, offer=offer))
         a.node = await succession.begin(made, told, a.world)
         assert a.node.parts[1].holds() is None
-        a.nursery.start_soon(a.node.run)
+        scope = trio.CancelScope()
+
+        async def run():
+            with scope:
+                await a.node.run()
+        a.nursery.start_soon(run)
         await a.in_force(2)
         assert old.replaced and old.parts[1].holds() is None
         assert objectives(a.node) == [2000, 700, 900]
         assert not any("begins from the ledger" in text for _, text in a.lines)
+        # It ends early, and the first one serves again: a life of its own, and no licence but a new one.
+        scope.cancel()
+        a.node.before.close()
+        a.node = old
+        await a.in_force(2)
+        assert not old.replaced and objectives(old) == [2000, 700, 900]
     three(scene)
 
 
@@ -342,7 +353,7 @@
         assert "pay is missing" in refused(PLAIN.replace('"pay"', '"else"'))
         assert "else is unknown" in refused(PLAIN.replace('"pay"', '"else"'))
         assert "news is repeatable, not once-only" in refused(PLAIN.replace("repeatable", "once-only"))
-        assert "its memory has room for 4" in refused("[holding]\nmost_held = 5\n" + PLAIN, 4 * 2048)
+        assert "its memory has room for 4" in refused("[holding]\nmost_held = 5\n" + PLAIN, 4 * 1500)
         assert "folder room for 10" in refused(PLAIN, disk=5120)
         assert "sockets for 99" in refused("[holding]\nslots = 100\n" + PLAIN)
         assert await site.hand_in("a1") == 202 and await site.hand_in("a2") == 202
