What was taken on under a licence is answered so, however late the answer leaves

What was taken on under a licence is answered so, though the licence ends before the answer leaves.

Change: the look after the ledger is written is the instant of taking on; the answer tells its number.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -189,17 +189,11 @@
             self.counters.ended(topic, DECLINED)
             return await self.respond(line, 503)
         await answer.ready.wait()
+        more = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
         if self.owner.licence is not None and answer.took and answer.status == 202:
-            if self.owner.licensed(answer.under):
-                again = [(protocol.POLICY, str(answer.under))]
-            else:
-                # Threat: we stood still with the answer in hand, and the others went on; it may have begun.
-                await self.owner.tell(self.owner.late, answer)
-                answer.status, again = 500, []
-        else:
-            again = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
+            more = [(protocol.POLICY, str(answer.under))]
         try:
-            return await self.respond(line, answer.status, again)
+            return await self.respond(line, answer.status, more)
         except GONE:
             # Threat: the same id once more, unheard, takes back what the first client was told yes for.
             if answer.took and answer.status == 202:
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -196,7 +196,9 @@
             self.look_again()
 
     def look_again(self):
-        """Threat: the licence ended while the ledger was written; nothing of it has begun yet."""
+        """The instant of taking on: it is written, nothing has begun.  Threat: the licence ended meanwhile.
+
+        From here on it is owed under its number, whenever the client hears of it."""
         late = {answer.ntf_id: answer for answer in self.answers
                 if answer.took and answer.status == 202 and not self.licensed(answer.under)}
         if not late:
@@ -305,8 +307,6 @@
         self.answers.append(answer)
         if ntf_id in self.taken or ntf_id in self.ledger.owed:
             answer.status = 202  # the same once more on a new connection, or by another client
-            if self.licence is not None and ntf_id in self.held:
-                self.held[ntf_id] = None  # threat: `late` takes back what another is told yes for
             return
         if self.licence is not None and not self.licensed(self.in_force):
             answer.again_in = self.licence.again_in()
@@ -347,12 +347,6 @@
         self.take_back(ntf_id)
         self.counters["unheard"] += 1
 
-    def late(self, answer):
-        """The licence ended with the answer in hand: nobody was told yes."""
-        if self.held.get(answer.ntf_id) is answer:
-            self.counters.ended(self.ledger.owed[answer.ntf_id].topic, ABORTED)
-            self.take_back(answer.ntf_id)
-
     def take_back(self, ntf_id):
         self.taken.discard(ntf_id)
         self.at.withdrawn(ntf_id)
