A successor releases the licence of the process that it replaced

Cause: a change after a replacement waited for the old life's licence (2.4 s of 3). Change: the process that hands over gives its life to the next, which answers a release for it too; never from the folder.

--- a/juniperlanding/accord/part.py
+++ b/juniperlanding/accord/part.py
@@ -21,6 +21,7 @@
 FILE = re.compile(r"[A-Za-z0-9_-][A-Za-z0-9._-]{0,99}\.toml")
 MOST_WAITING, MOST_TERMS, MOST_ADDRESSES = 1024, 16, 4096
 TERMS_SHARE = 128  # of the folder's bytes, the documents that something owed needs may have one part
+MOST_BEFORE = 4
 AGAIN = 0.05  # seconds until what could not be read or written is tried again
 TIMES = ("rest", "since", "after")  # figures of log lines that are nanoseconds
 
@@ -43,6 +44,7 @@
         self.waiting, self.addresses, self.documents = [], {}, {}
         self.news, self.unwritten, self.decided = trio.Event(), trio.Event(), trio.Event()
         self.until, self.noise = 0, 0
+        self.before = []  # lives that handed over to this one, and will never take on anything again
         fleet.channel(CHANNEL, self.heard)
 
     # ---- the owner's side
@@ -95,7 +97,13 @@
                     with trio.move_on_after(max(0.001, (self.until - self.steady()) / SEC)):
                         await self.news.wait()
         finally:
-            self.accord = None
+            self.before, self.accord = self.given(), None
+
+    def given(self):
+        return ([self.accord.life] if self.accord else []) + self.before[:MOST_BEFORE - 1]
+
+    def taken(self, state):
+        self.before = [life for life in state[:MOST_BEFORE] if isinstance(life, int) and 0 < life < 1 << 62]
 
     def reachable(self):
         """Who is believed alive, and voters of whom nothing is known yet."""
@@ -169,8 +177,14 @@
         if not to:
             member = self.fleet.view.members.get(name)
             to = member.record.address if member else self.addresses.get(name)
-        if to:
-            self.fleet.send(CHANNEL, to, words.encoded(message))
+        if not to:
+            return
+        self.fleet.send(CHANNEL, to, words.encoded(message))
+        if isinstance(message, words.Released):
+            # Threat: a change waits a licence for each that was replaced.  That these are over is known from
+            # their own word, never from the folder, of which there may be a copy elsewhere.
+            for life in self.before:
+                self.fleet.send(CHANNEL, to, words.encoded(message), life)
 
     async def write(self):
         """Beside the flow.  A disk that fails costs this voter's words: none leaves; it is asked again."""
--- a/juniperlanding/fleet/agent.py
+++ b/juniperlanding/fleet/agent.py
@@ -97,14 +97,15 @@
         """`handler(name, life, payload, address)` gets what members say there; else it is passed over."""
         self.channels[byte] = handler
 
-    def send(self, byte, to, payload):
-        """To a member by name, or to an address; whether it left.  payload: at most `words.MOST_PAYLOAD`."""
+    def send(self, byte, to, payload, life=0):
+        """To a member by name, or to an address; whether it left.  payload: at most `words.MOST_PAYLOAD`;
+        life: of an earlier process of ours that handed over to this one, if not this one's."""
         if isinstance(to, str) and self.view:
             member = self.view.members.get(to)
             to = member and member.record.address
         if not self.sock or not to or len(payload) > words.MOST_PAYLOAD:
             return False
-        said = words.Aside(self.told.name, self.name, self.view.me.life, payload)
+        said = words.Aside(self.told.name, self.name, life or self.view.me.life, payload)
         return self.sock.send(words.aside(byte, said, self.key), to)
 
     async def joined(self):
--- a/juniperlanding/ground/part.py
+++ b/juniperlanding/ground/part.py
@@ -37,7 +37,8 @@
         """SIGHUP: the files may have changed."""
 
     def given(self):
-        """Plain JSON for the process that takes over; None for nothing.  `run` was cancelled before."""
+        """Plain JSON for the process that takes over; None for nothing.  The owner has come to rest, and
+        `run` is cancelled next."""
 
     def taken(self, state):
         """What `given` said in the process before us; called before `built`."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -18,7 +18,8 @@
 from juniperlanding.accord import document
 from juniperlanding.accord.document import Unfit, read
 from juniperlanding.accord.folder import KEPT, Folder
-from juniperlanding.accord.words import Kept
+from juniperlanding.accord.words import Kept, Released
+from juniperlanding.accord.words import decoded as accord_word
 from juniperlanding.fleet import words
 from juniperlanding.ground.errors import Trouble
 from juniperlanding.ground.file import FileError
@@ -36,6 +37,7 @@
 PLAIN = TOPICS % "2s"
 
 
+
 def free(kind):
     with socket.socket(socket.AF_INET, kind) as sock:
         sock.bind(("127.0.0.1", 0))
@@ -144,10 +146,10 @@
         assert [owed.under for owed in a.node.ledger.owed.values()] == [0, 1, 2]
         await a.in_force(2)
         # Another process takes over: it asks first, and has the module's records with their terms.
-        told = a.config()
+        told, life = a.config(), a.policy.accord.life
         old, made = a.node, partial(lambda offer: Node(told, a.world, log=a.log, offer=offer))
         a.node = await succession.begin(made, told, a.world)
-        assert a.node.parts[1].holds() is None
+        assert a.node.parts[1].holds() is None and a.node.parts[1].before[:1] == [life]
         scope = trio.CancelScope()
 
         async def run():
@@ -158,11 +160,21 @@
         assert old.replaced and old.parts[1].holds() is None
         assert objectives(a.node) == [2000, 700, 900]
         assert not any("begins from the ledger" in text for _, text in a.lines)
+        lives, send = set(), a.node.parts[0].send
+
+        def seen(byte, to, payload, life=0):
+            if type(accord_word(payload)) is Released:
+                lives.add(life)
+            return send(byte, to, payload, life)
+        a.node.parts[0].send = seen
+        b.policy.propose(b.write(TOPICS % "950ms"))
+        await a.in_force(3)
+        assert lives == {0, *a.node.parts[1].before}  # nobody waits for the licence of one that handed over
         # It ends early, and the first one serves again: a life of its own, and no licence but a new one.
         scope.cancel()
         a.node.before.close()
         a.node = old
-        await a.in_force(2)
+        await a.in_force(3)
         assert not old.replaced and objectives(old) == [2000, 700, 900]
     three(scene)
 
