--- a/juniperlanding/accord/holder.py
+++ b/juniperlanding/accord/holder.py
@@ -1,11 +1,13 @@
-"""A member that takes on new work: licences for the number in force, and what it knows to be decided. No
-I/O, clock or trio.
+"""A member that takes on new work: licences for the number in force, and what it knows to be decided.
+No I/O, clock or trio.
 
 A licence is valid on this process's steady clock from the moment that its round was begun, before any ask
-left, for `shortest`; each voter that granted it fears it for `longest` from the moment of the grant.  A clock
-that is off by `drift` at most makes `shortest` at most the licence's true length, and `longest` at least
-that. On a release all rounds so far are void.  A round begun later needs a grant of one of the voters that
-had closed the number before the release was said, and none of them gives one."""
+left, for `shortest`; so in true time no longer than `licence`, be the clock slow by `drift`.  A voter that
+granted it fears it from then on for `longest`, first by its own clock, then what is left by the clock of
+the leader to whom it promised; so in true time at least for `licence`, be both fast by `drift`.
+
+On a release all rounds so far are void.  A round begun later needs a grant of one of the voters that had
+closed the number before the release was said, and none of them gives one."""
 
 from zlib import crc32
 
--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -19,7 +19,6 @@
 text that was accepted, or decides the next number with the text that is in force."""
 
 from dataclasses import dataclass, field
-from math import ceil
 from zlib import crc32
 
 from juniperlanding.accord import words
@@ -287,21 +286,17 @@
         if pledge is None or pledge.epoch < message.epoch:
             pledge = change.pledges[source] = Pledge(
                 message.epoch, {}, message.accepted, message.accepted_digest, message.of,
-                self.over(message.blind, now))
+                now + message.blind)
         if pledge.epoch != message.epoch or message.of != pledge.of or message.piece >= message.of:
             return
         pledge.pieces.add(message.piece)
         pledge.epochs = self.home.by_name(message.epochs)
         for name, life, rest in message.holders:
             if (name, life) not in change.released:
-                until = self.over(rest, now)
+                until = now + rest
                 pledge.holders[name, life] = min(until, pledge.holders.get((name, life), until))
         self.go_on(now)
 
-    def over(self, rest, now):
-        """When a rest told by another's clock is surely over by ours."""
-        return now + ceil(rest * (1 + self.home.tuning.drift)) if rest else 0
-
     def follows(self, source, message, now):
         change = self.change
         if not change or message.ballot != change.ballot or source not in self.home.voters:
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -152,6 +152,19 @@
     return fleet
 
 
+def answers(fleet, name, sender, message, life=99):
+    """What `name` says to whom when it hears this; nothing of it is sent."""
+    process = fleet.up[name]
+    process.settle()
+    process.accord.heard(sender, life, message, process.now)
+    said, process.accord.out = process.accord.out, []
+    return [(to, word) for to, word, _ in said]
+
+
+def news_is_lost(sender, receiver, word):
+    return isinstance(word, words.Decided) or isinstance(word, words.Ask) and word.number == 1
+
+
 def reaches(fleet, name, step):
     return lambda: fleet.said(name, step) or step in [figures["step"] for figures in fleet.said(name, "step")]
 
@@ -181,14 +194,14 @@
 
 @pytest.mark.parametrize("step", ["check", "close", "release", "accept", "led"])
 def test_the_proposer_dies_at_a_step_and_with_it_a_voter(fleet, step):
-    fleet.lost = lambda sender, receiver, word: isinstance(word, words.Decided)  # news does not help
+    fleet.lost = news_is_lost
     fleet.propose("d04", NEW)
     assert step == "check" or fleet.run(1, reaches(fleet, "d04", step))
     fleet.kill("d04", "d00")
+    fleet.heal()
     assert step == "check" or fleet.run(1.5 + 1.5 + 2 * LONGEST, fleet.all(1))
     document = fleet.up["d03"].accord.document
     assert document == (NEW if step == "led" else b"") or step == "accept"
-    fleet.heal()
     fleet.start("d04")
     fleet.start("d00")
     assert fleet.run(2, fleet.all(fleet.highest)) and fleet.up["d04"].accord.document == document
@@ -317,7 +330,7 @@
 
 
 def test_the_whole_fleet_dies_between_decision_and_news(fleet):
-    fleet.lost = lambda sender, receiver, word: isinstance(word, words.Decided)
+    fleet.lost = news_is_lost
     fleet.propose("d04", NEW)
     fleet.run(1, lambda: fleet.said("d04", "led"))
     fleet.kill(*fleet.names)
@@ -327,6 +340,81 @@
     assert fleet.run(0.5 + 1.5 + 1.5 + 1, fleet.all(1)) and fleet.up["d00"].accord.document == NEW
 
 
+def test_licences_that_voters_forgot_are_waited_for(fleet):
+    fleet.lost = told("d03")
+    fleet.kill(*fleet.voters)
+    for name in fleet.voters:
+        fleet.start(name)
+    end = fleet.now + fleet.up["d03"].accord.rest(fleet.now)
+    fleet.run(1, lambda: fleet.up["d04"].accord.state(fleet.now)["cleared"] and fleet.said("d00", "licence"))
+    fleet.propose("d04", NEW)
+    assert fleet.run(2 * LONGEST, lambda: fleet.up["d04"].accord.holds(fleet.now) == 1) and fleet.now >= end
+
+
+def test_a_licence_is_counted_from_before_it_was_asked_for(fleet):
+    fleet.wait = lambda: SEC // 2
+    fleet.kill("d03")
+    fleet.start("d03")
+    assert fleet.run(5, lambda: fleet.said("d03", "licence"))
+    assert fleet.said("d03", "licence")[0]["rest"] < 2 * SEC
+
+
+def test_what_a_holder_passes_over(fleet):
+    """Grants for another life, of rounds before a release, and numbers older than its own."""
+    holder, life = fleet.up["d03"].accord.holder, fleet.up["d03"].life
+    grant = words.Grant(life, holder.round, 0, "", 1, 1)
+    (to, released), = answers(fleet, "d03", "d04", words.Release((1, "d04", 5), 1))
+    assert (to, released) == ("d04", words.Released((1, "d04", 5), 1)) and holder.holds(fleet.now) is None
+    for name in fleet.voters:
+        answers(fleet, "d03", name, grant)
+    assert holder.holds(fleet.now) is None
+    holder.begin(fleet.now)
+    for name in fleet.voters:
+        answers(fleet, "d03", name, grant.but(life=life + 1, round=holder.round))
+    assert holder.holds(fleet.now) is None
+    for name in fleet.voters[:2]:
+        answers(fleet, "d03", name, grant.but(round=holder.round))
+    assert holder.holds(fleet.now) == 0
+    answers(fleet, "d03", "d04", words.Decided(3, ""))
+    answers(fleet, "d03", "d04", words.Decided(2, words.digest_of(NEW)))
+    assert fleet.up["d03"].accord.number == 3
+
+
+def test_what_a_voter_refuses(fleet):
+    """Ballots lower than promised, and a second leader while the first is heard."""
+    kept, first, second = lambda: fleet.up["d00"].accord.kept, (2, "d04", 5), (3, "d03", 4)
+    total, accept = fleet.up["d00"].accord.sum, words.Accept((1, "d04", 5), 1, "")
+    assert isinstance(answers(fleet, "d00", "d04", words.Prepare(first, 1, "", total))[0][1], words.Promise)
+    for message in (words.Prepare((1, "d03", 4), 1, "", total), words.Prepare(second, 1, "", total), accept):
+        (_, word), = answers(fleet, "d00", "d03", message)
+        assert word.leader == first and kept().promised == first and kept().accepted == words.NONE
+    (_, word), = answers(fleet, "d00", "d03", words.Ask(1, 0, "", total))
+    assert (word.why, word.ballot) == ("closed", first)
+    fleet.up["d00"].accord.voter.leader_heard -= 2 * SEC
+    assert isinstance(answers(fleet, "d00", "d03", words.Prepare(second, 1, "", total))[0][1], words.Promise)
+    answers(fleet, "d00", "d03", words.Yields(second, 1, True))
+    assert kept().closed  # the first may have gone further
+    answers(fleet, "d00", "d03", accept.but(ballot=second))
+    answers(fleet, "d00", "d04", words.Yields(second, 1, True))
+    assert kept().closed and kept().accepted == second
+
+
+def test_a_leader_counts_answers_to_its_own_ballot_alone_and_says_what_it_asked_for(fleet):
+    fleet.stop("d03")
+    fleet.propose("d04", NEW)
+    fleet.run(3, reaches(fleet, "d04", "release"))
+    leader = fleet.up["d04"].accord.leader
+    released, life = words.Released(leader.change.ballot, 1), fleet.up["d03"].life
+    for word, of in ((released.but(ballot=(1, "d04", 99)), life), (released, life + 1)):
+        answers(fleet, "d04", "d03", word, of)
+        assert leader.change.step == "release"
+    answers(fleet, "d04", "d03", released, life)
+    fleet.run(1, reaches(fleet, "d04", "accept"))
+    assert leader.change.step == "accept"
+    leader.stop("of the test", fleet.now)
+    assert leader.yielding.void is False and leader.proposed == (1, words.digest_of(NEW))
+
+
 def test_two_lives_of_one_name(fleet):
     """The old one may go on while the new one, of the same name, gives up at once."""
     old = fleet.up["d03"]
