--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -17,7 +17,7 @@
 
 from juniperlanding.accord import document
 from juniperlanding.accord.document import Unfit, read
-from juniperlanding.accord.folder import KEPT, Folder
+from juniperlanding.accord.folder import KEPT, TERMS, Folder
 from juniperlanding.accord.words import Kept, Released
 from juniperlanding.accord.words import decoded as accord_word
 from juniperlanding.fleet import words
@@ -45,12 +45,12 @@
 
 
 class Failing(Files):
-    """A disk on which a voter's record cannot be written while `full`."""
+    """A disk on which the file named by `full` cannot be written."""
 
-    full = False
+    full = ""
 
     def open(self, path, fresh=False):
-        if self.full and path.endswith(f"{KEPT}.new"):
+        if self.full and path.endswith(f"{self.full}.new"):
             raise OSError(errno.ENOSPC, "No space left on device", path)
         return super().open(path, fresh)
 
@@ -285,7 +285,7 @@
 
 def test_a_full_disk_where_the_promise_is_written_gives_no_promise(three):
     async def scene(a, b, c):
-        b.files.full = True
+        b.files.full = KEPT
         stamp = b.policy.written
         a.policy.propose(a.write(TOPICS % "1s"))
         for member in (a, c):
@@ -294,12 +294,26 @@
         assert any("cannot write down a promise" in text for _, text in b.lines)
         heard = a.policy.accord.stamps.get("d1", 0)
         assert heard <= stamp.stamp  # nobody heard from it what it has not on disk
-        b.files.full = False
+        b.files.full = ""
         await b.in_force(1)
         await b.until(lambda: b.policy.written.number == 1)
     three(scene)
 
 
+def test_nothing_is_taken_on_under_terms_that_are_not_on_disk(three):
+    async def scene(a, b, c):
+        b.files.full = TERMS
+        a.policy.propose(a.write(TOPICS % "1s"))
+        await a.in_force(1)
+        await b.until(lambda: any("cannot be put in force yet" in text for _, text in b.lines))
+        await b.until(lambda: b.policy.holds() == 1)
+        assert await b.offered("b1") == (503, None) and b.policy.unready()
+        b.files.full = ""
+        await b.in_force(1)
+        assert await b.offered("b1") == (202, "1")
+    three(scene)
+
+
 def test_a_file_is_written_whole_or_not_at_all(tmp_path):
     class Short(Files):
         left = 0
