--- a/juniperlanding/accord/accord.py
+++ b/juniperlanding/accord/accord.py
@@ -73,7 +73,7 @@
         self.texts = Texts(self, kept.documents)
         self.holder, self.leader = Holder(self, now), Leader(self, now)
         self.voter = Voter(self, now) if name in self.voters else None
-        self.foreign, self.others = set(), None
+        self.foreign, self.others, self.clash = set(), None, -1
         self.checks = {}  # digest -> [(who asked, its Check)]
 
     # ---- what the process asks
@@ -109,7 +109,7 @@
         voter = self.voter
         return {"number": self.number, "digest": self.digest, "known": self.known[0], "rest": self.rest(now),
                 "voter": bool(voter), "cleared": not voter or voter.cleared, "voters": self.voters,
-                "unable": self.holder.unable, **self.leader.state(now)}
+                "unable": self.holder.unable, "denied": dict(self.holder.denials), **self.leader.state(now)}
 
     # ---- events
 
@@ -230,7 +230,9 @@
             self.holder.take_up(now)
         elif (number, digest) != self.known and number == self.known[0] and number >= 0:
             # Threat: a folder was restored while those who knew better were away (voter.py, (a)).
-            self.tell("two texts", number=number, by=source)
+            if self.clash != number:
+                self.clash = number
+                self.tell("two texts", number=number, by=source)
 
     def arrived(self, digest, now):
         """A document came that was wanted."""
--- a/juniperlanding/accord/holder.py
+++ b/juniperlanding/accord/holder.py
@@ -20,11 +20,13 @@
     def __init__(self, home, now):
         """until: end of the licence; had: whether there was one when last looked; rounds: round -> (when it
         was begun, voters that granted); closed: voter -> (ballot that it promised, when it last heard its
-        leader, when it said so); unable: why this process cannot take what is decided."""
+        leader, when it said so); denials: voter -> why it granted nothing; unable: why this process cannot
+        take what is decided."""
         self.home = home
         self.number, self.digest, self.document, self.unable = -1, "", b"", ""
         self.until, self.had, self.rounds, self.round = 0, False, {}, 0
         self.ask_at, self.again_at, self.pace, self.repeats, self.closed = now, 0, home.tuning.again, 0, {}
+        self.denials = {}
 
     def holds(self, now):
         return self.number if now < self.until else None
@@ -84,6 +86,7 @@
         asked_at, granted = self.rounds[message.round]
         granted.add(source)
         self.closed.pop(source, None)
+        self.denials.pop(source, None)
         if len(granted) < home.majority:
             return
         if message.round == self.round:
@@ -96,6 +99,7 @@
     def denied(self, source, message, now):
         if message.life != self.home.life or source not in self.home.voters:
             return
+        self.denials[source] = message.why
         if message.why == "closed" and message.number == self.number:
             self.closed[source] = message.ballot, now - message.silent, now
         else:
--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -99,24 +99,25 @@
             raise Refused(f"number {number} is under way here")
         if other := home.other(now):
             raise Refused(f"{other.by} leads a change to number {other.number}")
-        if holder.holds(now) is None:
+        # Threat: what is decided can be taken nowhere; another text must still be possible.
+        if holder.holds(now) is None and not holder.unable:
             raise Refused("no licence here")
         if home.voter and not home.voter.cleared:
             raise Refused("this voter is not cleared yet")
-        digest = words.digest_of(document)
-        if digest == holder.digest:
-            raise Refused(f"already in force as number {holder.number}")
+        (before, in_force), digest = home.known, words.digest_of(document)
+        if digest == in_force:
+            raise Refused(f"already decided as number {before}")
         home.texts.put(digest, document)
         if why := home.checked(digest):
             raise Refused(why)
-        rosters = home.roster(holder.digest), home.roster(digest)
+        rosters = home.roster(in_force), home.roster(digest)
         bound = frozenset().union(*rosters) if all(rosters) else home.members
         asked = frozenset(home.members & bound) - {home.name}
-        self.change = Change(holder.number + 1, digest, True, now, now + home.tuning.give_up, asked=asked,
+        self.change = Change(before + 1, digest, True, now, now + home.tuning.give_up, asked=asked,
                              step_at=now)
         home.tell("proposal", number=self.change.number, digest=digest, asked=len(asked))
         self.tick(now)
-        return holder.number + 1
+        return before + 1
 
     def leave(self, now):
         """The process drains: what nobody promised yet is withdrawn, the rest goes on while it can."""
@@ -226,7 +227,8 @@
         """Threat: one that is heard and hears nothing would close the number for all; its licence, renewed
         every sixth, shows it."""
         home = self.home
-        if change.own and home.holder.rest(now) < home.tuning.shortest // 2:
+        holder = home.holder
+        if change.own and not holder.unable and holder.rest(now) < home.tuning.shortest // 2:
             other = home.other(now)
             return self.end("refused", f"{other.by} leads a change to number {other.number}" if other
                             else "too few voters answer here")
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -327,6 +327,7 @@
     fleet.run(2)
     assert fleet.up["d03"].accord.holds(fleet.now) is None
     assert fleet.up["d03"].accord.state(fleet.now)["unable"] == "not here"
+    assert fleet.propose("d03", OTHER) == 2 and fleet.run(2, fleet.all(2))
 
 
 def test_the_whole_fleet_dies_between_decision_and_news(fleet):
@@ -392,6 +393,8 @@
     assert (word.why, word.ballot) == ("closed", first)
     fleet.up["d00"].accord.voter.leader_heard -= 2 * SEC
     assert isinstance(answers(fleet, "d00", "d03", words.Prepare(second, 1, "", total))[0][1], words.Promise)
+    (_, word), = answers(fleet, "d00", "d03", words.Prepare((1, "d03", 4), 1, "", total))
+    assert word.leader == second and kept().promised == second
     answers(fleet, "d00", "d03", words.Yields(second, 1, True))
     assert kept().closed  # the first may have gone further
     answers(fleet, "d00", "d03", accept.but(ballot=second))
@@ -404,6 +407,7 @@
     fleet.propose("d04", NEW)
     fleet.run(3, reaches(fleet, "d04", "release"))
     leader = fleet.up["d04"].accord.leader
+    fleet.run(0.1)
     released, life = words.Released(leader.change.ballot, 1), fleet.up["d03"].life
     for word, of in ((released.but(ballot=(1, "d04", 99)), life), (released, life + 1)):
         answers(fleet, "d04", "d03", word, of)
