--- a/juniperlanding/accord/part.py
+++ b/juniperlanding/accord/part.py
@@ -283,8 +283,10 @@
     def unready(self):
         if self.owner.licensed(self.owner.in_force):
             return ""
-        unable = self.accord and self.accord.state(self.steady())["unable"]
-        return f"no licence, new work is refused{f': {unable}' if unable else ''}"
+        state = self.accord.state(self.steady()) if self.accord else {"unable": "", "denied": {}}
+        denied = ", ".join(f"{voter} says {why}" for voter, why in sorted(state["denied"].items()))
+        why = state["unable"] or denied
+        return f"no licence, new work is refused{f': {why}' if why else ''}"
 
     def gauges(self):
         accord, now = self.accord, self.steady()
