--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -160,7 +160,8 @@
     async def answer(self, line, request, body):
         path = request.target.partition(b"?")[0]
         if request.method == b"GET" and path == protocol.READY:
-            return await self.respond(line, 200 if self.owner.ready and not self.draining else 503)
+            well = self.owner.ready and not self.draining and self.owner.licensed(self.owner.in_force)
+            return await self.respond(line, 200 if well else 503)
         if request.method == b"GET" and path == protocol.COUNTERS:
             return await self.respond(line, 200, payload=self.counters.text().encode())
         if path != protocol.HAND_IN:
@@ -188,9 +189,11 @@
             self.counters.ended(topic, DECLINED)
             return await self.respond(line, 503)
         await answer.ready.wait()
-        again = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
+        more = [("Retry-After", f"{answer.again_in / SEC:.3f}")] if answer.again_in else []
+        if self.owner.licence is not None and answer.took and answer.status == 202:
+            more = [(protocol.POLICY, str(answer.under))]
         try:
-            return await self.respond(line, answer.status, again)
+            return await self.respond(line, answer.status, more)
         except GONE:
             # Threat: the same id once more, unheard, takes back what the first client was told yes for.
             if answer.took and answer.status == 202:
