--- /dev/null
+++ b/tests/test_tables_choice.py
@@ -0,0 +1,166 @@
+"""Plays the tables of the decision module: events in words on a `Bed`, then what must be seen.
+
+A row's `play` holds events, "word field name=value" with times in seconds, and between them tables of what
+must be seen then.  A notification is named by its number in the order taken, -1 is the last, * all that is
+out.  With `seeds` the row is played for that many, and what is seen must fill the range that is wanted."""
+
+import re
+
+import pytest
+from conftest import TOPICS, Bed
+from tables import fills, meets, rows
+
+from juniperlanding.choice import MS, SEC, benefit, known, usual
+
+TIMES = {"objective", "ttl", "window", "must_ask_in", "warm_within", "order_pause", "idle_closes",
+         "most_again_in", "tick"}
+KINDS = ["repeatable", "collapsible", "once-only", "ordered"]
+
+
+def in_ns(settings):
+    return {name: round(value * SEC) if name in TIMES else value for name, value in settings.items()}
+
+
+def plain(value):
+    """A whole number, another number or a word."""
+    if re.fullmatch(r"-?[\d.]+", value):
+        return float(value) if "." in value else int(value)
+    return value
+
+
+class Play:
+    def __init__(self, bed=(), topic=(), bare=(), seed=7):
+        topics = [{k: v for k, v in (t | in_ns(dict(topic))).items() if k not in bare} for t in TOPICS]
+        self.bed = Bed(**{"topic_types": topics} | in_ns(dict(bed)))
+        self.at, self.me = self.bed.at, self.bed.at.me
+        self.me.seed = seed
+
+    # ---- events
+
+    def do(self, step):
+        word, *fields = step.split()
+        named = dict(field.split("=") for field in fields if "=" in field)
+        getattr(self, f"do_{word}")(*[f for f in fields if "=" not in f],
+                                    **{name: plain(value) for name, value in named.items()})
+
+    def do_take(self, kind="repeatable", n=1, dest=1, key=0, ttl=20):
+        for _ in range(int(n)):
+            self.bed.take(KINDS.index(kind), int(dest), ttl, int(key))
+
+    def do_turn(self, after=0):
+        self.do_idle(after)
+        self.at.turn()
+
+    def do_idle(self, after):
+        self.at.now += round(float(after) * SEC)
+
+    def do_end(self, ntf, ending, after=0.1, number=None, wait=0, **report):
+        self.do_idle(after)
+        ids = {"*": [*self.me.pushes], "-1": [k for k in self.me.pushes if k[0] == self.bed.count]}
+        for ntf_id, push in ids.get(ntf) or [k for k in self.me.pushes if k[0] == int(ntf)]:
+            report = {{"left": "limit_left"}.get(name, name): value for name, value in report.items()}
+            over = ending == "delivered"
+            self.at.outcome(ntf_id, push, ending, round(after * SEC), round(wait * SEC), over, report)
+
+    def do_answers(self, *latencies, dest=1, kind="repeatable"):
+        for latency in latencies:
+            self.do_take(kind, dest=dest)
+            self.do_turn()
+            self.do_end("-1", "delivered", after=float(latency))
+            self.do_turn(1)
+
+    def do_bad(self, times, ending, after=0.1, turn=8):
+        for _ in range(int(times)):
+            self.do_take(ttl=100)
+            self.do_turn(turn)
+            self.do_end("-1", ending, after)
+            self.at.withdrawn(self.bed.count)
+
+    def do_fill(self):
+        for dest in self.me.destinations.values():
+            dest.route.pace = dest.route.tokens = 1000.0
+            dest.route.filled_at = self.at.now
+
+    def do_list(self, news, *entries):
+        told = [entry.split(":") for entry in entries]
+        self.at.listed(news, [(int(e), int(d), 0, 50.0, int(zone[0]) if zone else 0, state)
+                              for e, d, state, *zone in told])
+
+    def do_withdraw(self, ntf):
+        self.at.withdrawn(self.bed.count if ntf == "-1" else int(ntf))
+
+    def do_note(self, rank, *words):
+        self.at.note(int(rank), " ".join(words).encode())
+
+    def do_stop(self, after):
+        self.at.stopping(self.at.now + round(float(after) * SEC))
+
+    def do_restart(self, kind, pushes=1, ran=None, zone=0):
+        self.bed.count += 1
+        now = self.at.now
+        self.at.notification(self.bed.count, KINDS.index(kind), 1, now + 20 * SEC, 0, int(pushes), int(zone),
+                             0 if ran is None else now - round(ran * SEC))
+
+    def do_be(self, what, **state):
+        """Put a record into a state; names that end in _ago are times before now."""
+        record = {"me": self.me, "endpoint": self.bed.endpoint(), "route": self.bed.endpoint().route,
+                  "dest": self.at.destination(1)}[what]
+        for name, value in state.items():
+            ago = name.endswith("_ago")
+            value = self.at.now - round(value * SEC) if ago else value
+            setattr(record, name.removesuffix("_ago"), value)
+
+    # ---- what is seen
+
+    def see(self, name):
+        ep, dest, all_ = self.me.endpoints.get(10), self.at.destination(1), self.bed.host.all
+        route, now, pushed = dest.route, self.at.now, self.bed.pushed
+        return {
+            "pushes": lambda: len(pushed), "sent": lambda: [p[0] for p in pushed],
+            "timeout": lambda: pushed[-1][2] / SEC, "leave": lambda: pushed[-1][3] / SEC,
+            "to": lambda: pushed[-1][1], "order": lambda: self.letters([p[1] for p in pushed]),
+            "calls": lambda: sorted(len(c.pushes) for e in self.me.endpoints.values() for c in e.calls),
+            "throttled": lambda: [f[0] for f in all_("throttled")],
+            "again": lambda: all_("throttled")[-1][1] / SEC,
+            "expired": lambda: [f[0] for f in all_("expired")],
+            "cancelled": lambda: [f[0] for f in all_("cancel")],
+            "closed": lambda: len(all_("close_idle")), "notes": lambda: [f[1].decode() for f in all_("note")],
+            "subscribed": lambda: len(all_("subscribe")), "timer": lambda: all_("timer")[-1][0] / SEC,
+            "said": lambda: [line.split(":")[0] for line, in all_("log")],
+            "forecast": lambda: dest.forecast / SEC, "miss": lambda: dest.miss / SEC,
+            "samples": lambda: dest.samples,
+            "pace": lambda: route.pace, "limit": lambda: known(route), "left": lambda: route.left,
+            "wait": lambda: (route.wait_until - now) / SEC, "tokens": lambda: route.tokens,
+            "down": lambda: ep.down, "run": lambda: ep.run, "warming": lambda: bool(ep.back_at),
+            "trial": lambda: (ep.trial_at - now) / SEC, "loss": lambda: self.me.loss,
+            "slice": lambda: ep.trial_at // (300 * MS) % self.me.dispatchers,
+            "share": lambda: self.at.health.budget(ep, 0), "first_part": lambda: ep.tokens,
+            "half_warm": lambda: self.at.health.budget(ep, 5 * SEC),
+            "usual": lambda: usual(dest, now), "slots": lambda: self.me.slots_out,
+            "held": lambda: len(self.me.notifications), "endpoints": lambda: sorted(self.me.endpoints),
+            "worth_in_4": lambda: benefit(self.me.notifications[self.bed.count], now + 4 * SEC),
+            "worth_in_20": lambda: benefit(self.me.notifications[self.bed.count], now + 20 * SEC),
+        }[name]()
+
+    @staticmethod
+    def letters(numbers):
+        seen = list(dict.fromkeys(numbers))
+        return "".join("ABCDEFGH"[seen.index(number)] for number in numbers)
+
+
+@pytest.mark.parametrize("row", rows("page") + rows("exceptions"))
+def test_the_sentence_holds(row):
+    seen = {}
+    for seed in range(7, 7 + row.get("seeds", 1)):
+        play = Play(row.get("bed", {}), row.get("topic", {}), row.get("bare", ()), seed)
+        for number, step in enumerate(row["play"]):
+            if isinstance(step, str):
+                play.do(step)
+                continue
+            for name, wanted in step.items():
+                got = play.see(name)
+                assert meets(wanted, got), f"{name} at step {number}: {got}, wanted {wanted}"
+                seen.setdefault((number, name), []).append(got)
+    for (number, name), values in seen.items() if "seeds" in row else ():
+        wanted = row["play"][number][name]
+        assert not isinstance(wanted, dict) or fills(wanted, values), (name, min(values), max(values))
