--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -2,7 +2,10 @@
 sentence", says which test keeps which sentence."""
 
 import json
+import os
 import signal
+import socket
+import struct
 import sys
 from contextlib import suppress
 from dataclasses import replace
@@ -175,7 +178,7 @@
     answers = []
 
     async def client(number):
-        answers.append(await site.hand_in(f"a{number}"))
+        answers.append(await site.ask(handed(f"X-Trace-Id: a{number}")))
 
     async def scene(site):
         node = await site.start()
@@ -188,7 +191,25 @@
             await trio.sleep(0.1)
             del node.owner.carry_out
             await node.owner.tell(len, "")
-        assert len(answers) == 60 and set(answers) <= {202, 503}
+        assert len(answers) == 60 and {status for status, _ in answers} <= {202, 503}
+        assert any(headers.get("connection") == "close" for _, headers in answers)  # those over the limit
+    site.run(scene)
+
+
+def test_a_client_that_gives_up_before_its_answer_is_owed_nothing_at_once(site):
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        await site.until(lambda: node.owner.ready)
+        node.owner.carry_out = lambda: None  # as if the round stood still
+        await stream.send_all(handed("X-Addressing: dest=8"))
+        await site.until(lambda: node.owner.answers)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        stream.socket.close()
+        await trio.sleep(0.05)
+        del node.owner.carry_out
+        await node.owner.tell(len, "")
+        with trio.fail_after(0.5):
+            await site.until(lambda: node.counters["unheard"] and not node.ledger.owed)
     site.run(scene)
 
 
@@ -218,3 +239,25 @@
         process.terminate()
         assert await process.wait() == 0
     site.run(scene)
+
+
+def test_it_starts_and_serves_while_nobody_reads_a_full_log(site, monkeypatch):
+    unread, log = os.pipe()
+    os.set_blocking(log, False)
+    with suppress(BlockingIOError):
+        while True:
+            os.write(log, b"x" * 4096)
+    os.set_blocking(log, True)
+    whole = trio.lowlevel.open_process
+    monkeypatch.setattr(trio.lowlevel, "open_process",
+                        lambda command, **more: whole(command, **more | {"stderr": log}))
+
+    async def scene(site):
+        with trio.fail_after(4):
+            process = await program(site)
+            assert await site.hand_in("a1") == 202
+            process.terminate()
+            assert await process.wait() == 0
+    site.run(scene)
+    os.close(unread)
+    os.close(log)
