--- a/juniperlanding/accord/accord.py
+++ b/juniperlanding/accord/accord.py
@@ -19,7 +19,7 @@
 
 __all__ = ["Accord", "Kept", "Refused", "Tuning"]
 MS, SEC = 1_000_000, 1_000_000_000
-MOST_MEMBERS = 4096
+MOST_MEMBERS, MOST_EPOCHS = 4096, 4
 STEPS = {words.Check: "check", words.Prepare: "close", words.Leads: "release", words.Release: "release",
          words.Accept: "accept"}
 
@@ -69,7 +69,8 @@
         self.kept, self.read, self.check = kept, read, check
         self.members, self.out, self.said, self.own = set(), [], [], deque()
         self.known = (-1, "")  # the highest number known to be decided
-        self.round, self.stamps, self.rosters = 0, dict(kept.stamps), {"": frozenset()}
+        self.round, self.rosters = 0, {"": frozenset()}
+        self.stamps = {name: {0: stamp} for name, stamp in kept.stamps.items()}  # voter -> epoch -> highest
         self.texts = Texts(self, kept.documents)
         self.holder, self.leader = Holder(self, now), Leader(self, now)
         self.voter = Voter(self, now) if name in self.voters else None
@@ -115,7 +116,7 @@
 
     def due(self):
         times = [self.holder.due(), self.leader.due(), self.texts.due()]
-        if self.voter and not self.voter.cleared:
+        if self.voter:
             times.append(self.voter.recall_at)
         return min(times)
 
@@ -144,7 +145,7 @@
                 self.tell("other voters", member=source)
             return
         if hasattr(message, "stamp") and source in self.voters and kind is not words.Recalled:
-            self.stamps[source] = max(message.stamp, self.stamps.get(source, 0))
+            self.hear(source, message.epoch, message.stamp)
         for field in ("ballot", "leader", "promised"):
             self.round = max(self.round, getattr(message, field, words.NONE)[0])
         if kind in STEPS and source != self.name and message.number > max(self.known[0], 0):
@@ -196,7 +197,7 @@
                 if voter:
                     voter.recall(source, message, now)
                 elif source in self.voters:
-                    self.say(source, words.Recalled(message.epoch, 0, self.stamps.get(source, 0)))
+                    self.say(source, words.Recalled(message.epoch, *self.heard_of(source, message.epoch)))
             case words.Recalled():
                 if voter:
                     voter.recalled(source, message, now)
@@ -205,6 +206,17 @@
             case words.Piece():
                 self.texts.piece(source, message, now)
 
+    def hear(self, voter, epoch, stamp):
+        found = self.stamps.setdefault(voter, {})
+        found[epoch] = max(stamp, found.get(epoch, 0))
+        if len(found) > MOST_EPOCHS:
+            del found[min(found, key=found.get)]
+
+    def heard_of(self, voter, epoch):
+        """Highest epoch and stamp in words of a voter's other lives than this one."""
+        found = {at: stamp for at, stamp in self.stamps.get(voter, {}).items() if at != epoch}
+        return max(found, default=0), max(found.values(), default=0)
+
     def rival(self, step, source, message, now):
         found = self.others
         if not found or (found.number, found.by) != (message.number, source):
@@ -272,7 +284,8 @@
 
     def write(self, **more):
         """Change what a voter keeps."""
-        self.kept = self.kept.but(stamp=self.kept.stamp + 1, stamps=dict(self.stamps), **more)
+        stamps = {name: max(found.values()) for name, found in self.stamps.items()}
+        self.kept = self.kept.but(stamp=self.kept.stamp + 1, stamps=stamps, **more)
 
     def roster(self, digest):
         """Names bound by a document, empty for everybody; None if it is not here."""
--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -374,16 +374,18 @@
 
     def learned(self, number, digest, now):
         """A number is decided, by whomever."""
-        change, home, mine = self.change, self.home, self.proposed
+        change, home, mine, asked = self.change, self.home, self.proposed, True
         if change and change.own:
-            mine = change.number, change.digest
+            mine, asked = (change.number, change.digest), change.step == "accept"
         led = change and change.step == "accept" and (change.number, change.digest) == (number, digest)
         if change and change.number <= number:
             self.change = None
         if mine and mine[0] <= number:
-            same = mine[0] == number
-            outcome = "decided" if same and mine[1] == digest else (
-                "kept" if same and digest == home.holder.digest else "lost")
+            if mine[0] < number:  # others may have finished it, and changed it since
+                outcome = "unknown" if asked else "lost"
+            else:
+                outcome = "decided" if mine[1] == digest else (
+                    "kept" if digest == home.holder.digest else "lost")
             why = "" if outcome == "decided" else f"number {number} is decided"
             self.last = mine[0], outcome, home.name, why
             self.proposed = None
--- a/juniperlanding/accord/voter.py
+++ b/juniperlanding/accord/voter.py
@@ -11,7 +11,8 @@
   before, its record holds the ballot and the text, and is adopted; if it came later, it says the new epoch
   beside its part, and the part of the earlier life no longer counts (`agreeing`).  (a) A folder is believed
   without that, if a majority with ourselves has answered and nobody ever heard a higher stamp than the
-  folder's.  What is open there: an older copy, while all who heard more are away.
+  folder's.  It asks on until each voter has answered, and a later objection ends it.  What is open there: an
+  older copy, while all who heard more are away.
 - *No licence for n once n + 1 is decided.*  A promise for n + 1 closes n.  Each licence has the grants of a
   majority, so it has one of a voter among those whose promises the leader waited for.  That voter granted
   before it promised, and then names the holder in its promise, or has started since, and then is `blind` for
@@ -34,59 +35,72 @@
 
 class Voter:
     def __init__(self, home, now):
-        """home: the `Accord`, whose `kept` it changes.
+        """home: the `Accord`, whose `kept` it changes; found: stamp of the folder; sure: cleared by others.
 
         holders: (name, life) -> until when it may hold a licence; listed: what it promised to which ballot;
         wanted: what it is asked to accept, while the document is fetched."""
         self.home, self.cleared, self.began = home, False, now
         self.holders, self.listed, self.wanted = {}, (NONE, [], 0), None
         self.blind_until = now + home.tuning.longest
-        self.leader_heard, self.answers, self.doubted = now, {}, False
-        self.recall_at, self.pace, self.doubts = now, home.tuning.again, ""
-        home.kept = home.kept.but(epoch=words.epoch_after(home.kept.epoch, home.life))
+        self.leader_heard, self.found, self.sure, self.doubts = now, home.kept.stamp, False, ""
+        self.again(0, now)
 
     # ---- after a start
 
+    def again(self, before, now):
+        """Threat: a folder that is an older copy; with a new epoch its earlier answers are told apart."""
+        home = self.home
+        home.kept = home.kept.but(epoch=words.epoch_after(max(before, home.kept.epoch), home.life))
+        self.cleared, self.answers, self.recall_at, self.pace = False, {}, now, home.tuning.again
+
     def tick(self, now):
-        if self.cleared or now < self.recall_at:
+        """Who is cleared by its folder alone asks on until each voter has answered: one may have heard
+        more."""
+        home = self.home
+        if now < self.recall_at:
             return
-        self.recall_at = now + self.pace
-        self.pace = min(self.home.tuning.licence // 6, self.pace + self.pace // 4)
-        for name in self.home.everybody():
-            answer = self.answers.get(name)
-            if not answer or answer.voter and not answer.sure:
-                self.say(name, words.Recall(self.home.kept.epoch, self.home.sum))
+        answered = self.answers if self.cleared else self.vouch() | {
+            name for name, answer in self.answers.items() if not answer.voter}
+        asked = [name for name in (home.voters if self.cleared else home.everybody())
+                 if name not in answered and name != home.name]
+        for name in asked:
+            self.say(name, words.Recall(home.kept.epoch, home.sum))
+        self.recall_at = now + self.pace if asked or not self.cleared else 1 << 62
+        self.pace = min(home.tuning.licence // 6, self.pace + self.pace // 4)
         self.clear(now)
-        if not self.cleared and now > self.began + 2 * self.home.tuning.clear_after:
-            doubts = "others heard more from us" if self.doubted else "no majority answers"
+        if not self.cleared and now > self.began + 2 * home.tuning.clear_after:
+            doubts = "others heard more from us" if home.kept.doubted else "too few voters answer"
             if doubts != self.doubts:
                 self.doubts = doubts
-                self.home.tell("not cleared", why=doubts, answered=len(self.answers))
+                home.tell("not cleared", why=doubts, answered=len(self.answers))
 
     def recalled(self, source, message, now):
         home = self.home
-        if self.cleared or message.epoch != home.kept.epoch:
-            return
-        self.doubted |= message.stamp > home.kept.stamp
-        if message.before > home.kept.epoch:  # the folder is older than a start of ours
-            home.kept = home.kept.but(epoch=words.epoch_after(message.before, home.life))
-            self.answers, self.recall_at = {}, now
+        if self.sure or message.epoch != home.kept.epoch or message.voter and source not in home.voters:
             return
+        doubted = message.stamp > self.found and not home.kept.doubted
+        if doubted:
+            home.kept = home.kept.but(doubted=True)
+        if message.before > home.kept.epoch or doubted and self.cleared:
+            return self.again(message.before, now)
         self.answers[source] = message
         self.clear(now)
 
+    def vouch(self):
+        """Voters whose answers count together, as far as they are cleared themselves."""
+        return agreeing({name: (answer.own, self.home.by_name(answer.epochs))
+                         for name, answer in self.answers.items() if answer.sure})
+
     def clear(self, now):
         """Once (b) a majority without us has answered that is itself cleared, or (a) a majority with us has,
         nobody heard more from us than the folder holds, and there was time to say so."""
         home = self.home
-        voters = {name: answer for name, answer in self.answers.items()
-                  if answer.voter and name in home.voters}
-        sure = agreeing({name: (answer.own, home.by_name(answer.epochs))
-                         for name, answer in voters.items() if answer.sure})
-        if len(sure) < home.majority and (self.doubted or now < self.began + home.tuning.clear_after
-                                          or len(voters) + 1 < home.majority):
+        voters = {name: answer for name, answer in self.answers.items() if answer.voter}
+        sure = len(self.vouch()) >= home.majority
+        if self.cleared or not sure and (home.kept.doubted or now < self.began + home.tuning.clear_after
+                                         or len(voters) + 1 < home.majority):
             return
-        self.cleared, self.leader_heard, kept = True, now, home.kept
+        self.cleared, self.sure, self.leader_heard, kept = True, sure, now, home.kept
         for answer in voters.values():
             epochs = home.by_name(answer.epochs)
             kept = merged(kept, answer).but(epochs={
@@ -94,25 +108,30 @@
                 if name != home.name})
         stamp = max([kept.stamp, *(answer.stamp for answer in self.answers.values())])
         if kept != home.kept or stamp > kept.stamp:
-            home.kept = kept.but(stamp=stamp + 1)
-        home.tell("cleared", number=kept.number, stamp=home.kept.stamp,
-                  by="voters" if len(sure) >= home.majority else "folder")
+            home.kept = kept.but(stamp=stamp + 1, doubted=False)
+        self.recall_at = 1 << 62 if sure else now + self.pace
+        home.tell("cleared", number=kept.number, stamp=home.kept.stamp, by="voters" if sure else "folder")
         home.learn(kept.number, kept.digest, home.name, now)
         self.learned(*home.known, now)
         for digest in (home.kept.digest, home.kept.accepted_digest):
             home.texts.want(digest, None, now)
 
     def recall(self, source, message, now):
-        """What we know of a voter that started, and of the record.  Only who is cleared itself may vouch for
-        another; a stamp that grew before would hide that our own folder is old."""
+        """What we know of a voter that started, and of the record.  A stamp that grew before we are cleared
+        would hide that our own folder is old."""
         home = self.home
-        before = home.kept.epochs.get(source, 0)
-        if self.cleared and message.epoch > before and source in home.voters:
-            home.write(epochs=home.kept.epochs | {source: message.epoch})
+        before, stamp = home.heard_of(source, message.epoch)
+        before = max(before, home.kept.epochs.get(source, 0))
+        if source in home.voters and message.epoch > before:
+            epochs = home.kept.epochs | {source: message.epoch}
+            if self.cleared:
+                home.write(epochs=epochs)
+            else:
+                home.kept = home.kept.but(epochs=epochs)
         kept = home.kept
         self.say(source, words.Recalled(
-            message.epoch, before, home.stamps.get(source, 0), True, self.cleared, kept.number, kept.digest,
-            kept.promised, kept.closed, kept.accepted, kept.accepted_digest, kept.epoch, self.epochs()))
+            message.epoch, before, stamp, True, self.cleared, kept.number, kept.digest, kept.promised,
+            kept.closed, kept.accepted, kept.accepted_digest, kept.epoch, self.epochs()))
 
     # ---- licences
 
--- a/juniperlanding/accord/words.py
+++ b/juniperlanding/accord/words.py
@@ -263,6 +263,7 @@
     stamps: dict[str, int] = {}
     owed: bool = False
     open: bool = False
+    doubted: bool = False
 
     @property
     def closed(self):
