--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -80,8 +80,10 @@
 
 class Leader:
     def __init__(self, home, now):
-        """last: (number, outcome, by, why) of the last proposal here; proposed: (number, digest) of one that
-        is led here no more and may yet be decided; telling: member -> times that it was told the news."""
+        """last: (number, outcome, by, why) of the last proposal here, outcome: decided, refused, withdrawn,
+        kept (the text in force was decided instead), lost (another text was) or unknown; proposed: (number,
+        digest) of one that is led here no more and may yet be decided; telling: member -> times that it was
+        told the news."""
         self.home, self.change, self.last, self.proposed, self.leaving = home, None, None, None, False
         self.telling, self.tell_at, self.tries, self.not_before, self.at = {}, 0, 0, now, now
         self.yielding, self.yield_at, self.yields = None, 0, 0
--- a/juniperlanding/accord/texts.py
+++ b/juniperlanding/accord/texts.py
@@ -66,7 +66,7 @@
                                     if name not in wanted.sources and name != self.home.name]
         if not sources:
             return
-        wanted.again_at = now + self.home.tuning.again
+        wanted.again_at = now + (self.home.tuning.again << min(wanted.asks // 8, 4))
         wanted.asked = {}
         wanted.source = sources[wanted.asks % len(sources)]
         wanted.asks += 1
--- a/juniperlanding/accord/voter.py
+++ b/juniperlanding/accord/voter.py
@@ -107,7 +107,7 @@
                 name: max(kept.epochs.get(name, 0), epochs.get(name, 0)) for name in home.voters
                 if name != home.name})
         stamp = max([kept.stamp, *(answer.stamp for answer in self.answers.values())])
-        if kept != home.kept or stamp > kept.stamp:
+        if kept != home.kept or stamp > kept.stamp or kept.doubted:
             home.kept = kept.but(stamp=stamp + 1, doubted=False)
         self.recall_at = 1 << 62 if sure else now + self.pace
         home.tell("cleared", number=kept.number, stamp=home.kept.stamp, by="voters" if sure else "folder")
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -245,6 +245,15 @@
     assert fleet.run(1, fleet.all(1)) and fleet.said("d00", "cleared")[0]["number"] == 1
 
 
+def test_a_late_objection_ends_what_a_voter_believed_of_its_folder(fleet):
+    kept = fleet.up["d00"].accord.kept
+    answers(fleet, "d00", "d03", words.Recalled(kept.epoch, 0, 99))
+    assert not fleet.up["d00"].accord.voter.cleared and fleet.up["d00"].accord.kept.doubted
+    fleet.run(1)
+    assert [said["by"] for said in fleet.said("d00", "cleared")] == ["folder", "voters"]
+    assert not fleet.up["d00"].accord.kept.doubted
+
+
 def test_a_promise_of_a_life_that_was_forgotten_does_not_count(fleet):
     """One voter promises and loses its folder; the next promises only after it helped that one to start."""
     fleet.lost = lambda _, to, word: isinstance(word, words.Prepare) and to in ("d01", "d02")
