--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -80,8 +80,10 @@
 
 class Leader:
     def __init__(self, home, now):
-        """last: (number, outcome, by, why) of the last proposal here; proposed: (number, digest) of one that
-        is led here no more and may yet be decided; telling: member -> times that it was told the news."""
+        """last: (number, outcome, by, why) of the last proposal here, outcome: decided, refused, withdrawn,
+        kept (the text in force was decided instead), lost (another text was) or unknown; proposed: (number,
+        digest) of one that is led here no more and may yet be decided; telling: member -> times that it was
+        told the news."""
         self.home, self.change, self.last, self.proposed, self.leaving = home, None, None, None, False
         self.telling, self.tell_at, self.tries, self.not_before, self.at = {}, 0, 0, now, now
         self.yielding, self.yield_at, self.yields = None, 0, 0
@@ -374,16 +376,18 @@
 
     def learned(self, number, digest, now):
         """A number is decided, by whomever."""
-        change, home, mine = self.change, self.home, self.proposed
+        change, home, mine, asked = self.change, self.home, self.proposed, True
         if change and change.own:
-            mine = change.number, change.digest
+            mine, asked = (change.number, change.digest), change.step == "accept"
         led = change and change.step == "accept" and (change.number, change.digest) == (number, digest)
         if change and change.number <= number:
             self.change = None
         if mine and mine[0] <= number:
-            same = mine[0] == number
-            outcome = "decided" if same and mine[1] == digest else (
-                "kept" if same and digest == home.holder.digest else "lost")
+            if mine[0] < number:  # others may have finished it, and changed it since
+                outcome = "unknown" if asked else "lost"
+            else:
+                outcome = "decided" if mine[1] == digest else (
+                    "kept" if digest == home.holder.digest else "lost")
             why = "" if outcome == "decided" else f"number {number} is decided"
             self.last = mine[0], outcome, home.name, why
             self.proposed = None
