--- a/juniperlanding/ground/lock.py
+++ b/juniperlanding/ground/lock.py
@@ -4,7 +4,7 @@
 import fcntl
 import os
 
-from juniperlanding.ground.errors import Trouble, system
+from juniperlanding.ground.errors import Trouble
 
 FILE = "lock"
 
@@ -30,10 +30,7 @@
 
     def __init__(self, folder):
         path = os.path.join(folder, FILE)
-        try:
-            self.file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        except OSError as error:
-            raise system(error) from None
+        self.file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             try:
                 fcntl.flock(self.file, fcntl.LOCK_EX | fcntl.LOCK_NB)
