--- a/juniperlanding/processes/accord_verdict.py
+++ b/juniperlanding/processes/accord_verdict.py
@@ -76,6 +76,8 @@
     found, at = [], {}
     for _, heard_at, member, number in sorted(items, key=lambda item: (item[1], item[3])):
         before = at.get(member)
+        if before and number < before[1]:  # an older answer that was long under way
+            continue
         if before and number > before[1]:
             found.append((member, before[1], number, heard_at - before[0]))
         at[member] = heard_at, number
