--- a/tests/test_accord_search.py
+++ b/tests/test_accord_search.py
@@ -3,9 +3,15 @@
 import random
 
 import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from juniperlanding.emulator import accord, accord_swarm
 from juniperlanding.processes import accord_verdict as verdict
 
+AT = st.integers(0, 4)
+
 
 def test_breach_needs_an_order_that_the_intervals_prove():
     newer = (10, 20, "a", 2)
@@ -36,7 +42,8 @@
     assert verdict.doubled([(1, "x"), (2, "y"), (1, "x"), (2, "z")]) == {2: {"y", "z"}}
     standing = [("a", 2, "y"), ("b", 1, "x"), ("c", 2, "z"), ("d", 3, "w")]
     assert verdict.lost([(2, "y")], standing) == [(2, "y", "b"), (2, "y", "c")]
-    items = [(0, 5, "a", 1), (1, 6, "b", 1), (8, 9, "a", 1), (30, 31, "a", 2), (10, 46, "b", 3)]
+    items = [(0, 5, "a", 1), (1, 6, "b", 1), (8, 9, "a", 1), (30, 31, "a", 2), (10, 46, "b", 3), (9, 40, "a", 1),
+             (50, 51, "a", 2)]
     assert verdict.pauses(items) == [("a", 1, 2, 22), ("b", 1, 3, 40)]
     assert verdict.middle_and_worst([22, 40, 30]) == (30, 40)
     assert verdict.middle_and_worst([]) == (None, None)
@@ -51,3 +58,75 @@
 ])
 def test_settled(readings, at):
     assert verdict.settled_at(readings, {"a", "b"}, 1) == at
+
+
+class Change(RuleBasedStateMachine):
+    """The whole change with licences and drift: whatever is drawn, one number at one instant."""
+
+    @initialize(members=st.integers(3, 5), seed=st.integers(0, 99), loss=st.sampled_from([0.0, 0.1, 0.3]),
+                ppm=st.lists(st.sampled_from([-10_000, 0, 10_000]), min_size=5, max_size=5))
+    def begin(self, members, seed, loss, ppm):
+        names = [f"d{at}" for at in range(members)]
+        self.fleet = accord.Fleet(names, 3, seed, ppm=ppm, loss=loss, double=loss)
+        self.fleet.run(1500 * accord.MS)
+        self.texts = 0
+
+    def name(self, at):
+        return self.fleet.names[at % len(self.fleet.names)]
+
+    @rule(at=AT)
+    def propose(self, at):
+        self.texts += 1
+        self.fleet.propose(self.name(at), accord.document(f"text {self.texts}"))
+
+    @rule(span=st.sampled_from([5, 20, 60, 150, 400, 1200, 2600]))
+    def wait(self, span):
+        self.fleet.run(self.fleet.now + span * accord.MS)
+
+    @rule(at=AT)
+    def crash(self, at):
+        self.fleet.crash(self.name(at))
+
+    @rule(at=AT)
+    def start(self, at):
+        self.fleet.start(self.name(at))
+
+    @rule(at=AT)
+    def stop(self, at):
+        self.fleet.stop(self.name(at))
+
+    @rule(at=AT)
+    def go_on(self, at):
+        self.fleet.go_on(self.name(at))
+
+    @rule(at=AT, other=AT)
+    def cut(self, at, other):
+        self.fleet.cuts.add((self.name(at), self.name(other)))
+
+    @rule()
+    def heal(self):
+        self.fleet.cuts.clear()
+
+    @rule(at=AT, fails=st.booleans())
+    def disk(self, at, fails):
+        self.fleet.machines[self.name(at)].disk_fails = fails
+
+    @rule(at=AT, overlap=st.sampled_from([50, 1500]), talks=st.booleans())
+    def replace(self, at, overlap, talks):
+        self.fleet.replace(self.name(at), overlap * accord.MS, talks)
+
+    @invariant()
+    def sound(self):
+        if hasattr(self, "fleet"):
+            assert self.fleet.breaches() == []
+
+    def teardown(self):
+        if hasattr(self, "fleet"):
+            accord_swarm.calm(self.fleet)
+            assert accord_swarm.wait(self.fleet, accord_swarm.SETTLE) is not None, "neither everywhere nor nowhere"
+            assert self.fleet.breaches() + self.fleet.losses() == []
+
+
+TestChange = Change.TestCase
+TestChange.settings = settings(max_examples=25, stateful_step_count=30, deadline=None, derandomize=True,
+                               database=None, suppress_health_check=list(HealthCheck))
