--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -19,7 +19,6 @@
 text that was accepted, or decides the next number with the text that is in force."""
 
 from dataclasses import dataclass, field
-from math import ceil
 from zlib import crc32
 
 from juniperlanding.accord import words
@@ -81,8 +80,10 @@
 
 class Leader:
     def __init__(self, home, now):
-        """last: (number, outcome, by, why) of the last proposal here; proposed: (number, digest) of one that
-        is led here no more and may yet be decided; telling: member -> times that it was told the news."""
+        """last: (number, outcome, by, why) of the last proposal here, outcome: decided, refused, withdrawn,
+        kept (the text in force was decided instead), lost (another text was) or unknown; proposed: (number,
+        digest) of one that is led here no more and may yet be decided; telling: member -> times that it was
+        told the news."""
         self.home, self.change, self.last, self.proposed, self.leaving = home, None, None, None, False
         self.telling, self.tell_at, self.tries, self.not_before, self.at = {}, 0, 0, now, now
         self.yielding, self.yield_at, self.yields = None, 0, 0
@@ -100,24 +101,25 @@
             raise Refused(f"number {number} is under way here")
         if other := home.other(now):
             raise Refused(f"{other.by} leads a change to number {other.number}")
-        if holder.holds(now) is None:
+        # Threat: what is decided can be taken nowhere; another text must still be possible.
+        if holder.holds(now) is None and not holder.unable:
             raise Refused("no licence here")
         if home.voter and not home.voter.cleared:
             raise Refused("this voter is not cleared yet")
-        digest = words.digest_of(document)
-        if digest == holder.digest:
-            raise Refused(f"already in force as number {holder.number}")
+        (before, in_force), digest = home.known, words.digest_of(document)
+        if digest == in_force:
+            raise Refused(f"already decided as number {before}")
         home.texts.put(digest, document)
         if why := home.checked(digest):
             raise Refused(why)
-        rosters = home.roster(holder.digest), home.roster(digest)
+        rosters = home.roster(in_force), home.roster(digest)
         bound = frozenset().union(*rosters) if all(rosters) else home.members
         asked = frozenset(home.members & bound) - {home.name}
-        self.change = Change(holder.number + 1, digest, True, now, now + home.tuning.give_up, asked=asked,
+        self.change = Change(before + 1, digest, True, now, now + home.tuning.give_up, asked=asked,
                              step_at=now)
         home.tell("proposal", number=self.change.number, digest=digest, asked=len(asked))
         self.tick(now)
-        return holder.number + 1
+        return before + 1
 
     def leave(self, now):
         """The process drains: what nobody promised yet is withdrawn, the rest goes on while it can."""
@@ -227,13 +229,20 @@
         """Threat: one that is heard and hears nothing would close the number for all; its licence, renewed
         every sixth, shows it."""
         home = self.home
-        if change.own and home.holder.rest(now) < home.tuning.shortest // 2:
+        holder = home.holder
+        if change.own and not holder.unable and holder.rest(now) < home.tuning.shortest // 2:
             other = home.other(now)
             return self.end("refused", f"{other.by} leads a change to number {other.number}" if other
                             else "too few voters answer here")
-        home.round = max(home.round, home.kept.promised[0]) + 1
-        change.ballot = home.round, home.name, home.life
         self.step(change, "close", now)
+        self.raise_ballot(change, now)
+
+    def raise_ballot(self, change, now):
+        """A ballot higher than any heard of."""
+        home = self.home
+        home.round = max(home.round, home.kept.promised[0]) + 1
+        change.ballot, change.again_at = (home.round, home.name, home.life), now
+        change.pledges, change.others = {}, {}
 
     def closed(self, change, now):
         """A majority promised."""
@@ -281,21 +290,17 @@
         if pledge is None or pledge.epoch < message.epoch:
             pledge = change.pledges[source] = Pledge(
                 message.epoch, {}, message.accepted, message.accepted_digest, message.of,
-                self.over(message.blind, now))
+                now + message.blind)
         if pledge.epoch != message.epoch or message.of != pledge.of or message.piece >= message.of:
             return
         pledge.pieces.add(message.piece)
         pledge.epochs = self.home.by_name(message.epochs)
         for name, life, rest in message.holders:
             if (name, life) not in change.released:
-                until = self.over(rest, now)
+                until = now + rest
                 pledge.holders[name, life] = min(until, pledge.holders.get((name, life), until))
         self.go_on(now)
 
-    def over(self, rest, now):
-        """When a rest told by another's clock is surely over by ours."""
-        return now + ceil(rest * (1 + self.home.tuning.drift)) if rest else 0
-
     def follows(self, source, message, now):
         change = self.change
         if not change or message.ballot != change.ballot or source not in self.home.voters:
@@ -303,6 +308,10 @@
         change.heard[source] = now
         if message.leader == change.ballot:
             return
+        if change.step == "close" and not message.busy:  # of one that gave up or fell silent
+            if message.leader > change.ballot:
+                self.raise_ballot(change, now)
+            return
         change.others[source] = message.leader
         higher = [leader for leader in change.others.values() if leader > change.ballot]
         if change.step != "close" and len(higher) > len(self.home.voters) - self.home.majority:
@@ -367,16 +376,18 @@
 
     def learned(self, number, digest, now):
         """A number is decided, by whomever."""
-        change, home, mine = self.change, self.home, self.proposed
+        change, home, mine, asked = self.change, self.home, self.proposed, True
         if change and change.own:
-            mine = change.number, change.digest
+            mine, asked = (change.number, change.digest), change.step == "accept"
         led = change and change.step == "accept" and (change.number, change.digest) == (number, digest)
         if change and change.number <= number:
             self.change = None
         if mine and mine[0] <= number:
-            same = mine[0] == number
-            outcome = "decided" if same and mine[1] == digest else (
-                "kept" if same and digest == home.holder.digest else "lost")
+            if mine[0] < number:  # others may have finished it, and changed it since
+                outcome = "unknown" if asked else "lost"
+            else:
+                outcome = "decided" if mine[1] == digest else (
+                    "kept" if digest == home.holder.digest else "lost")
             why = "" if outcome == "decided" else f"number {number} is decided"
             self.last = mine[0], outcome, home.name, why
             self.proposed = None
@@ -393,7 +404,7 @@
         self.telling = {name: times + 1 for name, times in self.telling.items() if times < MOST_TELLS}
         for name in self.telling:
             home.say(name, words.Decided(*home.known))
-        self.tell_at = now + (home.tuning.again << min(max(self.telling.values(), default=0), 5) - 1)
+        self.tell_at = now + (home.tuning.again << min(max(self.telling.values(), default=0), 5))
 
     def taken(self, source, message):
         if message.number == self.home.known[0]:
--- a/juniperlanding/accord/words.py
+++ b/juniperlanding/accord/words.py
@@ -111,11 +111,13 @@
 
 
 class Follows(Word):
-    """To what was said under `ballot`: the voter follows `leader`, perhaps the same."""
+    """To what was said under `ballot`: the voter promised `leader`, perhaps the same; busy: which is another
+    that lives."""
 
     ballot: Ballot
     number: Number
     leader: Ballot
+    busy: bool
 
 
 class Leads(Word):
@@ -261,6 +263,7 @@
     stamps: dict[str, int] = {}
     owed: bool = False
     open: bool = False
+    doubted: bool = False
 
     @property
     def closed(self):
