--- a/juniperlanding/emulator/accord.py
+++ b/juniperlanding/emulator/accord.py
@@ -212,8 +212,13 @@
             if process.machine.process is process and accord.leader.change and (
                     accord.leader.change.step == armed[0]):
                 self.armed.remove(armed)
-                self.after(armed[1], self.crash, process.name)
-                self.after(armed[1] + armed[2], self.start, process.name)
+                if armed[3:]:  # mute
+                    pairs = {(process.name, other) for other in self.names}
+                    self.after(armed[1], self.cuts.update, pairs)
+                    self.after(armed[1] + armed[2], self.cuts.difference_update, pairs)
+                else:
+                    self.after(armed[1], self.crash, process.name)
+                    self.after(armed[1] + armed[2], self.start, process.name)
                 break
 
     def tick(self, process, at):
--- a/juniperlanding/emulator/accord_swarm.py
+++ b/juniperlanding/emulator/accord_swarm.py
@@ -61,6 +61,8 @@
     chance = Random(seed * 7919 + 1)
     if seed % 12 == 0:
         return edge(seed, chance)
+    if seed % 6 == 3:
+        return duel(seed, chance)
     small = chance.random() < 0.5
     voters = 3 if small else chance.choice((3, 3, 5, 5, 7))
     members = tuple(f"d{at:02}" for at in range(
@@ -99,6 +101,28 @@
                 drift, ((at, "cut", ("d03",), "both", 3 * SEC),), proposals)
 
 
+def duel(seed, chance):
+    """A leader is heard no more, or dies, around its accept, and the next ones find what it left."""
+    members = tuple(f"d{at:02}" for at in range(chance.randint(3, 5)))
+    proposals, faults = [], []
+    for turn in range(3):
+        at = 1500 * MS + turn * 2500 * MS
+        proposals.append((at, chance.choice(members), document(f"duel {turn}")))
+        for step in ("accept", chance.choice(STEPS)):
+            after = chance.randrange(chance.choice((2 * MS, 8 * MS, 60 * MS)))
+            rest = (step, after, chance.randint(700 * MS, 1900 * MS))
+            mute = chance.random() < 0.6
+            faults.append((at, "mute_at", *rest, "mute") if mute else (at, "crash_at", *rest))
+        if chance.random() < 0.5:
+            side = (chance.choice(members),)
+            way = chance.choice(("both", "out", "in"))
+            faults.append((at + chance.randint(0, 400 * MS), "cut", side, way,
+                           chance.randint(300 * MS, 1500 * MS)))
+    return Plan(seed, members, 3, (0,) * len(members), chance.choice((0.0, 0.3)), 0.1,
+                chance.choice((0.0, 0.2)), 0.0, chance.choice((QUICK_LINKS, (MS, 30 * MS))), (50 * US, 3 * MS), 0.01,
+                tuple(sorted(faults)), tuple(proposals))
+
+
 def text(turn, members, voters, chance):
     others, lot = members[voters:], chance.random()
     roster = ()
@@ -116,7 +140,7 @@
     if copies:
         return "crash", members[chance.randrange(voters)], span, chance.choice(("older", "none"))
     kind = chance.choice(("crash", "crash", "crash_all", "stop", "stop", "cut", "cut", "cut", "disk",
-                          "replace", "crash_at", "crash_at", "storm"))
+                          "replace", "crash_at", "crash_at", "mute_at", "storm"))
     if kind == "crash":
         return kind, name, span, "written"
     if kind == "cut":
@@ -126,6 +150,8 @@
         return kind, name, span, chance.random() < 0.5
     if kind == "crash_at":
         return kind, chance.choice(STEPS), chance.randrange(30 * MS), span
+    if kind == "mute_at":
+        return kind, chance.choice(STEPS), chance.randrange(30 * MS), span, "mute"
     return (kind, span) if kind in ("crash_all", "storm") else (kind, name, span)
 
 
@@ -153,7 +179,7 @@
         fleet.after(rest[1], setattr, fleet.machines[rest[0]], "disk_fails", False)
     elif kind == "replace":
         fleet.replace(*rest)
-    elif kind == "crash_at":
+    elif kind in ("crash_at", "mute_at"):
         fleet.armed.append(rest)
     elif kind == "storm":
         fleet.loss = 0.6
