--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -415,10 +415,15 @@
             endpoint.destination.calls_out -= 1
             self.me.slots_out -= 1
             endpoint.quiet_since = self.at.now
-            # Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
-            if not endpoint.calls and not endpoint.destination.waiting and self.seldom(endpoint):
-                self.at.host.close_idle(endpoint.id)
-                endpoint.quiet_since = 0
+            self.at.quiet.append(endpoint)
+
+    def close(self, endpoint):
+        """Threat: many dispatchers that seldom call fill an endpoint's few connections with idle ones.
+
+        What waits for its pace or its turn does not need one meanwhile; what may go has gone by now."""
+        if not endpoint.calls and self.seldom(endpoint):
+            self.at.host.close_idle(endpoint.id)
+            endpoint.quiet_since = 0
 
     def seldom(self, endpoint):
         whole, get = known(endpoint.route), self.me.settings.get
@@ -465,7 +470,8 @@
         self.host, self.now = host, now
         self.me = Instance(settings, seed, settings.get("rank", 0), max(1, settings.get("dispatchers", 1)))
         self.stages = [stage(self) for stage in (Ttl, Order, Slots, Waits, Health, Rate, Pick, Timeout)]
-        self.ttl, self.order, _, _, self.health, _, _, self.timeout = self.stages
+        self.ttl, self.order, _, _, self.health, _, self.pick, self.timeout = self.stages
+        self.quiet = []  # endpoints at which a call ended since the last turn
 
     def chance(self, number):
         """A number from 0 up to 1, the same for equal events."""
@@ -609,6 +615,9 @@
             dest = min(ready, key=lambda d: (d.calls_out, d.turn))
             if not self.serve(dest) or not dest.waiting:
                 ready.remove(dest)
+        for endpoint in self.quiet:
+            self.pick.close(endpoint)
+        self.quiet.clear()
 
     def shed(self, waiting):
         """Threat: held places run out, and what comes next is turned away whatever it is worth."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -596,6 +596,17 @@
     assert len(bed.host.all("close_idle")) == closed
 
 
+@pytest.mark.parametrize("may_go, closed", [(False, 1), (True, 0)])
+def test_an_idle_connection_is_kept_for_what_may_go_and_not_for_what_waits(may_go, closed):
+    bed = Bed(scale=10.0, dispatchers=200)
+    first, _ = bed.take(), bed.take()
+    assert bed.turn() == 1
+    bed.endpoint().route.tokens = 1.0 if may_go else -1.0
+    bed.end(first, "delivered")
+    assert bed.turn() == 1 + may_go
+    assert len(bed.host.all("close_idle")) == closed
+
+
 def test_held_places_are_kept_for_what_is_worth_more():
     bed = Bed(most_held=10, slots=1)
     for n in range(10):
