--- a/juniperlanding/cli/try_.py
+++ b/juniperlanding/cli/try_.py
@@ -2,7 +2,7 @@
 
 Usage:
   juniperlanding try [--for TIME] [--rate RATE] [--seed SEED] [--trouble NAME] [--json FILE] [--keep FOLDER]
-                     [--dispatchers N]
+                     [--dispatchers N] [--changes K]
 
 Options:
   --for TIME      how long clients come [default: 10s]
@@ -10,7 +10,10 @@
   --seed SEED     what all chance starts from [default: 1]
   --trouble NAME  none, silence, refusal, kill, replace or discovery [default: none]
   --dispatchers N  N processes with a view of each other, and faults between them: --trouble none, crash, cut,
-                  cut-one-way, island, lossy, slow-peer, rolling, flap or mixed; it lasts as long as it takes
+                  cut-one-way, island, lossy, slow-peer, rolling, flap or mixed; it lasts as long as it takes;
+                  --trouble policy, policy-cut, policy-kill or policy-mixed: changes of policy under faults,
+                  their history in history.sqlite of the kept folder, or beside the JSON file
+  --changes K     so many changes of policy [default: 12]
   --json FILE     write all figures there, "-" for standard output
   --keep FOLDER   keep configuration, state and log there; else they go with the run
 
@@ -262,15 +265,19 @@
 
     import trio
 
+    from juniperlanding.processes import policy
     from juniperlanding.processes.rig import Rig
     from juniperlanding.processes.troubles import TROUBLES, Outcome, play
 
     text, name = asked["--dispatchers"], asked["--trouble"]
     if not text.isdigit() or not 2 <= int(text) <= 64:
         raise Refused(f"--dispatchers: found {text!r}, expected from 2 to 64")
-    if name not in TROUBLES:
-        raise Refused(f"--trouble: found {name!r}, expected one of {', '.join(TROUBLES)}")
+    if name not in TROUBLES and name not in policy.TROUBLES:
+        names = ", ".join([*TROUBLES, *policy.TROUBLES])
+        raise Refused(f"--trouble: found {name!r}, expected one of {names}")
     rate = plan(asked | {"--trouble": "none"}).rate
+    if name in policy.TROUBLES:
+        return policies(asked, int(text), rate)
     outcome = Outcome(name, int(text), asked["--seed"])
     with tempfile.TemporaryDirectory(prefix="juniperlanding-try-") as scratch:
         rig = Rig(outcome.count, asked["--keep"] or scratch, outcome.seed, rate)
@@ -290,3 +297,43 @@
         print(f"{outcome.notifications} notifications, faults {outcome.faults or 'none'}; "
               f"held for dead though alive: {len(outcome.false_deaths)}")
     return 0 if outcome.well else UNWELL
+
+
+def policies(asked, count, rate):
+    """Changes of policy under drawn faults: whether a number was ever in force beside another."""
+    import dataclasses
+
+    import trio
+
+    from juniperlanding.processes.policy import TROUBLES, Outcome, Policies, play
+
+    changes, to = asked["--changes"], asked["--json"]
+    if not changes.isdigit() or not 1 <= int(changes) <= 10_000 or count < 3:
+        raise Refused(f"--changes: found {changes!r}, expected from 1 to 10000, with 3 dispatchers at least")
+    outcome = Outcome(asked["--trouble"], count, asked["--seed"])
+    with tempfile.TemporaryDirectory(prefix="juniperlanding-try-") as scratch:
+        rig = Policies(count, asked["--keep"] or scratch, outcome.seed, rate)
+        names = rig.chance.choices(TROUBLES[outcome.trouble], k=int(changes))
+
+        def tell(line):
+            print(line, file=sys.stderr, flush=True)
+
+        try:
+            trio.run(rig.run, lambda rig: play(rig, names, outcome, tell))
+        except* (RuntimeError, trio.TooSlowError, OSError) as group:
+            raise Refused(f"the trial could not run: {first(group)}", UNWELL) from None
+        finally:
+            if asked["--keep"]:
+                rig.save(Path(asked["--keep"]) / "history.sqlite")
+            if to and to != "-":
+                rig.save(Path(to).with_suffix(".sqlite"))
+    row = json.dumps(dataclasses.asdict(outcome) | {"well": outcome.well})
+    if to and to != "-":
+        Path(to).write_text(row + "\n", encoding="utf-8")
+    elif to:
+        print(row)
+    else:
+        print(f"{outcome.figures['fates']} of {outcome.figures['proposals']} proposals; "
+              f"{outcome.notifications} notifications")
+        print(f"breaches {outcome.breaches or 'none'}, faults {outcome.faults or 'none'}")
+    return 0 if outcome.well else UNWELL
--- a/juniperlanding/processes/member.py
+++ b/juniperlanding/processes/member.py
@@ -3,8 +3,9 @@
     python -m juniperlanding.processes.member LINKS serve FILE
 
 LINKS is JSON: {"names": {PORT: NAME}, "links": {"FROM>TO": {"cut": 1, "loss": 0.1, "twice": 0.1,
-"spoil": 0.1, "delay": 0.05, "jitter": 0.05}}}.  It is read again when it changes; a fault is met where a
-datagram leaves."""
+"spoil": 0.1, "delay": 0.05, "jitter": 0.05}}, "mutant": NAME}.  It is read again when it changes; a fault is
+met where a datagram leaves.  A mutant is read once, at the start: the program with a defect put in on
+purpose, which the verdict has to find (MUTANTS)."""
 
 import json
 import os
@@ -56,12 +57,48 @@
             super().send(data, address)
 
 
+def keeps_licence(accord):
+    """A licence once had is held until news of another number: nothing runs out while it is cut off."""
+    holds = accord.Accord.holds
+
+    def held(self, now):
+        number = holds(self, now)
+        if number is not None:
+            self.had = number
+        return self.had if getattr(self, "had", None) == self.number else None
+
+    accord.Accord.holds = held
+
+
+def keeps_through_stops(accord):
+    """A licence is looked at four times a second only: who stood still takes on work before it looks."""
+    holds = accord.Accord.holds
+
+    def held(self, now):
+        import time
+
+        if time.process_time() - getattr(self, "looked", 0) > 0.25 or not hasattr(self, "looked"):
+            self.looked, self.had = time.process_time(), holds(self, now)
+        return self.had
+
+    accord.Accord.holds = held
+
+
+MUTANTS = {"keeps licence": keeps_licence, "keeps through stops": keeps_through_stops}
+
+
 def main(links, *argv):
     class Network(seams.Network):
         def datagrams(self, address):
             return Faulty(address, Links(links))
 
     seams.system = lambda: seams.World(seams.Clock(), Network(), seams.Files())
+    with open(links, encoding="utf-8") as file:
+        mutant = json.load(file).get("mutant")
+    if mutant:
+        from juniperlanding.accord import accord
+
+        MUTANTS[mutant](accord)
     from juniperlanding import cli
 
     return cli.main(list(argv))
--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -70,7 +70,7 @@
             f'[fleet]\nenabled = true\naddress = "127.0.0.1:{self.port}"\nkey = "{rig.key}"\n'
             f'site = "{SITES[self.number % len(SITES)]}"\n'
             f'seeds = {json.dumps([f"127.0.0.1:{port}" for port in seeds])}\n'
-            f'[[kind]]\nname = "shop"\n{topics_file()}'
+            f'{rig.more_of_file()}[[kind]]\nname = "shop"\n{topics_file()}'
         )
         (self.folder / "serve.toml").write_text(text, encoding="utf-8")
 
@@ -162,12 +162,17 @@
         self.now = time.monotonic_ns
         self.chance, self.audit, self.history = Random(f"{seed}/rig"), Audit(self.now), []
         self.platform, self.endpoints, self.faults, self.excused = None, [], {}, {}
+        self.told, self.mutant = None, None  # for each answer to a client (Clients); a defect (member.py)
         self.links, self.key = self.folder / "links.json", self.folder / "key"
         self.folder.mkdir(parents=True, exist_ok=True)
         self.key.write_text(f"{self.chance.getrandbits(256):064x}")
         self.key.chmod(0o600)
         self.members = [Process(self, number) for number in range(count)]
 
+    def more_of_file(self):
+        """Further sections of each member's operators' file."""
+        return ""
+
     @property
     def everybody(self):
         return {member.name for member in self.members}
@@ -227,7 +232,7 @@
         async with trio.open_nursery() as nursery:
             for member in self.members:
                 name = f"{member.name}-{self.seed}"
-                clients = Clients(("127.0.0.1", member.listen), self.audit, self.now, name)
+                clients = Clients(("127.0.0.1", member.listen), self.audit, self.now, name, told=self.told)
                 coming = arrivals(name, self.rate / self.count, length, [*DESTINATIONS])
                 nursery.start_soon(clients.load, coming)
 
@@ -270,7 +275,7 @@
     def write_links(self):
         names = {str(member.port): member.name for member in self.members}
         fresh = self.links.with_suffix(".new")
-        fresh.write_text(json.dumps({"names": names, "links": self.faults}))
+        fresh.write_text(json.dumps({"names": names, "links": self.faults, "mutant": self.mutant}))
         fresh.rename(self.links)
 
     def link(self, sources, targets, both=True, **fault):
--- a/juniperlanding/standins/clients.py
+++ b/juniperlanding/standins/clients.py
@@ -43,8 +43,11 @@
 
 
 class Clients:
-    def __init__(self, address, audit, now, run):
+    """told: called with (id, sent_at, heard_at, status, number of the policy or None) of each answer."""
+
+    def __init__(self, address, audit, now, run, patience=PATIENCE, told=None):
         self.address, self.audit, self.now, self.run_name = address, audit, now, run
+        self.patience, self.told = patience, told
         self.idle, self.count, self.late = [], 0, 0  # late: nanoseconds that the loop was behind at most
 
     async def load(self, coming):
@@ -65,31 +68,35 @@
             f"X-Expires-In-Ms: {topic.ttl // MS}\r\nX-Addressing: dest={destination}\r\n{key}"
             f"Content-Length: {size}\r\n\r\n"
         ).encode() + b"x" * size
-        status = 0
-        with trio.move_on_after(PATIENCE):
+        status, number, sent_at = 0, None, self.now()
+        with trio.move_on_after(self.patience):
             while self.idle and not status:
                 # A kept connection that the dispatcher closed meanwhile: once more on another.
-                status = await self.ask(self.idle.pop(), text)
+                status, number = await self.ask(self.idle.pop(), text)
             try:
-                status = status or await self.ask(await trio.open_tcp_stream(*self.address), text)
+                if not status:
+                    status, number = await self.ask(await trio.open_tcp_stream(*self.address), text)
             except OSError:
                 pass  # nobody listens: the dispatcher is down
         self.audit.answered(ntf_id, status)
+        if self.told:
+            self.told(ntf_id, sent_at, self.now(), status, number)
 
     def close(self):
         while self.idle:
             self.idle.pop().socket.close()
 
     async def ask(self, stream, text):
-        """The status of one request's answer, 0 when the connection ended without one."""
+        """The status of one request's answer, 0 when the connection ended without one, and its policy's
+        number."""
         kept = False
         try:
             await stream.send_all(text)
             answer = await read_message(stream, bytearray())
             kept = bool(answer) and answer[1].get("connection") != "close"
-            return int(answer[0].split()[1]) if answer else 0
+            return (int(answer[0].split()[1]), answer[1].get("x-policy-number")) if answer else (0, None)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            return 0
+            return 0, None
         finally:
             if kept:
                 self.idle.append(stream)
