--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -3,9 +3,9 @@
     python benchmarks/policy.py FOLDER DISPATCHERS TROUBLE FIRST_SEED LAST_SEED CHANGES
     python benchmarks/policy.py FOLDER
 
-Each play is `juniperlanding try --dispatchers ...`, from sockets, one after the other; FOLDER keeps its figures and
-its history (python -m juniperlanding.processes.policy FILE.sqlite judges one again).  The second form makes the
-table of all that FOLDER has."""
+Each play is `juniperlanding try --dispatchers ...`, from sockets, one after the other; FOLDER keeps its
+figures and its history (python -m juniperlanding.processes.policy FILE.sqlite judges one again).  The second
+form makes the table of all that FOLDER has."""
 
 import json
 import subprocess
