--- a/juniperlanding/processes/policy.py
+++ b/juniperlanding/processes/policy.py
@@ -33,6 +33,7 @@
         super().__init__(count, folder, seed, rate)
         self.voters, self.licence = self.members[:3 if count < 7 else 5], licence
         self.policies, self.change, self.struck, self.down = History(), 0, set(), set()
+        self.members[-1].memory = "120MB"
         self.told, self.serial, self.number, self.digest = self.answered, 0, 0, ""
 
     # ---- what the members' files say
@@ -42,16 +43,16 @@
         return (f'[policy]\nenabled = true\nvoters = {json.dumps(voters)}\nfolder = "policies"\n'
                 f'licence = "{int(self.licence * 1000)}ms"\n')
 
-    def document(self, bad=False):
-        """A drawn text that nobody proposed before; a bad one takes a topic type away."""
+    def document(self, held=None):
+        """A drawn text that nobody proposed before; `held`: most_held."""
         self.serial += 1
-        topics = TOPICS[1:] if bad else TOPICS
-        return f"# {self.seed}/{self.serial}\n" + "".join(
+        held = held or self.chance.randrange(1500, 3000)
+        return f"# {self.seed}/{self.serial}\n[holding]\nmost_held = {held}\n" + "".join(
             f'[[topic]]\nname = "{topic.name}"\nkind = "{topic.kind}"\n'
             f'objective = "{topic.objective // MS + self.chance.randrange(200)}ms"\n'
             f'ttl = "{topic.ttl // MS}ms"\n'
             f"benefit = {self.chance.uniform(0.5, 4):.2f}\n"
-            + (f'window = "{topic.window // MS}ms"\n' if topic.window else "") for topic in topics)
+            + (f'window = "{topic.window // MS}ms"\n' if topic.window else "") for topic in TOPICS)
 
     # ---- the history
 
@@ -76,7 +77,7 @@
         poll = Poll(
             sent_at, self.now(), member.name, running.pid, whole(standing["number"]), standing["digest"],
             thousandths(standing["licence"]), standing["step"], whole(proposal["proposal"]),
-            proposal.get("digest", "-"), *(last.get(word, "-") for word in ("outcome", "by", "why")))
+            proposal.get("digest", "-"), whole(last.get("last", "-")), *(last.get(word, "-") for word in ("outcome", "by", "why")))
         self.policies.polls.append(poll)
         return poll
 
@@ -284,8 +285,8 @@
 
 
 async def unfit(rig):
-    """A text that members cannot take."""
-    await rig.propose(rig.drawn(1)[0], rig.document(bad=True))
+    """A text that one member cannot take, for want of memory."""
+    await rig.propose(rig.drawn(1)[0], rig.document(held=60_000))
 
 
 async def stopped(rig):
--- a/juniperlanding/processes/policy_verdict.py
+++ b/juniperlanding/processes/policy_verdict.py
@@ -12,13 +12,14 @@
 UNKNOWN = -1  # no number, or no time
 Order = namedtuple("Order", "sent_at heard_at id member status number")  # status 0: no answer
 Poll = namedtuple("Poll", "sent_at heard_at member pid number digest licence_ms step proposal proposed "
-                          "outcome by why")
+                          "last outcome by why")  # last: the number that the outcome is of
 Proposal = namedtuple("Proposal", "sent_at heard_at member digest answer change")  # answer "": none came
 Fault = namedtuple("Fault", "at word who")
 # From the beginning of a change until all that serve agree again; `struck`: who was killed, stopped, cut off
 # or replaced, as "d01,d02".  mended_at: the last fault's end.  settled_at is UNKNOWN if they did not agree.
 Change = namedtuple("Change", "begun_at mended_at settled_at change fault struck before before_digest "
                               "number digest")
+AFTER = 500_000_000  # so long after all agreed, the outcome still stands at the door
 TABLES = {"orders": Order, "polls": Poll, "proposals": Proposal, "faults": Fault, "changes": Change}
 
 
@@ -88,6 +89,10 @@
             fate = "decided"
         elif proposal.answer.startswith("NAK"):
             fate = "refused"
+        elif (proposal.member, change.before + 1) in {
+                (poll.member, poll.last) for poll in history.polls if poll.outcome == "refused"
+                and proposal.sent_at < poll.sent_at < change.settled_at + AFTER}:
+            fate = "refused"
         elif change.number == change.before:
             fate = "nowhere" if proposal.answer else "unheard"
         else:
--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -55,6 +55,7 @@
         self.rig, self.name, self.number, self.plain = rig, f"d{number:02}", number, False
         self.listen, self.door = free(socket.SOCK_STREAM), free(socket.SOCK_STREAM)
         self.port, self.running, self.stopped = free(socket.SOCK_DGRAM), None, False
+        self.memory = "128MB"
         self.folder = rig.folder / self.name
 
     def write(self, seeds):
@@ -64,7 +65,7 @@
             f'zones = ["a"]\n[instance]\nname = "{self.name}"\nlisten = "127.0.0.1:{self.listen}"\n'
             f'management = "127.0.0.1:{self.door}"\nstate = "state"\nseed = "{rig.seed}/{self.name}"\n'
             f'discovery = "{rig.platform.address[0]}:{rig.platform.address[1]}"\nrank = {self.number}\n'
-            f'dispatchers = {rig.count}\n[limits]\nmemory = "128MB"\ndisk = "8MB"\nsockets = 512\n'
+            f'dispatchers = {rig.count}\n[limits]\nmemory = "{self.memory}"\ndisk = "8MB"\nsockets = 512\n'
             f'[holding]\nslots = 64\nmost_held = 2000\nmost_pushes = 8\ntick = "5ms"\n'
             f'[listing]\nmode = "push"\nmust_ask_in = "20s"\nscale = "nominal"\n[rules]\nmay_cancel = true\n'
             f'[fleet]\nenabled = true\naddress = "127.0.0.1:{self.port}"\nkey = "{rig.key}"\n'
--- a/tests/test_policy_rig.py
+++ b/tests/test_policy_rig.py
@@ -15,7 +15,7 @@
 
 def poll(at, member, number, digest=None, licence=500, pid=1):
     digest = digest or f"t{number}"
-    return Poll(at, at + 1, member, pid, number, digest, licence, "-", UNKNOWN, "-", "-", "-", "-")
+    return Poll(at, at + 1, member, pid, number, digest, licence, "-", UNKNOWN, "-", UNKNOWN, "-", "-", "-")
 
 
 def change(number, begun, settled, which=1, before=0, digest=None):
