--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -8,6 +8,7 @@
 form makes the table of all that FOLDER has."""
 
 import json
+import shutil
 import subprocess
 import sys
 from collections import Counter
@@ -24,8 +25,11 @@
         to = Path(folder) / f"{count}-{trouble}-{seed}.json"
         said = subprocess.run(
             [sys.executable, "-m", "juniperlanding", "try", "--dispatchers", count, "--trouble", trouble,
-             "--seed", str(seed), "--changes", changes, "--rate", f"{int(count) * 12}/s", "--json", str(to)],
+             "--seed", str(seed), "--changes", changes, "--rate", f"{int(count) * 12}/s", "--json", str(to),
+             "--keep", str(to.with_suffix(""))],
             capture_output=True, text=True)
+        if said.returncode == 0:
+            shutil.rmtree(to.with_suffix(""))  # else files and logs of all members stay
         to.with_suffix(".log").write_text(said.stderr)
         print(to.name, "well" if said.returncode == 0 else f"NOT WELL: {said.stderr[-300:]}", flush=True)
 
--- a/juniperlanding/cli/try_.py
+++ b/juniperlanding/cli/try_.py
@@ -11,7 +11,7 @@
   --trouble NAME  none, silence, refusal, kill, replace or discovery [default: none]
   --dispatchers N  N processes with a view of each other, and faults between them: --trouble none, crash, cut,
                   cut-one-way, island, lossy, slow-peer, rolling, flap or mixed; it lasts as long as it takes;
-                  --trouble policy, policy-cut, policy-kill or policy-mixed: changes of policy under faults,
+                  or policy, policy-cut, policy-kill, policy-mixed: changes of policy under faults, with
                   their history in history.sqlite of the kept folder, or beside the JSON file
   --changes K     so many changes of policy [default: 12]
   --json FILE     write all figures there, "-" for standard output
