--- a/juniperlanding/processes/policy.py
+++ b/juniperlanding/processes/policy.py
@@ -16,7 +16,16 @@
 import trio
 
 from juniperlanding.processes import accord_verdict, policy_verdict
-from juniperlanding.processes.policy_verdict import UNKNOWN, Change, Fault, History, Order, Poll, Proposal
+from juniperlanding.processes.policy_verdict import (
+    UNKNOWN,
+    Change,
+    End,
+    Fault,
+    History,
+    Order,
+    Poll,
+    Proposal,
+)
 from juniperlanding.processes.rig import LOOK, Rig
 from juniperlanding.standins.clients import TOPICS, Clients
 from juniperlanding.standins.temper import MS, SEC
@@ -158,6 +167,7 @@
         self.audit.excused_until = max(self.audit.excused_until, self.now() + 10 * SEC)
         for member in members:
             await member.running.wait()
+            self.killed(member, folder == "lost")  # an answer may have come while the system took it down
             state, older = member.folder / "state", member.folder / "older"
             for path in state.iterdir() if folder == "lost" else ():
                 path.unlink()
@@ -457,6 +467,9 @@
         while rig.audit.open():
             await trio.sleep(0.05)
     outcome.faults, outcome.notifications = await rig.ends(), len(rig.audit.records)
+    rig.policies.ends = [
+        End(one.id, one.kind, one.handed_at, one.ttl, one.delivered_at, one.ran, one.pushes, one.outcome(),
+            ",".join(f"{word}@{at}" for word, at in one.notices)) for one in rig.audit.records.values()]
     outcome.breaches, outcome.figures = policy_verdict.judge(rig.policies)
 
 
--- a/juniperlanding/processes/policy_verdict.py
+++ b/juniperlanding/processes/policy_verdict.py
@@ -15,12 +15,15 @@
                           "last outcome by why")  # last: the number that the outcome is of
 Proposal = namedtuple("Proposal", "sent_at heard_at member digest answer change")  # answer "": none came
 Fault = namedtuple("Fault", "at word who")
+# What became of a notification, as the audit saw it; notices as "given_up@12,..." with their times.
+End = namedtuple("End", "id kind handed_at ttl delivered_at ran pushes outcome notices")
 # From the beginning of a change until all that serve agree again; `struck`: who was killed, stopped, cut off
 # or replaced, as "d01,d02".  mended_at: the last fault's end.  settled_at is UNKNOWN if they did not agree.
 Change = namedtuple("Change", "begun_at mended_at settled_at change fault struck before before_digest "
                               "number digest")
 AFTER = 500_000_000  # so long after all agreed, the outcome still stands at the door
-TABLES = {"orders": Order, "polls": Poll, "proposals": Proposal, "faults": Fault, "changes": Change}
+TABLES = {"orders": Order, "polls": Poll, "proposals": Proposal, "faults": Fault, "changes": Change,
+          "ends": End}
 
 
 @dataclass
@@ -32,6 +35,7 @@
     proposals: list = field(default_factory=list)
     faults: list = field(default_factory=list)
     changes: list = field(default_factory=list)
+    ends: list = field(default_factory=list)
 
 
 def taken(history):
@@ -102,12 +106,14 @@
 
 
 def denied(history):
-    """Decided numbers that members deny when all faults were mended and they had settled."""
+    """Decided numbers, by what was in force or a leader said, that members deny when they had settled."""
     found = []
     for change in history.changes:
         if change.settled_at != UNKNOWN:
             told = [(poll.number, poll.digest) for poll in history.polls
                     if poll.sent_at <= change.settled_at and poll.number > 0]
+            told += [(poll.proposal, poll.proposed) for poll in history.polls
+                     if poll.sent_at <= change.settled_at and poll.step == "decided"]
             found += accord_verdict.lost(told, [("all", change.number, change.digest)])
     return found
 
--- a/tests/test_policy_rig.py
+++ b/tests/test_policy_rig.py
@@ -41,6 +41,8 @@
     "number fell": lambda h: h.polls.append(poll(57, "d00", 1, licence=0)),
     "two texts": lambda h: h.polls.append(poll(26, "d01", 1, "other")),
     "denied": lambda h: h.changes.__setitem__(2, change(1, 60, 67, 3, 1)),
+    "denied, said by a leader": lambda h: h.polls.append(
+        poll(56, "d00", 2)._replace(step="decided", proposal=3, proposed="t3")),
     "came back": lambda h: h.polls.append(poll(80, "d00", 3, "t9")),
     "not settled": lambda h: h.changes.__setitem__(2, change(2, 60, UNKNOWN, 3, 2)),
     "no number told": lambda h: h.orders.append(order(58, "d00", UNKNOWN)),
@@ -62,7 +64,7 @@
 def test_each_breach_is_found(breach):
     history = sound()
     BREACHES[breach](history)
-    assert breach in policy_verdict.judge(history)[0]
+    assert breach.partition(",")[0] in policy_verdict.judge(history)[0]
 
 
 @pytest.mark.parametrize("number, digest, answer, fate", [
