--- a/juniperlanding/processes/policy.py
+++ b/juniperlanding/processes/policy.py
@@ -15,6 +15,7 @@
 
 import trio
 
+from juniperlanding.accord.document import HELD_BYTES
 from juniperlanding.processes import accord_verdict, policy_verdict
 from juniperlanding.processes.policy_verdict import (
     UNKNOWN,
@@ -42,7 +43,7 @@
         super().__init__(count, folder, seed, rate)
         self.voters, self.licence = self.members[:3 if count < 7 else 5], licence
         self.policies, self.change, self.struck, self.down = History(), 0, set(), set()
-        self.members[-1].memory = "120MB"
+        self.members[-1].memory = "120MB"  # the others have 128: a text can be too much for it alone
         self.told, self.serial, self.number, self.digest = self.answered, 0, 0, ""
 
     # ---- what the members' files say
@@ -296,7 +297,7 @@
 
 async def unfit(rig):
     """A text that one member cannot take, for want of memory."""
-    await rig.propose(rig.drawn(1)[0], rig.document(held=60_000))
+    await rig.propose(rig.drawn(1)[0], rig.document(held=124_000_000 // HELD_BYTES))
 
 
 async def stopped(rig):
--- a/tests/test_policy_rig.py
+++ b/tests/test_policy_rig.py
@@ -91,6 +91,9 @@
     rig, outcome = played(tmp_path, ["calm", "stopped", "halves", "proposer killed", "two at once", "unfit"])
     assert not outcome.breaches, json.dumps(outcome.breaches, indent=1)
     assert not outcome.faults
+    fates = [(rig.policies.changes[proposal.change - 1].fault, fate)
+             for proposal, fate in policy_verdict.fates(rig.policies)]
+    assert fates[0] == ("calm", "decided") and fates[-1] == ("unfit", "refused")
     assert len(rig.policies.changes) == 6 and rig.number >= 2 and outcome.notifications > 200
     assert not [member.name for member in rig.members if "fault part=" in member.log()]
     rig.save(tmp_path / "history.sqlite")
