--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -17,8 +17,9 @@
 
 from juniperlanding.accord import document
 from juniperlanding.accord.document import Unfit, read
-from juniperlanding.accord.folder import KEPT, Folder
-from juniperlanding.accord.words import Kept
+from juniperlanding.accord.folder import KEPT, TERMS, Folder
+from juniperlanding.accord.words import Kept, Released
+from juniperlanding.accord.words import decoded as accord_word
 from juniperlanding.fleet import words
 from juniperlanding.ground.errors import Trouble
 from juniperlanding.ground.file import FileError
@@ -36,6 +37,7 @@
 PLAIN = TOPICS % "2s"
 
 
+
 def free(kind):
     with socket.socket(socket.AF_INET, kind) as sock:
         sock.bind(("127.0.0.1", 0))
@@ -43,12 +45,12 @@
 
 
 class Failing(Files):
-    """A disk on which a voter's record cannot be written while `full`."""
+    """A disk on which the file named by `full` cannot be written."""
 
-    full = False
+    full = ""
 
     def open(self, path, fresh=False):
-        if self.full and path.endswith(f"{KEPT}.new"):
+        if self.full and path.endswith(f"{self.full}.new"):
             raise OSError(errno.ENOSPC, "No space left on device", path)
         return super().open(path, fresh)
 
@@ -144,10 +146,10 @@
         assert [owed.under for owed in a.node.ledger.owed.values()] == [0, 1, 2]
         await a.in_force(2)
         # Another process takes over: it asks first, and has the module's records with their terms.
-        told = a.config()
+        told, life = a.config(), a.policy.accord.life
         old, made = a.node, partial(lambda offer: Node(told, a.world, log=a.log, offer=offer))
         a.node = await succession.begin(made, told, a.world)
-        assert a.node.parts[1].holds() is None
+        assert a.node.parts[1].holds() is None and a.node.parts[1].before[:1] == [life]
         scope = trio.CancelScope()
 
         async def run():
@@ -158,11 +160,21 @@
         assert old.replaced and old.parts[1].holds() is None
         assert objectives(a.node) == [2000, 700, 900]
         assert not any("begins from the ledger" in text for _, text in a.lines)
+        lives, send = set(), a.node.parts[0].send
+
+        def seen(byte, to, payload, life=0):
+            if type(accord_word(payload)) is Released:
+                lives.add(life)
+            return send(byte, to, payload, life)
+        a.node.parts[0].send = seen
+        b.policy.propose(b.write(TOPICS % "950ms"))
+        await a.in_force(3)
+        assert lives == {0, *a.node.parts[1].before}  # nobody waits for the licence of one that handed over
         # It ends early, and the first one serves again: a life of its own, and no licence but a new one.
         scope.cancel()
         a.node.before.close()
         a.node = old
-        await a.in_force(2)
+        await a.in_force(3)
         assert not old.replaced and objectives(old) == [2000, 700, 900]
     three(scene)
 
@@ -273,7 +285,7 @@
 
 def test_a_full_disk_where_the_promise_is_written_gives_no_promise(three):
     async def scene(a, b, c):
-        b.files.full = True
+        b.files.full = KEPT
         stamp = b.policy.written
         a.policy.propose(a.write(TOPICS % "1s"))
         for member in (a, c):
@@ -282,12 +294,26 @@
         assert any("cannot write down a promise" in text for _, text in b.lines)
         heard = a.policy.accord.stamps.get("d1", 0)
         assert heard <= stamp.stamp  # nobody heard from it what it has not on disk
-        b.files.full = False
+        b.files.full = ""
         await b.in_force(1)
         await b.until(lambda: b.policy.written.number == 1)
     three(scene)
 
 
+def test_nothing_is_taken_on_under_terms_that_are_not_on_disk(three):
+    async def scene(a, b, c):
+        b.files.full = TERMS
+        a.policy.propose(a.write(TOPICS % "1s"))
+        await a.in_force(1)
+        await b.until(lambda: any("cannot be put in force yet" in text for _, text in b.lines))
+        await b.until(lambda: b.policy.holds() == 1)
+        assert await b.offered("b1") == (503, None) and b.policy.unready()
+        b.files.full = ""
+        await b.in_force(1)
+        assert await b.offered("b1") == (202, "1")
+    three(scene)
+
+
 def test_a_file_is_written_whole_or_not_at_all(tmp_path):
     class Short(Files):
         left = 0
