--- a/juniperlanding/processes/policy.py
+++ b/juniperlanding/processes/policy.py
@@ -164,11 +164,11 @@
         for member in members:
             self.down.add(member)
             member.running.kill()
-            self.killed(member, folder == "lost")
+        killed_at = self.now()
         self.audit.excused_until = max(self.audit.excused_until, self.now() + 10 * SEC)
         for member in members:
             await member.running.wait()
-            self.killed(member, folder == "lost")  # an answer may have come while the system took it down
+            self.killed(member, folder == "lost", killed_at)
             state, older = member.folder / "state", member.folder / "older"
             for path in state.iterdir() if folder == "lost" else ():
                 path.unlink()
--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -246,10 +246,11 @@
                 for fault, ids in self.audit.faults().items()}
         return {fault: ids for fault, ids in left.items() if ids}
 
-    def killed(self, member, folder):
+    def killed(self, member, folder, at=None):
         """What no program can help: a delivery heard in the last moment is not written down yet, and what a
-        lost folder held is owed by nobody.  All else has its one answer all the same."""
-        now = self.now()
+        lost folder held is owed by nobody.  All else has its one answer all the same.  at: when it was killed;
+        it may be some time until the system has taken it down."""
+        now = at or self.now()
         for record in self.audit.records.values():
             if record.id.startswith(f"{member.name}-"):
                 if record.delivered_at and now - record.delivered_at < UNWRITTEN:
