--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -248,8 +248,9 @@
 
     def killed(self, member, folder, at=None):
         """What no program can help: a delivery heard in the last moment is not written down yet, and what a
-        lost folder held is owed by nobody.  All else has its one answer all the same.  at: when it was killed;
-        it may be some time until the system has taken it down."""
+        lost folder held is owed by nobody.  All else has its one answer all the same.
+
+        at: when it was killed, if that is over; the system takes some time to take it down."""
         now = at or self.now()
         for record in self.audit.records.values():
             if record.id.startswith(f"{member.name}-"):
