--- a/juniperlanding/processes/policy.py
+++ b/juniperlanding/processes/policy.py
@@ -224,8 +224,10 @@
         self.link(*names, both=both, cut=1)
 
     def halves(self):
+        """Two halves at random, the one with fewer voters first: it is the one that is cut off."""
         order = self.drawn(self.count)
-        return order[:self.count // 2], order[self.count // 2:]
+        return sorted((order[:self.count // 2], order[self.count // 2:]),
+                      key=lambda half: sum(member in self.voters for member in half))
 
     async def play(self, name):
         """One change under one fault; whether all agreed within WITHIN of its end."""
