--- a/juniperlanding/processes/member.py
+++ b/juniperlanding/processes/member.py
@@ -3,8 +3,9 @@
     python -m juniperlanding.processes.member LINKS serve FILE
 
 LINKS is JSON: {"names": {PORT: NAME}, "links": {"FROM>TO": {"cut": 1, "loss": 0.1, "twice": 0.1,
-"spoil": 0.1, "delay": 0.05, "jitter": 0.05}}}.  It is read again when it changes; a fault is met where a
-datagram leaves."""
+"spoil": 0.1, "delay": 0.05, "jitter": 0.05}}, "mutant": NAME}.  It is read again when it changes; a fault is
+met where a datagram leaves.  A mutant is read once, at the start: the program with a defect put in on
+purpose, which the verdict has to find (MUTANTS)."""
 
 import json
 import os
@@ -15,6 +16,8 @@
 
 from juniperlanding.ground import seams
 
+STOPPED = 500_000_000  # ns between two ticks
+
 
 class Links:
     def __init__(self, path):
@@ -56,12 +59,49 @@
             super().send(data, address)
 
 
+def keeps_licence(accord):
+    """A licence once had is held until news of another number: nothing runs out while it is cut off."""
+    holds = accord.Accord.holds
+
+    def held(self, now):
+        number = holds(self, now)
+        if number is not None:
+            self.had = number
+        return self.had if getattr(self, "had", None) == self.number else None
+
+    accord.Accord.holds = held
+
+
+def stands_still(accord):
+    """A licence runs by a clock that stands still while the process does."""
+    tick, holds = accord.Accord.tick, accord.Accord.holds
+
+    def ticked(self, now):
+        stood = now - getattr(self, "ticked_at", now)
+        self.stood, self.ticked_at = getattr(self, "stood", 0) + stood * (stood > STOPPED), now
+        tick(self, now)
+
+    def held(self, now):
+        return holds(self, getattr(self, "ticked_at", now) - getattr(self, "stood", 0))
+
+    accord.Accord.tick, accord.Accord.holds = ticked, held
+
+
+MUTANTS = {"keeps licence": keeps_licence, "stands still": stands_still}
+
+
 def main(links, *argv):
     class Network(seams.Network):
         def datagrams(self, address):
             return Faulty(address, Links(links))
 
     seams.system = lambda: seams.World(seams.Clock(), Network(), seams.Files())
+    with open(links, encoding="utf-8") as file:
+        mutant = json.load(file).get("mutant")
+    if mutant:
+        from juniperlanding.accord import accord
+
+        MUTANTS[mutant](accord)
     from juniperlanding import cli
 
     return cli.main(list(argv))
--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -55,6 +55,7 @@
         self.rig, self.name, self.number, self.plain = rig, f"d{number:02}", number, False
         self.listen, self.door = free(socket.SOCK_STREAM), free(socket.SOCK_STREAM)
         self.port, self.running, self.stopped = free(socket.SOCK_DGRAM), None, False
+        self.memory = "128MB"
         self.folder = rig.folder / self.name
 
     def write(self, seeds):
@@ -64,13 +65,13 @@
             f'zones = ["a"]\n[instance]\nname = "{self.name}"\nlisten = "127.0.0.1:{self.listen}"\n'
             f'management = "127.0.0.1:{self.door}"\nstate = "state"\nseed = "{rig.seed}/{self.name}"\n'
             f'discovery = "{rig.platform.address[0]}:{rig.platform.address[1]}"\nrank = {self.number}\n'
-            f'dispatchers = {rig.count}\n[limits]\nmemory = "128MB"\ndisk = "8MB"\nsockets = 512\n'
+            f'dispatchers = {rig.count}\n[limits]\nmemory = "{self.memory}"\ndisk = "8MB"\nsockets = 512\n'
             f'[holding]\nslots = 64\nmost_held = 2000\nmost_pushes = 8\ntick = "5ms"\n'
             f'[listing]\nmode = "push"\nmust_ask_in = "20s"\nscale = "nominal"\n[rules]\nmay_cancel = true\n'
             f'[fleet]\nenabled = true\naddress = "127.0.0.1:{self.port}"\nkey = "{rig.key}"\n'
             f'site = "{SITES[self.number % len(SITES)]}"\n'
             f'seeds = {json.dumps([f"127.0.0.1:{port}" for port in seeds])}\n'
-            f'[[kind]]\nname = "shop"\n{topics_file()}'
+            f'{rig.more_of_file()}[[kind]]\nname = "shop"\n{topics_file()}'
         )
         (self.folder / "serve.toml").write_text(text, encoding="utf-8")
 
@@ -162,12 +163,17 @@
         self.now = time.monotonic_ns
         self.chance, self.audit, self.history = Random(f"{seed}/rig"), Audit(self.now), []
         self.platform, self.endpoints, self.faults, self.excused = None, [], {}, {}
+        self.told, self.mutant = None, None  # for each answer to a client (Clients); a defect (member.py)
         self.links, self.key = self.folder / "links.json", self.folder / "key"
         self.folder.mkdir(parents=True, exist_ok=True)
         self.key.write_text(f"{self.chance.getrandbits(256):064x}")
         self.key.chmod(0o600)
         self.members = [Process(self, number) for number in range(count)]
 
+    def more_of_file(self):
+        """Further sections of each member's operators' file."""
+        return ""
+
     @property
     def everybody(self):
         return {member.name for member in self.members}
@@ -227,7 +233,7 @@
         async with trio.open_nursery() as nursery:
             for member in self.members:
                 name = f"{member.name}-{self.seed}"
-                clients = Clients(("127.0.0.1", member.listen), self.audit, self.now, name)
+                clients = Clients(("127.0.0.1", member.listen), self.audit, self.now, name, told=self.told)
                 coming = arrivals(name, self.rate / self.count, length, [*DESTINATIONS])
                 nursery.start_soon(clients.load, coming)
 
@@ -240,10 +246,12 @@
                 for fault, ids in self.audit.faults().items()}
         return {fault: ids for fault, ids in left.items() if ids}
 
-    def killed(self, member, folder):
+    def killed(self, member, folder, at=None):
         """What no program can help: a delivery heard in the last moment is not written down yet, and what a
-        lost folder held is owed by nobody.  All else has its one answer all the same."""
-        now = self.now()
+        lost folder held is owed by nobody.  All else has its one answer all the same.
+
+        at: when it was killed, if that is over; the system takes some time to take it down."""
+        now = at or self.now()
         for record in self.audit.records.values():
             if record.id.startswith(f"{member.name}-"):
                 if record.delivered_at and now - record.delivered_at < UNWRITTEN:
@@ -270,7 +278,7 @@
     def write_links(self):
         names = {str(member.port): member.name for member in self.members}
         fresh = self.links.with_suffix(".new")
-        fresh.write_text(json.dumps({"names": names, "links": self.faults}))
+        fresh.write_text(json.dumps({"names": names, "links": self.faults, "mutant": self.mutant}))
         fresh.rename(self.links)
 
     def link(self, sources, targets, both=True, **fault):
