--- a/juniperlanding/net/discovery.py
+++ b/juniperlanding/net/discovery.py
@@ -99,6 +99,7 @@
         told, self.whole = json.loads(body), False
         if not isinstance(told, dict) or not isinstance(told.get("members"), list):
             raise ValueError("no list")
+        revision = int(told["revision"])
         members = protocol.entries(told["members"], self.kinds, self.zones)
         if len(members) < len(told["members"]):
             self.log("list", "entries cannot be read", entries=len(told["members"]) - len(members))
@@ -106,7 +107,7 @@
             # Threat: quiet watches that work again leave the failures counted, and the next break waits long.
             self.failed = False
             await self.news("whole" if told.get("complete") else "changes", members)
-        before, self.revision = self.revision, int(told["revision"])
+        before, self.revision = self.revision, revision
         if not whole and before == self.revision:
             # Threat: a platform that answers at once with nothing new; the watch still goes on.
             await trio.sleep(protocol.WATCH_GAP / 2)
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -117,7 +117,7 @@
                     return
                 await self.answered(call)
                 reason = "answered"
-            if call.scope.cancelled_caught and call.written and not self.frozen and call.line.waiting():
+            if call.scope.cancelled_caught and call.written and not self.frozen and call.line.unheard():
                 # Threat: we stood still past the deadline.  The first look at the sockets after that tells of
                 # nothing (EINTR), so time is up before an answer that lies there is seen.
                 with trio.CancelScope(shield=True):
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -136,6 +136,10 @@
         unread = self.sock.peek(CHUNK) if self.http.their_state is h11.SEND_RESPONSE else b""
         return self.head + (unread or b"")
 
+    def unheard(self):
+        """Whether an answer waits of which nothing was read."""
+        return self.http.their_state is h11.SEND_RESPONSE and not self.head and bool(self.waiting())
+
     def quiet(self):
         """Whether nothing came on an idle connection: bytes that nobody asked for, or its end, spoil it."""
         return self.waiting() is None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -298,7 +298,7 @@
 
 
 @pytest.mark.parametrize("answer, ending",
-                         [(http(200), "delivered"), (http(500), "timeout"), (b"", "timeout")])
+                         [(http(200), "delivered"), (http(500), "error"), (b"", "timeout")])
 def test_an_answer_that_came_before_our_first_look_at_it_counts(site, monkeypatch, answer, ending):
     outcomes, write = [], Line.write
 
