--- a/juniperlanding/accord/accord.py
+++ b/juniperlanding/accord/accord.py
@@ -1,10 +1,11 @@
 """One policy in force everywhere or nowhere: voter, holder and leader of one process.  No I/O, clock or trio.
 
-Build `Accord(...)`; then `heard(source, life, message, now)` for what came, and `tick(now)` at `due()`.
-Both put (name, message, durable) on `out`: a durable one may leave only once `kept`, as it is then, is on
-disk; one to this process's own name (only durable ones are) goes back into `heard` by then.  `said` holds
-(event, figures).
-Times are nanoseconds of this process's own steady clock."""
+Build `Accord(...)` once this process owns its folder and whoever owned it before takes on nothing any more,
+with a life that no other had: ballots, rounds and licences are told apart by it.  Then `heard(source, life,
+message, now)` for what came, and `tick(now)` at `due()`. Both put (name, message, durable) on `out`: a
+durable one may leave only once `kept`, as it is then, is on disk; one to this process's own name (only
+durable ones are) goes back into `heard` by then.  `said` holds (event, figures). Times are nanoseconds of
+this process's own steady clock."""
 
 from collections import deque
 from dataclasses import dataclass
