--- a/juniperlanding/cli/owed.py
+++ b/juniperlanding/cli/owed.py
@@ -14,14 +14,17 @@
 
 
 def run(asked):
-    path = f"{asked['FOLDER']}/{ledger.FILE}"
-    books = ledger.Books()
+    files, folder = ledger.Files(), asked["FOLDER"]
     try:
-        books.files.list(asked["FOLDER"])
-        books.load(path)
+        if ledger.MANIFEST in files.list(folder):
+            from juniperlanding.shards.books import held
+
+            found = held(files, folder)
+        else:
+            found = [ledger.Books(files).load(f"{folder}/{ledger.FILE}")]
     except OSError as error:
-        raise Refused(f"{asked['FOLDER']}: {(error.strerror or str(error)).lower()}") from None
-    for owed in books.owed.values():
+        raise Refused(f"{folder}: {(error.strerror or str(error)).lower()}") from None
+    for owed in (one for books in found for one in books.owed.values()):
         if asked["--json"]:
             print(
                 json.dumps(
--- a/juniperlanding/cli/serve.py
+++ b/juniperlanding/cli/serve.py
@@ -70,6 +70,8 @@
     try:
         node = await begin(lambda offer: Node(config, world, offer=offer), config, world)
     except OSError as error:
+        if lines := getattr(error, "lines", None):
+            raise Refused("\n".join(lines)) from None
         raise Refused(f"{error.filename or config.state}: {(error.strerror or str(error)).lower()}") from None
     never_wait()
     stopping, ended = False, []
--- a/juniperlanding/emulator/disk.py
+++ b/juniperlanding/emulator/disk.py
@@ -120,6 +120,14 @@
             raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT), path)
         self.after(fault)
 
+    def size(self, path):
+        """Changes nothing, so it is no step at which a fault could be told from one before or after it."""
+        if self.dead:
+            raise Killed
+        if str(path) not in self.disk.files:
+            raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT), path)
+        return len(self.disk.files[str(path)])
+
     def list(self, folder):
         self.step("list", folder)
         start = f"{folder}/"
--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -12,21 +12,30 @@
     d id ttl_at                                          over before this file was written, and remembered
 """
 
+import errno
 import json
 from base64 import b64decode, b64encode
 from contextlib import suppress
 from dataclasses import dataclass, field
 from zlib import crc32
 
+from juniperlanding.ground.errors import Trouble
 from juniperlanding.ground.seams import Files
 
-FILE = "ledger"
+FILE, MANIFEST = "ledger", "shards"
 FULL, WASTE = 3, 4  # eighths of the disk: what is owed may fill so many, and the file grows to so many
 OVER = 16  # of the disk, one part in so many may hold ids that are over
 REMEMBERED = 64  # bytes beside its id that one which is over takes until its TTL
 MORE = 512  # bytes beside its first record that one notification's pushes and end will add
 
 
+class Split(Trouble, OSError):
+    """What is owed stands in several files, and shards are off: read as one, nothing would be owed."""
+
+    code = "ledger-split"
+    remedy = "Turn [shards] on again; turn it off once the door's SHARDS tells of one file alone."
+
+
 @dataclass(slots=True)
 class Owed:
     """One notification as the ledger has it."""
@@ -135,6 +144,14 @@
             self.over_size -= REMEMBERED + len(number)
 
 
+def whole(files, folder):
+    """`Split` for a folder whose ledger is in several files."""
+    path = f"{folder}/{MANIFEST}"
+    with suppress(FileNotFoundError):
+        files.size(path)
+        raise Split(errno.EBUSY, "the ledger is in several files, and shards are off", path)
+
+
 class Ledger(Books):
     """`inherited`: another process of ours wrote it to the end, and may take it back; nothing is changed."""
 
