Shards: growth forecast from writes, splits begun ahead of time, door SHARDS

Need: a file that grows past its bound is split too late if the split begins there. Not in it: turns among processes, what is told in the record, new work refused earlier for what is foretold.

--- a/juniperlanding/ground/file.py
+++ b/juniperlanding/ground/file.py
@@ -223,6 +223,7 @@
             port(reader, told.values[key][1], key, told.values[key][0])
     fleet(reader)
     policy(reader, base)
+    shards(reader)
     rank, count = (told.values.get(f"instance.{key}", (None, None))[0] for key in ("rank", "dispatchers"))
     if rank is not None and rank >= (count or 1):
         reader.fault(
@@ -308,6 +309,23 @@
         reader.fault(origin, "policy.licence", licence, "500ms to 60s")
 
 
+def shards(reader):
+    """Threat: half told, a ledger that an operator believes split."""
+    values = reader.told.values
+    enabled, origin = values.get("shards.enabled", (False, None))
+    if not enabled:
+        for key in [key for key in values if key.startswith("shards.") and key != "shards.enabled"]:
+            reader.fault(values[key][1], key, shown(str(values[key][0])), "`enabled = true` beside it")
+        return
+    if not values.get("fleet.enabled", (False,))[0]:
+        reader.fault(origin, "shards.enabled", "true", "`[fleet]` with `enabled = true` beside it")
+    most, least = (values.get(f"shards.{key}", (None,))[0] for key in ("most", "least"))
+    if most is not None and most < 64 << 10:
+        reader.fault(origin, "shards.most", most, "at least 64KiB")
+    if least is not None and least * 2 > (most or least * 2):
+        reader.fault(origin, "shards.least", least, "at most half of `shards.most`")
+
+
 def port(reader, origin, key, address):
     host, _, number = address.rpartition(":")
     if int(number) > 65535 or any(int(part) > 255 for part in host.split(".")):
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -166,6 +166,15 @@
     drift: told(Annotated[float, Meta(ge=0, le=0.05)], "The share by which steady clocks may differ.") = 0.01
 
 
+class Shards(Section):
+    """The ledger in several files, split ahead of time.  Off unless `enabled`, with `[fleet]` on."""
+
+    enabled: told(bool, "Whether it may be split; off again only once it is one file.") = False
+    most: told(Size | None, "Bytes owed in one file; absent: an eighth of the disk.") = None
+    least: told(Size | None, "Two neighbours long under it are merged; absent: a quarter of `most`.") = None
+    count: told(Annotated[int, Meta(ge=1, le=256)], "The most files.") = 64
+
+
 class Endpoint(Section):
     """An endpoint known before discovery answers (a table in the list `endpoint`)."""
 
@@ -197,6 +206,7 @@
     rules: Rules = field(default_factory=Rules)
     fleet: Fleet = field(default_factory=Fleet)
     policy: Policy = field(default_factory=Policy)
+    shards: Shards = field(default_factory=Shards)
     kind: list[Kind] = []
     topic: list[Topic] = []
     endpoint: list[Endpoint] = []
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -29,6 +29,7 @@
     log: dict
     fleet: object = None  # the operators' `Fleet`; nothing else turns it on
     policy: object = None  # their `Policy`, in the same way
+    shards: object = None  # their `Shards`, in the same way
 
     @property
     def disk(self):
@@ -73,7 +74,8 @@
         limits=ours.limits | told.get("limits", {}), known=told.get("known") or ours.known, settings=settings,
         kinds=wire.get("models") or ours.kinds, zones=wire.get("areas") or ours.zones,
         connect_within=wire.get("permissions", {}).get("connect_timeout_ns", ours.connect_within),
-        report=report, log=ours.log, fleet=ours.fleet, policy=ours.policy)
+        report=report, log=ours.log, fleet=ours.fleet, policy=ours.policy,
+        shards=ours.shards)
 
 
 def need(value, name):
@@ -101,6 +103,7 @@
     log: dict = None
     fleet: object = None
     policy: object = None
+    shards: object = None
 
     def __post_init__(self):
         for name in ("limits", "known", "settings", "report", "log"):
@@ -132,7 +135,7 @@
                 kinds=[kind.name for kind in kinds], zones=list(get("zones")),
                 connect_within=int(get("connections.connect_within")), report=dict(get("reports")),
                 log={"form": get("log.form"), "lines": get("log.lines")}, fleet=fleet(get),
-                policy=policy(get))
+                policy=policy(get), shards=shards(get))
 
 
 @dataclass(slots=True)
@@ -175,3 +178,18 @@
     return Policy(voters={name: protocol.address(address) for name, address in voters.items()},
                   folder=get("policy.folder"), file=get("policy.file"), licence=int(get("policy.licence")),
                   drift=get("policy.drift"))
+
+
+@dataclass(slots=True)
+class Shards:
+    """How the ledger is split: bytes of a shard (None: by the disk), and how many there may be."""
+    most: int | None
+    least: int | None
+    count: int
+
+
+def shards(get):
+    """A `Shards`, or None unless the operators' own file says `enabled = true`."""
+    if not get("shards.enabled"):
+        return None
+    return Shards(get("shards.most"), get("shards.least"), get("shards.count"))
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -12,7 +12,6 @@
 from juniperlanding.net.counters import Counters
 from juniperlanding.net.discovery import Discovery
 from juniperlanding.net.endpoints import Endpoints
-from juniperlanding.net.ledger import Ledger, whole
 from juniperlanding.net.notices import Notices
 from juniperlanding.net.owner import Owner
 from juniperlanding.net.succession import Offer, Succession
@@ -71,8 +70,7 @@
     def build(self, offer=None):
         """The parts that serve, from what the folder holds."""
         told, world, common = self.config, self.world, (self.counters, self.log)
-        whole(world.files, told.state)
-        self.ledger = Ledger(told.state, told.disk, world.files, inherited=bool(offer))
+        self.ledger = parts.books(told, world.files, bool(offer))
         self.owner = owner = Owner(told, world.clock.now, self.ledger, *common)
         most_clients, self.most_calls = bounds(told)
         ended = partial(owner.tell, owner.finished)
--- a/juniperlanding/net/parts.py
+++ b/juniperlanding/net/parts.py
@@ -1,5 +1,7 @@
 """The one place where optional parts plug in: a list in the order in which they need each other."""
 
+from juniperlanding.net.ledger import Ledger, whole
+
 
 def made(node):
     """The parts (`ground.part.Part`) that the operators' file turned on; off, nothing of them is imported."""
@@ -13,9 +15,23 @@
             from juniperlanding.accord.part import Policy
 
             parts.append(Policy(told.policy, node, fleet))
+    if told.shards:
+        from juniperlanding.shards.part import Shards
+
+        parts.append(Shards(told.shards, node))
     return parts
 
 
+def books(told, files, inherited):
+    """The ledger of a folder: one file, or shards; `Split` for one that is split while shards are off."""
+    if told.shards:
+        from juniperlanding.shards.books import Sharded
+
+        return Sharded(told.state, told.disk, files, inherited)
+    whole(files, told.state)
+    return Ledger(told.state, told.disk, files, inherited)
+
+
 def merged(parts, what, before):
     """One map of `before` and of what each part's method of that name gives."""
     for part in parts:
--- a/juniperlanding/shards/books.py
+++ b/juniperlanding/shards/books.py
@@ -153,6 +153,8 @@
             self.close_files()
             raise
 
+    place = staticmethod(place)
+
     def path(self, shard):
         return f"{self.folder}/{shard.name}"
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -462,7 +462,7 @@
             assert inodes and not inodes & {line.split()[9] for line in file}
         assert len(os.listdir(f"/proc/{process.pid}/task")) == 1
         assert "juniperlanding.net" in heard
-        assert not re.search(r"juniperlanding\.(fleet|accord)|msgspec", heard)
+        assert not re.search(r"juniperlanding\.(fleet|accord|shards)|msgspec", heard)
         assert sorted(os.listdir(tmp_path / "state")) == ["ledger", "lock", "successor"]
     finally:
         process.kill()
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -2,14 +2,20 @@
 
 import errno
 import os
+from dataclasses import replace
 
 import pytest
 
 from juniperlanding.choice import SEC
 from juniperlanding.cli import main
 from juniperlanding.emulator.disk import Disk, Killed, Mount, Plan
-from juniperlanding.net.ledger import Books, Ledger, Split
+from juniperlanding.emulator.growth import Score, run
+from juniperlanding.net import config
+from juniperlanding.net.ledger import Books, Ledger
+from juniperlanding.net.ledger import Split as StillSplit
 from juniperlanding.shards.books import PLACES, Damaged, NoRoom, Sharded, held, place, ranges
+from juniperlanding.shards.growth import Growth
+from juniperlanding.shards.plan import LONG, Bounds, Foretold, Merge, Planner, Split, View, wasteful
 
 FOLDER, ROOM = "/state", 400_000
 
@@ -252,7 +258,7 @@
     ledger.close()
 
     async def scene(site):
-        with pytest.raises(Split) as refused:
+        with pytest.raises(StillSplit) as refused:
             await site.start()
         assert refused.value.code == "ledger-split" and "[shards]" in refused.value.lines[0]
     site.run(scene)
@@ -368,3 +374,135 @@
     with pytest.raises(NoRoom):
         ledger.begin(ledger.shards[:], [0, 9, PLACES])
     assert not ledger.rewrite
+
+
+# ---- when a split is begun
+
+def grown(series, ended=lambda come: 0, live=0):
+    """A `Growth` that was told what came in each second."""
+    growth = Growth()
+    for come in series:
+        gone = ended(live)
+        live += come - gone
+        growth.sample(come, gone, live)
+    return growth
+
+
+def view(growth, low=0, high=PLACES, sample=((100, 50), (40_000, 60))):
+    return View(low, high, growth, lambda: list(sample))
+
+
+def planner(most=100_000, least=20_000, count=8):
+    return Planner(Bounds(most, least, count))
+
+
+def test_a_split_is_due_so_far_ahead_as_it_takes_and_not_before():
+    plan = planner()
+    for seconds, due in ((60, False), (85, False), (95, True)):
+        growth = grown([1000] * seconds)
+        assert (plan.plan([view(growth)], 0) is not None) == due
+    for _ in range(4):
+        plan.done(100_000, 16 * SEC, 0)
+    found = plan.plan([view(grown([1000] * 85))], 0)
+    assert isinstance(found, Split) and 11 < found.left < 13 and found.cut == 40_000
+
+
+def test_growth_ends_where_what_comes_and_what_ends_are_even():
+    growth = grown([9000] * 40, lambda live: live // 10)
+    assert growth.live < 90_000 and growth.left(100_000) is None and growth.left(growth.live + 50) is not None
+    assert grown([9000] * 8).left(100_000) < 4
+    assert planner().plan([view(growth)], 0) is None
+
+
+def test_halves_go_on_with_what_was_learned_of_the_whole():
+    whole = grown([1000] * 40)
+    half = whole.share(0.5)
+    assert half.left(50_000) == pytest.approx(whole.left(100_000), 0.02)
+    assert half.come.series[-1] == 500 and half.come.mean == 500
+    half.sample(500, 0, half.live + 500)
+    assert half.left(50_000) < whole.left(100_000)
+
+
+def test_many_that_meet_their_bound_together_are_begun_one_lead_earlier_each():
+    growth = [grown([1000] * 91) for _ in range(4)]
+    assert planner().plan([view(growth[0])], 0) is None
+    views = [view(one, at * 10, at * 10 + 10) for at, one in enumerate(growth)]
+    assert planner().plan(views, 0).shard is views[0]
+
+
+@pytest.mark.parametrize("sample, count, why", [
+    (((7, 95), (9, 5)), 8, "destination"), (((7, 5),), 8, "destination"), (((7, 50), (9, 50)), 1, "count")])
+def test_where_no_split_helps_that_is_foretold_and_another_shard_is_still_split(sample, count, why):
+    one, other = view(grown([1000] * 99), 0, 10, sample), view(grown([1000] * 98), 10, PLACES)
+    found = planner(count=count).plan([one], 0)
+    assert isinstance(found, Foretold) and (found.why, found.shard) == (why, one) and found.left < 2
+    assert why == "count" or planner().plan([one, other], 0).shard is other
+
+
+def test_two_small_neighbours_are_merged_after_long_and_not_if_one_grows_meanwhile():
+    plan, small = planner(), lambda: view(grown([100] * 30, lambda live: live // 2))
+    shards = [small(), small()]
+    shards[1].low, shards[0].high = 500, 500
+    assert plan.plan(shards, 0) is None and plan.plan(shards, LONG - 1) is None
+    assert isinstance(plan.plan(shards, LONG), Merge)
+    shards[0].growth.live = 30_000
+    assert plan.plan(shards, LONG + 1) is None
+    shards[0].growth.live = 100
+    assert plan.plan(shards, LONG + 2) is None
+
+
+def test_one_that_was_given_up_is_tried_again_after_a_growing_pause():
+    plan, one = planner(), view(grown([1000] * 99))
+    for pause in (1, 2, 4):
+        plan.failed(0)
+        assert not isinstance(plan.plan([one], pause * SEC - 1), Split)
+        assert isinstance(plan.plan([one], pause * SEC), Split)
+
+
+def test_the_file_that_is_mostly_of_what_is_over_is_written_anew():
+    assert wasteful([(300, 290), (400, 100)], 1000) == 1
+    assert wasteful([(300, 290), (100, 10)], 1000) is None and wasteful([(500, 450)], 1000) is None
+
+
+def test_emulated_days_are_split_in_time():
+    total = Score()
+    for score in run(3, dispatchers=2, ways=("forecast",)).values():
+        total.add(score)
+    assert total.true > 15 and total.in_time > 0.9 and total.wrong < 0.15, total
+    late = run(3, dispatchers=2, days=("trend", "doubling"), ways=("bound",))
+    assert sum(score.true for score in late.values()) == 0
+
+
+# ---- in a dispatcher
+
+def test_a_dispatcher_splits_beside_its_flow_and_starts_again_from_its_shards(site):
+    async def scene(site):
+        whole = site.config
+        site.config = lambda: replace(whole(), shards=config.Shards(20_000, None, 8))
+        node = await site.start()
+        part = node.parts[-1]
+        part.planner.plan = lambda shards, now: (
+            Split(shards[0], 30_000, 0.0) if len(shards) == 1 and len(node.ledger.owed) > 10 else None)
+        for n in range(20):
+            assert await site.hand_in(f"a{n}") == 202
+        await site.until(lambda: len(node.ledger.shards) == 2)
+        assert part.growth.keys() == {*node.ledger.shards}
+        assert all(one.sampled for one in part.growth.values())
+        assert await site.hand_in("b") == 202
+        assert part.told()[0].startswith("0-30000 ledger.") and part.told()[-2].startswith("last split")
+        assert part.gauges()["shards"] == 2 and any("split done" in text for _, text in site.lines)
+        assert len(held(node.ledger.files, node.config.state)) == 2
+        site.kill()
+        again = await site.start()
+        assert again.ledger.owed.keys() == {"b", *(f"a{n}" for n in range(20))}
+        assert len(again.ledger.shards) == 2
+    site.run(scene, lambda *message: None)
+
+
+def test_a_rewrite_is_given_up_before_the_folder_goes_to_another_process():
+    work = Work()
+    ledger, _ = split(work)
+    ledger.copy(most=500)
+    ledger.close()
+    assert [*work.disk.files] == [f"{FOLDER}/ledger"]
+    assert told(Sharded(FOLDER, ROOM, Mount(work.disk), inherited=True)) == work.sure
