--- a/juniperlanding/cli/owed.py
+++ b/juniperlanding/cli/owed.py
@@ -15,16 +15,19 @@
 
 
 def run(asked):
-    path = f"{asked['FOLDER']}/{ledger.FILE}"
-    books = ledger.Books()
+    files, folder = ledger.Files(), asked["FOLDER"]
     try:
-        books.files.list(asked["FOLDER"])
-        books.load(path)
+        if ledger.MANIFEST in files.list(folder):
+            from juniperlanding.shards.books import held
+
+            found = held(files, folder)
+        else:
+            found = [ledger.Books(files).load(f"{folder}/{ledger.FILE}")]
     except OSError as error:
-        raise system(error, asked["FOLDER"]) from None
-    if books.damaged:
-        say(ledger.Damaged(f"{path}: {books.damaged} records cannot be read").told, None)
-    for owed in books.owed.values():
+        raise system(error, folder) from None
+    if damaged := sum(books.damaged for books in found):
+        say(ledger.Damaged(f"{folder}: {damaged} records cannot be read").told, None)
+    for owed in (one for books in found for one in books.owed.values()):
         if asked["--json"]:
             print(
                 json.dumps(
