--- a/juniperlanding/fleet/members.py
+++ b/juniperlanding/fleet/members.py
@@ -50,6 +50,8 @@
     accusers: set = field(default_factory=set)
     load_at: int = 0
     load: tuple = ()
+    figures: bytes = b""
+    figures_at: int = 0
 
     @property
     def name(self):
@@ -74,6 +76,7 @@
 
 class View:
     def __init__(self, me, fleet, seeds, seed, now, tuning=None):
+        self.figures = b""  # what a part tells of this process, with every probe and answer
         self.me, self.fleet, self.seed, self.tuning = me, fleet, seed, tuning or Tuning()
         self.seeds = [address for address in seeds if address != me.address]
         self.members, self.news, self.order, self.relays = {}, {}, [], {}
@@ -118,7 +121,9 @@
         Threat: the accused hears of it last; so it is told by whoever writes to it."""
         first = [about.record] if about and about.state != ALIVE else []
         told = first + list(news or self.fresh(words.MOST_NEWS - len(first), about))
-        said = Message(words.VERSIONS[0], self.fleet, kind, number, self.me, target, told)
+        # Threat: figures in every record of every message leave no room for news.
+        source = self.me.but(figures=self.figures) if kind in (words.PING, words.ACK) else self.me
+        said = Message(words.VERSIONS[0], self.fleet, kind, number, source, target, told)
         self.out.append((address, said))
 
     def fresh(self, most, about):
@@ -155,17 +160,19 @@
 
     def heard(self, message, now):
         """One message; the sender's word about itself counts like news."""
-        source = message.source
+        source, figures = message.source.but(figures=b""), message.source.figures
         if source.name == self.me.name:
             return self.about_me(source, now) if source.life != self.me.life else None
         self.apply(source, source.name, now)
         for record in message.news:
-            self.apply(record, source.name, now)
+            self.apply(record.but(figures=b""), source.name, now)
         member = self.members.get(source.name)
         if member is None:
             return
         if source.load and member.record.life == source.life:
             member.load, member.load_at = source.load, now
+        if figures and member.record.life == source.life:
+            member.figures, member.figures_at = figures, now
         stale = member if member.record != source and (
             member.record.inc > source.inc or member.record.life != source.life) else None
         if message.kind == words.PING:
--- a/juniperlanding/fleet/words.py
+++ b/juniperlanding/fleet/words.py
@@ -10,6 +10,7 @@
 VERSIONS = (1,)  # of the protocol that this text speaks
 DIGEST, MOST, MOST_NEWS = 16, 1400, 8  # bytes of the digest and of a datagram; records in one message
 MOST_NAME, MOST_SITE = 128, 64  # as the operators' file has them
+MOST_FIGURES = 640  # bytes: with the longest names a datagram still has room for news
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
 PHASES = ("starting", "serving", "draining", "leaving")
@@ -22,7 +23,8 @@
 
 class Record(msgspec.Struct, array_like=True, frozen=True):
     """What is said of a member.  inc: the member's own incarnation, only it raises it; life: drawn anew by
-    each process, 0 if not known; load: (owed, outstanding)."""
+    each process, 0 if not known; load: (owed, outstanding); figures: what a part tells of this process, in
+    its own form, on a probe and its answer alone.  An older member passes over what stands at the end."""
 
     name: str
     inc: int
@@ -35,6 +37,7 @@
     versions: tuple = VERSIONS
     life: int = 0
     load: tuple = ()
+    figures: bytes = b""
 
     @property
     def address(self):
@@ -90,7 +93,8 @@
 def sound(record):
     return (0 <= record.inc < 1 << 62 and 0 <= record.state < len(STATES) and 0 <= record.phase < len(PHASES)
             and 0 < len(record.name) <= MOST_NAME and len(record.site) <= MOST_SITE
-            and len(record.load) in (0, 2) and reachable(record.address))
+            and len(record.load) in (0, 2) and len(record.figures) <= MOST_FIGURES
+            and reachable(record.address))
 
 
 def reachable(address):
--- /dev/null
+++ b/juniperlanding/sites/part.py
@@ -0,0 +1,184 @@
+"""The I/O half: counts what this dispatcher does, tells it with the fleet's probes, and projects once a second.
+
+A part of one node, which it reads as a plain value; it asks the owner's queue for nothing."""
+
+import trio
+
+from juniperlanding.choice import MS, SEC, known
+from juniperlanding.fleet.words import ALIVE, DEAD, LEFT, SUSPECT
+from juniperlanding.ground.log import described, where
+from juniperlanding.net.counters import ABORTED, DECLINED, result
+from juniperlanding.sites import figures as told
+from juniperlanding.sites.outage import LOST, Outages, shown
+from juniperlanding.sites.project import Member, project
+
+EVERY = 1.0  # seconds between two looks; one site is projected in each
+FORGOTTEN = 30 * SEC  # a member dead for longer is no part of its site any more
+SLOWED = 30 * SEC  # so long after a throttling the present pace is told, else what the rule allows
+RECORD = 512  # bytes of the ledger that one notification is taken to need while none is owed
+MOST_LINES = 32  # sites at the door
+
+
+class Sites:
+    """`prices()` gives {(from, to): price} of the policy in force, or None: then the settings' one price."""
+
+    def __init__(self, node, prices=None):
+        self.node, self.agent, self.log, self.prices = node, node.fleet, node.log, prices
+        self.now = node.fleet.now
+        self.seen, self.outages, self.projected, self.turn = told.Seen(self.now()), Outages(), {}, 0
+        self.ended, self.mine, self.cost = {}, None, 0
+        self.topics = node.config.settings["topic_types"]
+
+    # ---- what the owner says, in its rounds
+
+    def handed_in(self, topic, destination):
+        self.seen.handed_in(topic, destination, self.now())
+
+    def answered(self, ntf, endpoint, latency, in_time):
+        site = self.site_of(endpoint.zone)
+        self.seen.answered(ntf, site, site != self.agent.told.site, latency, in_time, self.now())
+
+    def site_of(self, zone):
+        """A zone of endpoints is the site of the same name; one that nobody named is no site of ours."""
+        zones = self.node.config.zones
+        return zones[zone] if zone < len(zones) else "?"
+
+    # ---- the part
+
+    async def run(self):
+        while True:
+            try:
+                self.look()
+            except Exception as error:  # threat: one odd figure must not end the program
+                self.log("fault", part="sites", why=described(error), at_line=where(error))
+            await trio.sleep(EVERY)
+
+    def look(self):
+        owner, view = self.node.owner, self.agent.view
+        owner.watch = self
+        if not view:
+            return
+        begun, now = self.now(), self.now()
+        self.mine = self.figures(owner.at, now)
+        view.figures = told.encoded(self.mine)
+        members = self.members(now)
+        names = sorted({member.site for member in members if member.site})
+        self.projected = {name: made for name, made in self.projected.items() if name in names}
+        if names:
+            name = names[self.turn % len(names)]
+            self.turn += 1
+            self.projected[name] = self.project(members, name)
+        self.outages.tick(members, self.projected, now)
+        said, self.outages.said = self.outages.said, []
+        for event, fields in said:
+            self.log("sites", event, sure=f"{view.sure():.2f}", **fields)
+        self.cost = self.now() - begun
+
+    def project(self, members, name):
+        return project(members, name, self.topics, self.price, errors=self.outages.error)
+
+    def price(self, source, target):
+        prices = self.prices() if self.prices else None
+        if prices is not None:
+            return prices.get((source, target))
+        return self.node.config.settings.get("crossing_price")
+
+    def members(self, now):
+        """All of the view as the projection takes them.  Threat: a projection from what is known only here
+        would differ from the others'; of ourselves it takes what was told too."""
+        view, found = self.agent.view, []
+        for member in view.members.values():
+            record, age = member.record, now - member.figures_at
+            if record.state == LEFT or record.state == DEAD and now - member.since > FORGOTTEN:
+                continue
+            figures = told.decoded(member.figures) if member.figures else None
+            found.append(Member(record.name, record.site, record.state in (ALIVE, SUSPECT),
+                                told.believed(figures, age), age if figures else 0))
+        own = told.decoded(view.figures) if view.figures else None
+        return [*found, Member(self.agent.name, self.agent.told.site, True, own, 0)]
+
+    # ---- what is told
+
+    def figures(self, at, now):
+        """The plain value of this dispatcher, from its owner's records as they are at this moment."""
+        me, ledger, counters = at.me, self.node.ledger, self.node.counters
+        for topic in self.topics:
+            name = topic.get("name")
+            ended = counters[result(name, DECLINED)] + counters[result(name, ABORTED)]
+            self.seen.refused(name, ended - self.ended.get(name, ended), now)
+            self.ended[name] = ended
+        self.seen.forget(now)
+        near = me.settings.get("zone") if me.settings.get("crossing_price") else None
+        sites = tuple(dict.fromkeys([self.agent.told.site, *self.node.config.zones, "?"]))[:told.MOST_SITES]
+        places = [self.place(dest, sites, near, at, now) for dest in me.destinations.values()
+                  if dest.endpoints]
+        places.sort(key=lambda place: (-place.taken, place.destination))
+        busy = sum(place.taken > 0 for place in places)
+        each = ledger.owed_size // len(ledger.owed) + 1 if ledger.owed else RECORD
+        return told.Figures(
+            told.VERSION, told.BELIEVED // MS, sites,
+            tuple(self.seen.kind(topic.get("name"), now) for topic in self.topics), tuple(places[:256]),
+            told.usable(me.settings.get("slots", 1 << 20), max(1, busy)),
+            max(0, min(me.settings.get("most_held", 1 << 20), 1 << 30) - len(self.node.owner.held)),
+            max(0, ledger.most_owed - ledger.owed_size) // each, near=near is not None)
+
+    def place(self, dest, sites, near, at, now):
+        here = [e for e in dest.endpoints if e.state == "ready" and not e.down]
+        order = told.picked(here, near)
+        apart = len({id(e.route) for e in here}) > 1
+        pace = self.pace(here[0].route, at, now) if here else told.UNKNOWN
+        numbers = tuple(sites.index(site) for e in order if (site := self.site_of(e.zone)) in sites)
+        return told.Place(dest.id, max(0, self.seen.rates.a_second(("place", dest.id), now)),
+                          told.UNKNOWN if apart else pace, max(pace, 0) if apart else 0, numbers,
+                          self.seen.told(dest.id, sites, now))
+
+    def pace(self, route, at, now):
+        """What may be offered a route, in thousandths a second: the rule's, or after throttling the
+        present."""
+        steady = at.now - route.slowed_at > SLOWED or not route.slowed_at
+        allowed = at.stages[5].most(route) if known(route) and steady else 0 if steady else route.pace
+        return int(1000 * allowed) if allowed else told.UNKNOWN
+
+    # ---- what staff read
+
+    def gauges(self):
+        """For `STATS`, while the part is on."""
+        states = [site.state for site in self.outages.sites.values()]
+        return {"sites.lost": states.count(LOST), "sites.known": len(states), "sites.look_us": self.cost // 1000}
+
+    def calls(self):
+        return {"SITES": self.lines}
+
+    def lines(self):
+        """The door's `SITES`: for each site what its loss would cost, or costs."""
+        if not self.agent.view:
+            return ["--"]
+        rows, now = [], self.now()
+        for name, site in sorted(self.outages.sites.items())[:MOST_LINES]:
+            made = site.outage.foretold if site.outage else self.projected.get(name)
+            head = f"{name or '-'} {site.state} since={(now - site.since) / SEC:.1f}s"
+            if made is None:
+                rows.append(f"{head} not projected yet")
+                continue
+            rows.append(f"{head} rests_on={made.rests_on}/{made.rests_on + len(made.unknown)} "
+                        f"oldest={made.oldest / SEC:.1f}s unknown={','.join(made.unknown) or '-'}")
+            if made.nothing:
+                rows.append(f"  unknown: {made.nothing}")
+                continue
+            rows += projection_lines(made)
+            rows += [f"  seen {measure} {topic} {shown(estimate)} tested={estimate.tested}" for (
+                measure, topic), estimate in sorted(self.outages.rest(name).items())]
+        return [*rows, "--"]
+
+
+def projection_lines(made):
+    shares = " ".join(f"{name}={100 * share:.1f}%" for name, share in made.shares.items())
+    price = shown(made.price) if made.price else "unknown"
+    rows = [f"  load={made.load:.2f}/s over={100 * made.over:.1f}% {shares}",
+            f"  crossings={shown(made.crossings)}/s price={price}/s"]
+    for name, line in made.topics.items():
+        rows.append(f"  {name} offered={line.offered:.2f}/s refused={shown(line.refused)} "
+                    f"late={shown(line.late)} lost={shown(line.lost)} crossings={shown(line.crossings)} "
+                    f"now={','.join(f'{figure:.2f}' for figure in line.now)} tested={line.lost.tested}")
+    rows += [f"  stranded destinations: {', '.join(map(str, made.stranded[:20]))}"] if made.stranded else []
+    return rows + [f"  guessed: {guess}" for guess in made.guessed[:8]]
