--- a/juniperlanding/cli/try_.py
+++ b/juniperlanding/cli/try_.py
@@ -2,7 +2,7 @@
 
 Usage:
   juniperlanding try [--for TIME] [--rate RATE] [--seed SEED] [--trouble NAME] [--json FILE] [--keep FOLDER]
-                     [--dispatchers N]
+                     [--dispatchers N] [--sites N]
 
 Options:
   --for TIME      how long clients come [default: 10s]
@@ -11,6 +11,7 @@
   --trouble NAME  none, silence, refusal, kill, replace or discovery [default: none]
   --dispatchers N  N processes with a view of each other, and faults between them: --trouble none, crash, cut,
                   cut-one-way, island, lossy, slow-peer, rolling, flap or mixed; it lasts as long as it takes
+  --sites N       with --trouble region: so many sites, each lost once; the rate follows from the seed
   --json FILE     write all figures there, "-" for standard output
   --keep FOLDER   keep configuration, state and log there; else they go with the run
 
@@ -262,6 +263,7 @@
 
     import trio
 
+    from juniperlanding.processes.region import Region
     from juniperlanding.processes.rig import Rig
     from juniperlanding.processes.troubles import TROUBLES, Outcome, play
 
@@ -271,9 +273,17 @@
     if name not in TROUBLES:
         raise Refused(f"--trouble: found {name!r}, expected one of {', '.join(TROUBLES)}")
     rate = plan(asked | {"--trouble": "none"}).rate
+    sites = asked["--sites"] or "3"
+    if not sites.isdigit() or not 2 <= int(sites) <= min(5, int(text)):
+        raise Refused(f"--sites: found {sites!r}, expected from 2 to 5, and no more than dispatchers")
+    sites = int(sites)
     outcome = Outcome(name, int(text), asked["--seed"])
     with tempfile.TemporaryDirectory(prefix="juniperlanding-try-") as scratch:
-        rig = Rig(outcome.count, asked["--keep"] or scratch, outcome.seed, rate)
+        folder = asked["--keep"] or scratch
+        if name == "region":
+            rig = Region(outcome.count, folder, outcome.seed, sites=sites)
+        else:
+            rig = Rig(outcome.count, folder, outcome.seed, rate)
         try:
             trio.run(rig.run, lambda rig: play(rig, name, outcome))
         except* (RuntimeError, trio.TooSlowError, OSError) as group:
@@ -287,6 +297,10 @@
     else:
         for step, took in outcome.steps:
             print(f"{step:<28} {'not settled' if took is None else f'settled after {took:.1f} s'}")
+        for loss in outcome.losses:
+            print(f"{loss.site} lost at {loss.level:.0%}, foretold from {loss.known}:")
+            for name, (value, least, most, seen, *_) in loss.cells.items():
+                print(f"  {name:<18} foretold {value:7.2f} [{least:.2f}, {most:.2f}]/s, seen {seen:7.2f}/s")
         print(f"{outcome.notifications} notifications, faults {outcome.faults or 'none'}; "
               f"held for dead though alive: {len(outcome.false_deaths)}")
     return 0 if outcome.well else UNWELL
--- a/juniperlanding/ground/file.py
+++ b/juniperlanding/ground/file.py
@@ -249,6 +249,10 @@
     """Threat: half told, a fleet that an operator believes on, or an open socket that nobody asked for."""
     values = reader.told.values
     enabled, origin = values.get("fleet.enabled", (False, None))
+    wanted, sites_origin = values.get("sites.enabled", (False, None))
+    for key in ("fleet.enabled", "fleet.site"):
+        if wanted and not values.get(key, (None,))[0]:
+            reader.fault(sites_origin, key, "nothing", "this key, since sites are enabled")
     if not enabled:
         for key in [key for key in values if key.startswith("fleet.") and key != "fleet.enabled"]:
             reader.fault(values[key][1], key, shown(str(values[key][0])), "`enabled = true` beside it")
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -148,6 +148,12 @@
     seeds: told(list[Address], "Members asked at the start, and again while it is alone.") = []
 
 
+class Sites(Section):
+    """What it would cost to lose a site, foretold (docs/sites.md).  Needs `[fleet]` with a `site`."""
+
+    enabled: told(bool, "Whether this dispatcher tells its room and projects.") = False
+
+
 class Endpoint(Section):
     """An endpoint known before discovery answers (a table in the list `endpoint`)."""
 
@@ -178,6 +184,7 @@
     clients: Clients = field(default_factory=Clients)
     rules: Rules = field(default_factory=Rules)
     fleet: Fleet = field(default_factory=Fleet)
+    sites: Sites = field(default_factory=Sites)
     kind: list[Kind] = []
     topic: list[Topic] = []
     endpoint: list[Endpoint] = []
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -28,6 +28,7 @@
     report: dict
     log: dict
     fleet: object = None  # the operators' `Fleet`; nothing else turns it on
+    sites: bool = False  # whether the cost of losing a site is foretold; the operators' file alone says so
 
     @property
     def disk(self):
@@ -72,7 +73,7 @@
         limits=ours.limits | told.get("limits", {}), known=told.get("known") or ours.known, settings=settings,
         kinds=wire.get("models") or ours.kinds, zones=wire.get("areas") or ours.zones,
         connect_within=wire.get("permissions", {}).get("connect_timeout_ns", ours.connect_within),
-        report=report, log=ours.log, fleet=ours.fleet)
+        report=report, log=ours.log, fleet=ours.fleet, sites=ours.sites)
 
 
 def need(value, name):
@@ -99,6 +100,7 @@
     report: dict = None
     log: dict = None
     fleet: object = None
+    sites: bool = False
 
     def __post_init__(self):
         for name in ("limits", "known", "settings", "report", "log"):
@@ -129,7 +131,8 @@
                 known={"members": members} if members else {}, settings=settings,
                 kinds=[kind.name for kind in kinds], zones=list(get("zones")),
                 connect_within=int(get("connections.connect_within")), report=dict(get("reports")),
-                log={"form": get("log.form"), "lines": get("log.lines")}, fleet=fleet(get))
+                log={"form": get("log.form"), "lines": get("log.lines")}, fleet=fleet(get),
+                sites=bool(get("sites.enabled")))
 
 
 @dataclass(slots=True)
--- a/juniperlanding/net/counters.py
+++ b/juniperlanding/net/counters.py
@@ -24,6 +24,10 @@
     def ended(self, topic, how):
         self[result(topic, how)] += 1
 
+    def unserved(self, topic):
+        """How many of a topic type ended otherwise than by a delivery in time."""
+        return self[result(topic, DECLINED)] + self[result(topic, ABORTED)]
+
     def figures(self, **gauges):
         """The operators' lines: `name:value|c` for a count, `|g` for a gauge."""
         counts = [f"{name}:{self[name]}|c" for name in sorted(self) if name.startswith(SVC)]
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -42,6 +42,7 @@
         self.queue, self.inbox = trio.open_memory_channel(ROUND * 4)
         self.endpoints = self.notices = self.discovery = self.clients = None
         self.ready, self.frozen = False, False
+        self.watch = None  # a part that counts what is handed in and answered
         self.stuck, self.write_at = False, 0  # the ledger cannot be written; when it is tried again
         self.at = Dispatcher(self, config.settings, config.seed, now())
 
@@ -244,6 +245,8 @@
             return
         if self.stuck or destination not in self.at.me.destinations:
             return self.counters.ended(topic, DECLINED)  # 503: no disk, or the list is behind
+        if self.watch:
+            self.watch.handed_in(topic, destination)
         full = len(self.held) >= self.config.settings.get("most_held", 1 << 30)
         if full or not self.ledger.room(len(body)):
             self.counters["turned_away_full"] += 1
@@ -285,6 +288,9 @@
     def finished(self, endpoint, outcomes, heard):
         """`heard`: when.  Threat: this round comes long after, and a delivery in time looks late."""
         for ntf_id, number, ending, latency, wait, over, report in outcomes:
+            if self.watch and ending == "delivered" and (ntf := self.at.me.notifications.get(ntf_id)):
+                in_time = over and ntf_id in self.held and heard < ntf.ttl_at
+                self.watch.answered(ntf, self.at.me.endpoints.get(endpoint), latency, in_time, heard)
             if over and ntf_id in self.held:
                 owed = self.ledger.owed[ntf_id]
                 in_time = ending == "delivered" and heard < owed.ttl_at  # else withdrawn, or too late
--- a/juniperlanding/net/parts.py
+++ b/juniperlanding/net/parts.py
@@ -9,6 +9,10 @@
 
         fleet = Agent(told.fleet, told.name, told.state, node.world, node.load, node.log)
         parts.append(fleet)
+        if told.sites:
+            from juniperlanding.sites.part import Sites
+
+            parts.append(Sites(node, fleet))
     return parts
 
 
--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -55,7 +55,7 @@
         self.rig, self.name, self.number, self.plain = rig, f"d{number:02}", number, False
         self.listen, self.door = free(socket.SOCK_STREAM), free(socket.SOCK_STREAM)
         self.port, self.running, self.stopped = free(socket.SOCK_DGRAM), None, False
-        self.folder = rig.folder / self.name
+        self.folder, self.told = rig.folder / self.name, {}
 
     def write(self, seeds):
         (self.folder / "state").mkdir(parents=True, exist_ok=True)
@@ -81,7 +81,7 @@
         with open(self.folder / "log", "ab") as log:
             self.running = await trio.lowlevel.open_process(
                 [sys.executable, "-m", *through, "serve", str(self.folder / "serve.toml")],
-                stderr=log, stdin=subprocess.DEVNULL, env=environ)
+                stderr=log, stdin=subprocess.DEVNULL, env=environ | self.told)
 
     async def ready(self):
         with trio.fail_after(READY_WITHIN):
@@ -240,6 +240,10 @@
                 for fault, ids in self.audit.faults().items()}
         return {fault: ids for fault, ids in left.items() if ids}
 
+    def judged(self):
+        """Losses of whole sites, compared with what was foretold; this rig has none."""
+        return []
+
     def killed(self, member, folder):
         """What no program can help: a delivery heard in the last moment is not written down yet, and what a
         lost folder held is owed by nobody.  All else has its one answer all the same."""
--- a/juniperlanding/processes/troubles.py
+++ b/juniperlanding/processes/troubles.py
@@ -25,6 +25,7 @@
     false_deaths: list = field(default_factory=list)
     faults: dict = field(default_factory=dict)
     notifications: int = 0
+    losses: list = field(default_factory=list)
 
     @property
     def well(self):
@@ -118,14 +119,23 @@
 
 async def mixed(rig):
     """Three drawn ones, one after the other."""
-    for name in rig.chance.sample(sorted(TROUBLES.keys() - {"none", "mixed"}), 3):
+    for name in rig.chance.sample(sorted(TROUBLES.keys() - {"none", "mixed", "region"}), 3):
         async for step, groups in TROUBLES[name](rig):
             yield f"{name}: {step}", groups
 
 
+async def region(rig):
+    """Whole sites lost, one after the other (`region.Region` is the rig of it)."""
+    from juniperlanding.processes.region import region
+
+    async for step in region(rig):
+        yield step
+
+
 TROUBLES = {
     "none": none, "crash": crash, "cut": cut, "cut-one-way": cut_one_way, "island": island, "lossy": lossy,
     "slow-peer": slow_peer, "rolling": rolling, "flap": flap, "mixed": mixed,
+    "region": region,
 }
 NOBODY_DIES = {"none", "cut-one-way", "slow-peer", "rolling"}
 
@@ -142,3 +152,4 @@
     if name in NOBODY_DIES:
         outcome.false_deaths = verdict.false_deaths(rig.history, rig.everybody, begun)
     outcome.faults, outcome.notifications = await rig.ends(), len(rig.audit.records)
+    outcome.losses = rig.judged()
--- a/juniperlanding/sites/figures.py
+++ b/juniperlanding/sites/figures.py
@@ -157,8 +157,9 @@
         if count > 0:
             self.rates.add(("refused", topic), now, count)
 
-    def answered(self, ntf, site, crossed, latency, in_time, now):
-        """A push was delivered: its answer time counts, and of the notification what lateness cost."""
+    def answered(self, ntf, site, crossed, latency, in_time, now, heard):
+        """A push was delivered: its answer time counts, and of the notification what lateness cost.  heard:
+        when, by the clock of TTLs."""
         name = ntf.topic.get("name")
         key = ntf.destination.id, site
         if key in self.answers or len(self.answers) < MOST_SERIES:
@@ -169,7 +170,7 @@
             self.rates.add(("crossed", name), now)
         if in_time:
             self.rates.add(("delivered", name), now)
-            self.rates.add(("late", name), now, ntf.topic.get("benefit", 1) - benefit(ntf, now))
+            self.rates.add(("late", name), now, ntf.topic.get("benefit", 1) - benefit(ntf, heard))
 
     def kind(self, name, now):
         def rate(word):
--- a/juniperlanding/sites/part.py
+++ b/juniperlanding/sites/part.py
@@ -1,14 +1,15 @@
-"""The I/O half: counts what this dispatcher does, tells it with the fleet's probes, and projects once a second.
+"""The I/O half: counts what this dispatcher does, tells it with the fleet's probes, and projects.
 
 A part of one node, which it reads as a plain value; it asks the owner's queue for nothing."""
 
+import msgspec
 import trio
 
-from juniperlanding.choice import MS, SEC, known
+from juniperlanding.choice import MS, SEC, Rate, known
 from juniperlanding.fleet.words import ALIVE, DEAD, LEFT, SUSPECT
 from juniperlanding.ground.log import described, where
-from juniperlanding.net.counters import ABORTED, DECLINED, result
-from juniperlanding.sites import figures as told
+from juniperlanding.ground.part import Part
+from juniperlanding.sites import figures as words
 from juniperlanding.sites.outage import LOST, Outages, shown
 from juniperlanding.sites.project import Member, project
 
@@ -19,13 +20,15 @@
 MOST_LINES = 32  # sites at the door
 
 
-class Sites:
+class Sites(Part):
     """`prices()` gives {(from, to): price} of the policy in force, or None: then the settings' one price."""
 
-    def __init__(self, node, prices=None):
-        self.node, self.agent, self.log, self.prices = node, node.fleet, node.log, prices
-        self.now = node.fleet.now
-        self.seen, self.outages, self.projected, self.turn = told.Seen(self.now()), Outages(), {}, 0
+    section = "sites"
+
+    def __init__(self, node, agent, prices=None):
+        self.node, self.agent, self.log, self.prices = node, agent, node.log, prices
+        self.now = agent.now
+        self.seen, self.outages, self.projected, self.turn = words.Seen(self.now()), Outages(), {}, 0
         self.ended, self.mine, self.cost = {}, None, 0
         self.topics = node.config.settings["topic_types"]
 
@@ -34,9 +37,9 @@
     def handed_in(self, topic, destination):
         self.seen.handed_in(topic, destination, self.now())
 
-    def answered(self, ntf, endpoint, latency, in_time):
-        site = self.site_of(endpoint.zone)
-        self.seen.answered(ntf, site, site != self.agent.told.site, latency, in_time, self.now())
+    def answered(self, ntf, endpoint, latency, in_time, heard):
+        site = self.site_of(endpoint.zone) if endpoint else "?"
+        self.seen.answered(ntf, site, site != self.agent.told.site, latency, in_time, self.now(), heard)
 
     def site_of(self, zone):
         """A zone of endpoints is the site of the same name; one that nobody named is no site of ours."""
@@ -45,6 +48,18 @@
 
     # ---- the part
 
+    def built(self, node):
+        node.owner.watch = self
+
+    def given(self):
+        """What earlier projections missed, so that a replacement forgets nothing."""
+        return {"/".join(key): [s.samples, s.series, s.mean, s.smooth, s.errors, s.forecast, s.miss]
+                for key, s in self.outages.errors.items()}
+
+    def taken(self, state):
+        self.outages.errors = {tuple(key.split("/", 1)): words.Series(*fields)
+                               for key, fields in (state or {}).items()}
+
     async def run(self):
         while True:
             try:
@@ -55,12 +70,11 @@
 
     def look(self):
         owner, view = self.node.owner, self.agent.view
-        owner.watch = self
         if not view:
             return
         begun, now = self.now(), self.now()
         self.mine = self.figures(owner.at, now)
-        view.figures = told.encoded(self.mine)
+        view.figures = words.encoded(self.mine)
         members = self.members(now)
         names = sorted({member.site for member in members if member.site})
         self.projected = {name: made for name, made in self.projected.items() if name in names}
@@ -91,10 +105,10 @@
             record, age = member.record, now - member.figures_at
             if record.state == LEFT or record.state == DEAD and now - member.since > FORGOTTEN:
                 continue
-            figures = told.decoded(member.figures) if member.figures else None
+            figures = words.decoded(member.figures) if member.figures else None
             found.append(Member(record.name, record.site, record.state in (ALIVE, SUSPECT),
-                                told.believed(figures, age), age if figures else 0))
-        own = told.decoded(view.figures) if view.figures else None
+                                words.believed(figures, age), age if figures else 0))
+        own = words.decoded(view.figures) if view.figures else None
         return [*found, Member(self.agent.name, self.agent.told.site, True, own, 0)]
 
     # ---- what is told
@@ -104,50 +118,62 @@
         me, ledger, counters = at.me, self.node.ledger, self.node.counters
         for topic in self.topics:
             name = topic.get("name")
-            ended = counters[result(name, DECLINED)] + counters[result(name, ABORTED)]
+            ended = counters.unserved(name)
             self.seen.refused(name, ended - self.ended.get(name, ended), now)
             self.ended[name] = ended
         self.seen.forget(now)
         near = me.settings.get("zone") if me.settings.get("crossing_price") else None
-        sites = tuple(dict.fromkeys([self.agent.told.site, *self.node.config.zones, "?"]))[:told.MOST_SITES]
+        sites = tuple(dict.fromkeys([self.agent.told.site, *self.node.config.zones, "?"]))[:words.MOST_SITES]
         places = [self.place(dest, sites, near, at, now) for dest in me.destinations.values()
                   if dest.endpoints]
         places.sort(key=lambda place: (-place.taken, place.destination))
         busy = sum(place.taken > 0 for place in places)
         each = ledger.owed_size // len(ledger.owed) + 1 if ledger.owed else RECORD
-        return told.Figures(
-            told.VERSION, told.BELIEVED // MS, sites,
+        return words.Figures(
+            words.VERSION, words.BELIEVED // MS, sites,
             tuple(self.seen.kind(topic.get("name"), now) for topic in self.topics), tuple(places[:256]),
-            told.usable(me.settings.get("slots", 1 << 20), max(1, busy)),
+            words.usable(me.settings.get("slots", 1 << 20), max(1, busy)),
             max(0, min(me.settings.get("most_held", 1 << 20), 1 << 30) - len(self.node.owner.held)),
             max(0, ledger.most_owed - ledger.owed_size) // each, near=near is not None)
 
     def place(self, dest, sites, near, at, now):
         here = [e for e in dest.endpoints if e.state == "ready" and not e.down]
-        order = told.picked(here, near)
+        order = words.picked(here, near)
         apart = len({id(e.route) for e in here}) > 1
-        pace = self.pace(here[0].route, at, now) if here else told.UNKNOWN
+        pace = self.pace(here[0].route, at, now) if here else words.UNKNOWN
         numbers = tuple(sites.index(site) for e in order if (site := self.site_of(e.zone)) in sites)
-        return told.Place(dest.id, max(0, self.seen.rates.a_second(("place", dest.id), now)),
-                          told.UNKNOWN if apart else pace, max(pace, 0) if apart else 0, numbers,
+        return words.Place(dest.id, max(0, self.seen.rates.a_second(("place", dest.id), now)),
+                          words.UNKNOWN if apart else pace, max(pace, 0) if apart else 0, numbers,
                           self.seen.told(dest.id, sites, now))
 
     def pace(self, route, at, now):
         """What may be offered a route, in thousandths a second: the rule's, or after throttling the
         present."""
         steady = at.now - route.slowed_at > SLOWED or not route.slowed_at
-        allowed = at.stages[5].most(route) if known(route) and steady else 0 if steady else route.pace
-        return int(1000 * allowed) if allowed else told.UNKNOWN
+        allowed = Rate(at).most(route) if known(route) and steady else 0 if steady else route.pace
+        return int(1000 * allowed) if allowed else words.UNKNOWN
 
     # ---- what staff read
 
     def gauges(self):
         """For `STATS`, while the part is on."""
         states = [site.state for site in self.outages.sites.values()]
-        return {"sites.lost": states.count(LOST), "sites.known": len(states), "sites.look_us": self.cost // 1000}
+        return {"sites.lost": states.count(LOST), "sites.known": len(states),
+                "sites.look_us": self.cost // 1000}
 
     def calls(self):
-        return {"SITES": self.lines}
+        return {"SITES": self.lines, "FIGURES": self.told}
+
+    def told(self):
+        """The door's `FIGURES`, for tools that project otherwise: what the projection rests on, as told."""
+        if not self.agent.view:
+            return ["--"]
+        rows = []
+        for member in sorted(self.members(self.now()), key=lambda member: member.name):
+            data = msgspec.msgpack.encode(member.figures).hex() if member.figures else "-"
+            state = "lives" if member.lives else "dead"
+            rows.append(f"{member.name} {member.site or '-'} {state} {member.age} {data}")
+        return [*rows, "--"]
 
     def lines(self):
         """The door's `SITES`: for each site what its loss would cost, or costs."""
--- a/juniperlanding/sites/project.py
+++ b/juniperlanding/sites/project.py
@@ -6,14 +6,16 @@
 
 from dataclasses import dataclass, field
 from functools import lru_cache
-from math import exp, sqrt
+from heapq import heappop, heappush
+from math import log, sqrt
 
 from juniperlanding.choice import FACTOR, SEC, SHED_AT, Pick, benefit
 from juniperlanding.sites import figures as told
 from juniperlanding.state import Endpoint, Notification, Push, Route
 
 MILLI, MICRO = 1000, 1_000_000
-MOST_OUT = 64  # calls to one destination at once, of which is reckoned where they go
+MOST_PLACED = 240  # calls to one destination of which it is played where they go
+EVENLY = 0.7548776662466927, 0.5698402909980532  # steps of a sequence that fills the unit square evenly
 NODES = ((-sqrt(3), 1 / 6), (0.0, 2 / 3), (sqrt(3), 1 / 6))  # three points that stand for a spread
 
 
@@ -60,14 +62,16 @@
 
 @dataclass
 class Projection:
-    """shares: of the site's load, by member, which with `over` make one; `over` is what nobody has room for.
-    topics: name -> Line, those that are refused first before others.  price: what crossings cost a second,
+    """room: by member, what more it can carry a second; shares: of the site's load, by member, which with
+    `over` make one; `over` is what nobody has room for.  topics: name -> Line, those that are refused first
+    before others.  price: what crossings cost a second,
     None where nobody told a price.  stranded: destinations with no endpoint elsewhere.  unknown: members
     whose figures are not believed; guessed: what had to be taken from elsewhere; nothing: why there is no
     projection at all."""
 
     site: str
     load: float = 0.0
+    room: dict = field(default_factory=dict)
     shares: dict = field(default_factory=dict)
     over: float = 0.0
     topics: dict = field(default_factory=dict)
@@ -115,6 +119,7 @@
     whole = room | dict.fromkeys(blind, extra)
     # Where nobody has room it comes to them all the same, and is refused there.
     by_room = {name: r / all_room if all_room else 1 / len(whole) for name, r in sorted(whole.items())}
+    made.room = whole
     made.shares, split = {name: part * share for name, share in by_room.items()}, shares or by_room
     named = {topic.get("name"): topic for topic in topics}
     order = [name for name in told.refusals(topics) if name in named]
@@ -306,18 +311,14 @@
     for name in order:
         s = sums[name]
         # Threat: a few more or fewer a second by chance alone are no wrong projection.
-        chance = {measure: 2 * sqrt(value / told.SPAN) for measure, value in (
-            ("refused", s.refused), ("crossings", s.crossings))}
+        chance = [FACTOR * sqrt(max(count, 1 / told.SPAN) / told.SPAN) for count in (s.refused, s.crossings)]
         blind, whole = s.offered * stand_ins / (1 + stand_ins), s.offered * s.whole
-        refused = banded(s.refused, s.refused - chance["refused"],
-                         min(s.offered, s.refused + blind + chance["refused"]),
-                         errors("refused", name), s.offered)
-        late = banded(s.late, s.late_least, s.late_most, errors("late", name), whole)
-        lost = banded(late.model + refused.model * s.whole, late.least + refused.least * s.whole,
-                      late.most + refused.most * s.whole, errors("lost", name), whole)
-        crossings = banded(s.crossings, s.crossings - chance["crossings"],
-                           min(s.offered, s.crossings + chance["crossings"]), errors("crossings", name),
-                           s.offered)
+        refused = banded(s.refused, chance[0], chance[0] + blind, errors("refused", name), s.offered)
+        late = banded(s.late, s.late - s.late_least, s.late_most - s.late, errors("late", name), whole)
+        model = s.late + s.refused * s.whole
+        lost = banded(model, model - late.least - refused.least * s.whole,
+                      late.most + refused.most * s.whole - model, errors("lost", name), whole)
+        crossings = banded(s.crossings, chance[1], chance[1], errors("crossings", name), s.offered)
         now = s.now_refused, s.now_late + s.now_refused * s.whole, s.now_crossed
         made.topics[name] = Line(s.offered, refused, late, lost, crossings, s.whole, now)
     made.crossings = together([line.crossings for line in made.topics.values()])
@@ -328,13 +329,12 @@
                                                              made.crossings.most)), made.crossings.tested)
 
 
-def banded(value, least, most, error, offered):
-    """An estimate, mended by what earlier ones missed where that is known: + bias, -+ 2 x root of MSE."""
-    if not error or not offered:
-        return Estimate(value, max(0.0, least), most, 0, value)
-    bias, miss, count = error
+def banded(value, under, over, error, offered):
+    """An estimate with so much under and over it; where it is known what earlier ones missed, mended by the
+    bias and wide by 2 x the root of the MSE if that is more."""
+    bias, miss, count = error if error and offered else (0.0, 0.0, 0)
     at, band = max(0.0, value + bias * offered), FACTOR * miss * offered
-    return Estimate(at, max(0.0, at - band), at + band, count, value)
+    return Estimate(at, max(0.0, at - max(under, band)), at + max(over, band), count, value)
 
 
 def together(estimates):
@@ -360,18 +360,21 @@
 
 @lru_cache(4096)
 def spread_over(order, near, out):
-    """site -> share of the calls that go there when `out` are out at once in the mean, placed one after the
-    other by `choice.Pick` over endpoints whose sites stand in the order of its rank."""
+    """site -> share of the calls that go there when `out` are out at once in the mean: `choice.Pick` over
+    endpoints whose sites stand in the order of its rank, for some calls that come and end unevenly.
+
+    Chance is two sequences that fill the unit evenly, so that few calls are enough and equal ones fare
+    alike."""
     endpoints = [Endpoint(at, None, Route(), 0, site, at) for at, site in enumerate(order)]
-    pick, placed, counts = Pick(told.Anywhere(near)), dict.fromkeys(order, 0.0), []
-    for _ in range(min(MOST_OUT, int(out + 4 * sqrt(out)) + 2)):
+    pick, placed, ends, now = Pick(told.Anywhere(near)), dict.fromkeys(order, 0), [], 0.0
+    for number in range(1, MOST_PLACED + 1) if out > 0 else ():
+        now -= log(1 - number * EVENLY[0] % 1) / out
+        while ends and ends[0][0] <= now:
+            heappop(ends)[2].calls.pop()
         push = Push(None, 0, options=endpoints)
         pick.out(push)
-        push.endpoint.calls.append(None)
-        counts.append(push.endpoint.zone)
-    chance, before = exp(-out), 0.0
-    for number, site in enumerate(counts):  # a call that finds `number` out is the next one placed
-        placed[site] += chance
-        before, chance = before + chance, chance * out / (number + 1)
-    placed[counts[-1]] += max(0.0, 1 - before)
-    return {site: part for site, part in placed.items() if part > 0}
+        push.endpoint.calls.append(push)
+        heappush(ends, (now - log(1 - number * EVENLY[1] % 1), number, push.endpoint))
+        placed[push.endpoint.zone] += 1
+    whole = sum(placed.values())
+    return {site: count / whole for site, count in placed.items() if count} or {order[0]: 1.0}
