Sites: the cost of a loss comes from playing the decisions themselves

Need: fluid formulas of picking and lateness missed what choice.py does at its bounds. Change: a Dispatcher plays the projected load in slices, so the order of refusals, picking and lateness are its own.

--- a/juniperlanding/processes/region.py
+++ b/juniperlanding/processes/region.py
@@ -34,7 +34,7 @@
 WORTH = {"news": 1.0, "status": 2.0, "order": 3.0}
 LATE_SHARE = 0.1
 NOTICES = 1.0  # seconds until the front turns a lost site's clients away
-CALM, FROM, UNTIL, LASTS = 14.0, 5.0, 17.0, 21.0  # seconds before a loss; of it that are compared; of it
+CALM, FROM, UNTIL, LASTS = 13.0, 5.0, 20.0, 24.0  # seconds before a loss; of it that are compared; of it
 ENDPOINTS = {1: 3, 2: 3, 3: 2, 4: 1}  # destination -> sites that have an endpoint of it
 MEASURES = ("refused", "lost", "crossings")
 
@@ -51,6 +51,7 @@
     offered: dict = field(default_factory=dict)
     load: tuple = ()  # foretold, seen, of the whole fleet
     equal: bool = True  # whether two neighbours' doors foretold the same shares
+    rested_on: str = ""  # the door's FIGURES just before
 
 
 class Stood(Process):
@@ -183,7 +184,8 @@
         near = [m for m in self.members if m.site != site]
         asked, other = self.chance.sample(near, 2)
         foretold, second = await self.foretold(asked, site), await self.foretold(other, site)
-        even = await self.even(asked, site, near)
+        rested_on = await asked.ask("FIGURES") or ""
+        even = self.even(rested_on, site, near)
         shares = foretold["shares"]
         self.plan = {name: share / sum(shares.values()) for name, share in shares.items()}
         at = self.now()
@@ -203,7 +205,7 @@
             if member.site == site:
                 await member.start()
         yield "back", [self.everybody]
-        self.losses.append((site, foretold, second, even, at))
+        self.losses.append((site, foretold, second, even, rested_on, at))
 
     async def foretold(self, member, site):
         """What a door's `SITES` says of one site; it has been projected within so many seconds as there are
@@ -216,11 +218,11 @@
             await trio.sleep(0.5)
         raise RuntimeError(f"{member.name} foretells nothing of {site}: {part}")
 
-    async def even(self, member, site, near):
+    def even(self, rested_on, site, near):
         """The same projection with equal shares, from the same figures."""
         topics = [{"name": t.name, "kind": t.kind, "objective": t.objective, "ttl": t.ttl, "fades": "line",
                    "benefit": WORTH[t.name], "late_share": LATE_SHARE} for t in TOPICS]
-        made = project(members(await member.ask("FIGURES") or ""), site, topics, lambda a, b: PRICE,
+        made = project(members(rested_on), site, topics, lambda a, b: PRICE,
                        {m.name: 1 / len(near) for m in near})
         return {(measure, name): getattr(line, measure).value
                 for name, line in made.topics.items() for measure in MEASURES}
@@ -229,10 +231,10 @@
         """A `Loss` for each, once every notification has its end."""
         return [self.compared(*loss) for loss in self.losses]
 
-    def compared(self, site, foretold, second, even, at):
+    def compared(self, site, foretold, second, even, rested_on, at):
         begun, ended = at + int(FROM * SEC), at + int(UNTIL * SEC)
         made = Loss(site, self.level, foretold["tested"], foretold["known"],
-                    load=(round(foretold["load"], 2),), equal=all(
+                    rested_on=rested_on, load=(round(foretold["load"], 2),), equal=all(
                         abs(share - second["shares"].get(name, 0)) < 0.02
                         for name, share in foretold["shares"].items()))
         for topic in TOPICS:
--- a/juniperlanding/sites/figures.py
+++ b/juniperlanding/sites/figures.py
@@ -13,7 +13,7 @@
 from juniperlanding.state import Endpoint, Instance, Push
 
 VERSION = 1
-SPAN = 5  # whole seconds over which rates are counted
+SPAN, LOAD_SPAN = 5, 30  # whole seconds over which ends are counted, and what is handed in
 BELIEVED, ANSWERS_BELIEVED = 20 * SEC, 60 * SEC  # rates and room from when they were made; an answer time
 MOST_SITES, MOST_ORDER = 64, 8  # names of sites; endpoints of one destination in the order of picking
 MOST_SERIES, MOST_TOLD = 4096, 10**12
@@ -47,7 +47,7 @@
 
 class Figures(msgspec.Struct, array_like=True, frozen=True):
     """rest: for so long rates and room are believed; places: the busiest destinations, and left_out of them
-    what found no room in a datagram, as a rate; calls: that can be out at once; held and records: places that
+    what found no room in a datagram, as a rate; slots: calls out at once; held and records: places that
     are free, in memory and in the ledger; near: endpoints of its own site go first.  Sites are numbers into
     `sites`."""
 
@@ -56,7 +56,7 @@
     sites: tuple[str, ...] = ()
     kinds: tuple[Kind, ...] = ()
     places: tuple[Place, ...] = ()
-    calls: int = 0
+    slots: int = 0
     held: int = 0
     records: int = 0
     left_out: int = 0
@@ -88,7 +88,7 @@
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
     sites = range(len(told.sites))
-    numbers = [told.rest, told.calls, told.held, told.records, told.left_out]
+    numbers = [told.rest, told.slots, told.held, told.records, told.left_out]
     for kind in told.kinds:
         numbers += [kind.taken, kind.delivered, kind.refused, kind.late, kind.crossed]
     for place in told.places:
@@ -117,29 +117,29 @@
 
 
 class Rates:
-    """Sums of the last `SPAN` whole seconds by key.  Bounded by what is counted in so long."""
+    """Sums of the last `span` whole seconds by key.  Bounded by what is counted in so long."""
 
-    def __init__(self, now):
-        self.begun, self.second, self.sums = now, now // SEC, {}
+    def __init__(self, now, span=SPAN):
+        self.begun, self.second, self.span, self.sums = now, now // SEC, span, {}
 
     def add(self, key, now, amount=1.0):
         self.roll(now)
-        ring = self.sums.setdefault(key, [0.0] * (SPAN + 1))
-        ring[self.second % (SPAN + 1)] += amount
+        ring = self.sums.setdefault(key, [0.0] * (self.span + 1))
+        ring[self.second % (self.span + 1)] += amount
 
     def roll(self, now):
         gone, self.second = now // SEC - self.second, max(self.second, now // SEC)
-        for step in range(min(max(gone, 0), SPAN + 1)):
+        for step in range(min(max(gone, 0), self.span + 1)):
             for ring in self.sums.values():
-                ring[(self.second - step) % (SPAN + 1)] = 0.0
+                ring[(self.second - step) % (self.span + 1)] = 0.0
         if gone > 0:
             self.sums = {key: ring for key, ring in self.sums.items() if any(ring)}
 
     def a_second(self, key, now):
         """The rate in thousandths, over the whole seconds before this one."""
         self.roll(now)
-        ring, whole = self.sums.get(key, [0.0]), min(SPAN, max(1, (now - self.begun) // SEC))
-        this = self.second % (SPAN + 1)
+        ring, whole = self.sums.get(key, [0.0]), min(self.span, max(1, (now - self.begun) // SEC))
+        this = self.second % (self.span + 1)
         return int(1000 * sum(amount for at, amount in enumerate(ring) if at != this) / whole)
 
 
@@ -147,11 +147,11 @@
     """What this member has seen: handed in, ended, answered, by topic type, destination and site."""
 
     def __init__(self, now):
-        self.rates, self.answers = Rates(now), {}
+        self.rates, self.load, self.answers = Rates(now), Rates(now, LOAD_SPAN), {}
 
     def handed_in(self, topic, destination, now):
-        self.rates.add(("taken", topic), now)
-        self.rates.add(("place", destination), now)
+        self.load.add(("taken", topic), now)
+        self.load.add(("place", destination), now)
 
     def refused(self, topic, count, now):
         if count > 0:
@@ -172,11 +172,16 @@
             self.rates.add(("delivered", name), now)
             self.rates.add(("late", name), now, ntf.topic.get("benefit", 1) - benefit(ntf, heard))
 
+    def returned(self, now):
+        """A lost site is back: what came from it meanwhile is no load of ours."""
+        self.load = Rates(now, LOAD_SPAN)
+
     def kind(self, name, now):
         def rate(word):
             return max(0, self.rates.a_second((word, name), now))
 
-        return Kind(name, *map(rate, ("taken", "delivered", "refused", "late", "crossed")))
+        return Kind(name, self.load.a_second(("taken", name), now),
+                    *map(rate, ("delivered", "refused", "late", "crossed")))
 
     def told(self, destination, sites, now):
         """(site number, forecast, root of the MSE, rest) of each site that answered there lately."""
--- a/juniperlanding/sites/outage.py
+++ b/juniperlanding/sites/outage.py
@@ -4,14 +4,15 @@
 `Outages.tick(members, projected, now)` moves states on; `said` gets what staff are to read."""
 
 from dataclasses import dataclass, field
+from math import hypot
 
 from juniperlanding.choice import FACTOR, SAMPLES, SEC, learn
 from juniperlanding.sites.figures import SPAN, Series
 from juniperlanding.sites.project import MILLI, Estimate, Projection, together
 
 WHOLE, LOST = "whole", "lost"
-SETTLES = (SPAN + 3) * SEC  # from the loss until told rates are of the outage alone
-WINDOW = SPAN * SEC  # between two comparisons of a projection with what came
+SETTLES = (SPAN + 2) * SEC  # from the loss until told rates are of the outage alone
+WINDOW = 4 * SEC  # between two comparisons of a projection with what came
 MOST_SITES = 256
 PPM = 1_000_000
 MEASURES = ("refused", "late", "lost", "crossings")
@@ -20,12 +21,13 @@
 @dataclass
 class Outage:
     """One loss: since when, what had been foretold, what came; rest: (measure, topic) -> the forecaster's
-    record of what is seen in it."""
+    record of what is seen in it; missed: by how much, as shares of what was handed in."""
 
     since: int
     foretold: Projection
     next_at: int
     seen: dict = field(default_factory=dict)  # (measure, topic) -> (mean a second, looks)
+    missed: dict = field(default_factory=dict)
     rest: dict = field(default_factory=dict)
     held: int = 0
     compared: int = 0
@@ -42,7 +44,8 @@
 
 class Outages:
     def __init__(self):
-        self.sites, self.errors, self.said = {}, {}, []
+        # What was missed, as shares of what was handed in: once an outage, and once in each window of one.
+        self.sites, self.errors, self.windows, self.said = {}, {}, {}, []
 
     def tick(self, members, projected, now):
         """members: `project.Member` of all; projected: site -> Projection of its loss."""
@@ -73,6 +76,8 @@
 
     def is_back(self, site, now):
         out, site.state, site.since, site.outage = site.outage, WHOLE, now, None
+        for key, (mean, _) in out.missed.items():
+            learn(self.errors.setdefault(key, Series()), int(mean * PPM))
         figures = {"site": site.name, "after_s": f"{(now - out.since) / SEC:.1f}"} | summary(out.foretold)
         if out.seen:
             for measure in ("refused", "lost", "crossings"):
@@ -109,15 +114,22 @@
                 if offered:
                     # Against the model alone: a mended projection that holds would unlearn what mended it.
                     missed = (value - estimate.model) / offered
-                    learn(self.errors.setdefault((measure, name), Series()), int(missed * PPM))
+                    mean, looks = out.missed.get((measure, name), (0.0, 0))
+                    out.missed[measure, name] = mean + (missed - mean) / (looks + 1), looks + 1
+                    learn(self.windows.setdefault((measure, name), Series()), int(missed * PPM))
 
     def error(self, measure, name):
         """(bias, root of the MSE, how many) of earlier projections, as shares; None while there are too
-        few."""
-        series = self.errors.get((measure, name))
-        if not series or series.samples < SAMPLES:
-            return None
-        return series.forecast / PPM, series.miss / PPM, series.samples
+        few.
+
+        Threat: windows of one outage miss alike, and a projection mended by them misses the next one the
+        other way; so they make the band alone, and only whole outages mend."""
+        series, windows = self.errors.get((measure, name)), self.windows.get((measure, name))
+        if series and series.samples >= SAMPLES:
+            return series.forecast / PPM, series.miss / PPM, series.samples
+        if windows and windows.samples >= SAMPLES:
+            return 0.0, hypot(windows.forecast, windows.miss) / PPM, windows.samples
+        return None
 
     def rest(self, site):
         """(measure, topic) -> Estimate of each second that the outage goes on, from what is seen in it."""
--- a/juniperlanding/sites/part.py
+++ b/juniperlanding/sites/part.py
@@ -11,12 +11,14 @@
 from juniperlanding.ground.part import Part
 from juniperlanding.sites import figures as words
 from juniperlanding.sites.outage import LOST, Outages, shown
-from juniperlanding.sites.project import Member, project
+from juniperlanding.sites.project import Member, steps
 
 EVERY = 1.0  # seconds between two looks; one site is projected in each
+LEISURE = 30  # times as long as a projection took are left between two
 FORGOTTEN = 30 * SEC  # a member dead for longer is no part of its site any more
 SLOWED = 30 * SEC  # so long after a throttling the present pace is told, else what the rule allows
 RECORD = 512  # bytes of the ledger that one notification is taken to need while none is owed
+LEARNT = ("errors", "windows")
 MOST_LINES = 32  # sites at the door
 
 
@@ -53,26 +55,28 @@
 
     def given(self):
         """What earlier projections missed, so that a replacement forgets nothing."""
-        return {"/".join(key): [s.samples, s.series, s.mean, s.smooth, s.errors, s.forecast, s.miss]
-                for key, s in self.outages.errors.items()}
+        return {name: {"/".join(key): [s.samples, s.series, s.mean, s.smooth, s.errors, s.forecast, s.miss]
+                       for key, s in getattr(self.outages, name).items()} for name in LEARNT}
 
     def taken(self, state):
-        self.outages.errors = {tuple(key.split("/", 1)): words.Series(*fields)
-                               for key, fields in (state or {}).items()}
+        for name in LEARNT:
+            found = (state or {}).get(name, {}).items()
+            setattr(self.outages, name, {tuple(key.split("/", 1)): words.Series(*fields)
+                                         for key, fields in found})
 
     async def run(self):
         while True:
             try:
-                self.look()
+                await self.look()
             except Exception as error:  # threat: one odd figure must not end the program
                 self.log("fault", part="sites", why=described(error), at_line=where(error))
-            await trio.sleep(EVERY)
+            await trio.sleep(max(EVERY, self.cost * LEISURE / SEC))
 
-    def look(self):
+    async def look(self):
         owner, view = self.node.owner, self.agent.view
         if not view:
             return
-        begun, now = self.now(), self.now()
+        now = self.now()
         self.mine = self.figures(owner.at, now)
         view.figures = words.encoded(self.mine)
         members = self.members(now)
@@ -81,15 +85,23 @@
         if names:
             name = names[self.turn % len(names)]
             self.turn += 1
-            self.projected[name] = self.project(members, name)
+            making = steps(members, name, self.topics, self.price, errors=self.outages.error)
+            made, spent = None, 0
+            while made is None:
+                begun = self.now()
+                try:
+                    next(making)
+                except StopIteration as end:
+                    made = end.value
+                spent += self.now() - begun
+                await trio.sleep(0)  # threat: a projection of many members holds the flow up
+            self.projected[name], self.cost = made, spent
         self.outages.tick(members, self.projected, now)
         said, self.outages.said = self.outages.said, []
+        if any(event == "is back" for event, _ in said):
+            self.seen.returned(now)
         for event, fields in said:
             self.log("sites", event, sure=f"{view.sure():.2f}", **fields)
-        self.cost = self.now() - begun
-
-    def project(self, members, name):
-        return project(members, name, self.topics, self.price, errors=self.outages.error)
 
     def price(self, source, target):
         prices = self.prices() if self.prices else None
@@ -127,12 +139,11 @@
         places = [self.place(dest, sites, near, at, now) for dest in me.destinations.values()
                   if dest.endpoints]
         places.sort(key=lambda place: (-place.taken, place.destination))
-        busy = sum(place.taken > 0 for place in places)
         each = ledger.owed_size // len(ledger.owed) + 1 if ledger.owed else RECORD
         return words.Figures(
             words.VERSION, words.BELIEVED // MS, sites,
             tuple(self.seen.kind(topic.get("name"), now) for topic in self.topics), tuple(places[:256]),
-            words.usable(me.settings.get("slots", 1 << 20), max(1, busy)),
+            min(me.settings.get("slots", 1 << 20), 1 << 20),
             max(0, min(me.settings.get("most_held", 1 << 20), 1 << 30) - len(self.node.owner.held)),
             max(0, ledger.most_owed - ledger.owed_size) // each, near=near is not None)
 
@@ -142,7 +153,7 @@
         apart = len({id(e.route) for e in here}) > 1
         pace = self.pace(here[0].route, at, now) if here else words.UNKNOWN
         numbers = tuple(sites.index(site) for e in order if (site := self.site_of(e.zone)) in sites)
-        return words.Place(dest.id, max(0, self.seen.rates.a_second(("place", dest.id), now)),
+        return words.Place(dest.id, self.seen.load.a_second(("place", dest.id), now),
                           words.UNKNOWN if apart else pace, max(pace, 0) if apart else 0, numbers,
                           self.seen.told(dest.id, sites, now))
 
--- a/juniperlanding/sites/project.py
+++ b/juniperlanding/sites/project.py
@@ -11,11 +11,14 @@
 
 from juniperlanding.choice import FACTOR, SEC, SHED_AT, Pick, benefit
 from juniperlanding.sites import figures as told
+from juniperlanding.sites.play import Play
 from juniperlanding.state import Endpoint, Notification, Push, Route
 
 MILLI, MICRO = 1000, 1_000_000
 MOST_PLACED = 240  # calls to one destination of which it is played where they go
 EVENLY = 0.7548776662466927, 0.5698402909980532  # steps of a sequence that fills the unit square evenly
+LEAST_SETTLED = 0.8  # of what was played, the least that must have ended for it to count
+TO_SPARE = 0.01  # of a topic type: with more refused, room is what decides
 NODES = ((-sqrt(3), 1 / 6), (0.0, 2 / 3), (sqrt(3), 1 / 6))  # three points that stand for a spread
 
 
@@ -85,8 +88,20 @@
     nothing: str = ""
 
 
-def project(members, site, topics, price=None, shares=None, errors=None):
-    """topics: the settings' list of maps; price(from, to): of a crossing between two sites, None if not told;
+def project(*fields, **more):
+    """The projection that `steps` makes, at once."""
+    making = steps(*fields, **more)
+    while True:
+        try:
+            next(making)
+        except StopIteration as made:
+            return made.value
+
+
+def steps(members, site, topics, price=None, shares=None, errors=None):
+    """A generator that pauses every few milliseconds of work, and returns the `Projection`.
+
+    topics: the settings' list of maps; price(from, to): of a crossing between two sites, None if not told;
     shares: member -> share, instead of by room; errors(measure, topic): (bias, root of the MSE, how many) of
     earlier projections as shares of what was handed in, or None."""
     members = sorted(members, key=lambda member: member.name)
@@ -125,10 +140,17 @@
     order = [name for name in told.refusals(topics) if name in named]
     sums = {name: Sum() for name in order}
     stand_ins = len(blind) / len(carriers)
+    alike = {}
     for carrier in carriers:
         weight = 1 + stand_ins
         share = split.get(carrier.name, 0.0) + sum(split.get(name, 0.0) for name in blind) / len(carriers)
-        carrier.carry(share * demand.total / weight, order, named, sums, weight, price)
+        carrier.load(share * demand.total / weight, order)
+        alike.setdefault(carrier.like(), []).append(carrier)
+    for _, group in sorted(alike.items()):
+        yield
+        Carrier.together(group)
+        ends = yield from group[0].played([named[name] for name in order])
+        group[0].carry(ends, order, named, sums, weight * len(group), price)
     conclude(made, sums, order, errors, stand_ins)
     return made
 
@@ -171,6 +193,7 @@
                 self.order[place.destination] = place, left, sites
         for number in self.mix.keys() - {place.destination for place in self.figures.places}:
             self.unheard(number, lost, all_members)
+        self.calls = told.usable(self.figures.slots, len(self.mix.keys() | self.own.places.keys()))
         self.room = self.free()
 
     def unheard(self, number, lost, all_members):
@@ -219,7 +242,7 @@
         """How much more a second it can carry, of the lost site's mix: the least of what slots, paces, held
         places and the ledger leave.  0 where it is full already, and never less."""
         lasts = sum(part * self.lasts(number) for number, part in self.mix.items())
-        bounds = [(self.figures.calls - self.busy()) / lasts] if lasts else []
+        bounds = [(self.calls - self.busy()) / lasts] if lasts else []
         if lasts:
             bounds += [self.figures.held * SHED_AT / lasts, self.figures.records / lasts]
         for number, part in self.mix.items():
@@ -230,56 +253,124 @@
                     bounds.append((pace - place.taken) / MILLI / part)
         return max(0.0, min(bounds, default=self.demand.total))
 
-    def carry(self, more, order, named, sums, weight, price):
-        """Add to `sums` what becomes of its own load and so much of the lost site's."""
-        own, mix = self.own.mix(), self.mix
-        rates, dead = {}, {}
+    def load(self, more, order):
+        """What it would take: its own load, and so much of the lost site's; `dead` is for destinations with
+        no endpoint left."""
+        own, self.rates, self.dead, self.more = self.own.mix(), {}, {}, more
         for name in order:
             for part_of, total in ((own, self.own.kinds.get(name, 0.0)),
-                                   (mix, share_of(self.demand, name) * more)):
+                                   (self.mix, share_of(self.demand, name) * more)):
                 for number, part in part_of.items():
-                    where = rates if number in self.reach else dead
+                    where = self.rates if number in self.reach else self.dead
                     where[name, number] = where.get((name, number), 0.0) + total * part
-        live = sum(rates.values())
-        reachable = sum(part for number, part in mix.items() if number in self.reach)
-        excess = max(0.0, more - self.room) * reachable
-        busy, lasts = self.busy(), sum(rate * self.lasts(number) for (_, number), rate in rates.items())
-        if live and busy > self.figures.calls:  # full of its own
-            excess += (busy - self.figures.calls) / (lasts / live)
+
+    def like(self):
+        """Equal for those that decide alike: one of them is played for all."""
+        return self.site, self.figures.slots, self.figures.near, tuple(
+            (number, tuple(left)) for number, (_, left, _) in sorted(self.order.items())), tuple(sorted(
+                self.reach))
+
+    @staticmethod
+    def together(group):
+        """The first of a group gets the mean of all."""
+        first, count = group[0], len(group)
+        for name in ("rates", "dead"):
+            keys = sorted(set().union(*(getattr(one, name) for one in group)))
+            setattr(first, name, {key: sum(getattr(one, name).get(key, 0.0) for one in group) / count
+                                  for key in keys})
+        first.excess = sum(one.over() for one in group) / count
+        first.now = {}
+        for one in group:
+            for kind in one.figures.kinds:
+                was = first.now.get(kind.name, (0.0, 0.0, 0.0))
+                first.now[kind.name] = tuple(a + b / MILLI / count for a, b in zip(
+                    was, (kind.refused, kind.late, kind.crossed), strict=True))
+
+    def over(self):
+        """What it has no room for, a second, by rates alone."""
+        lasts, live = sum(r * self.lasts(number) for (_, number), r in self.rates.items()), sum(
+            self.rates.values())
+        reachable = sum(part for number, part in self.mix.items() if number in self.reach)
+        excess = max(0.0, self.more - self.room) * reachable
+        if live and lasts and self.busy() > self.calls:  # full of its own
+            excess += (self.busy() - self.calls) / (lasts / live)
+        return excess
+
+    def played(self, topics):
+        """What became of each topic type's notifications where this load was played; a generator."""
+        if not self.rates or not any(self.rates.values()):
+            return {}
+        orders, answers, paces = {}, {}, {}
+        for number, found in self.reach.items():
+            place, left, _ = self.order.get(number, (None, list(found), None))
+            orders[number] = left
+            answers[number] = {site: (lasts, miss) for site, (_, lasts, miss) in found.items()}
+            if place and (place.each or place.pace >= 0):
+                paces[number] = (place.each or place.pace) / MILLI, bool(place.each)
+        for number, order in orders.items():  # a site whose endpoints are picked last has an answer time too
+            for site in order:
+                answers[number].setdefault(site, next(iter(answers[number].values())))
+        near = self.site if self.figures.near else None
+        return (yield from Play(self.rates, answers, orders, paces, topics, self.figures.slots,
+                                max(1, self.figures.held), near).run())
+
+    def carry(self, ends, order, named, sums, weight, price):
+        """Add to `sums` what becomes of the load; what its play did not settle goes by rates alone."""
+        excess = self.excess
+        sites = {}  # topic types differ in what is delivered, not in where: counted together
+        for played in ends.values():
+            for site, count in played.at.items():
+                sites[site] = sites.get(site, 0) + count
         for name in order:
-            offered = sum(rate for (topic, _), rate in rates.items() if topic == name)
-            gone = min(offered, excess)
+            into, topic = sums[name], named[name]
+            rates = {number: r for (t, number), r in self.rates.items() if t == name}
+            dead = sum(r for (t, _), r in self.dead.items() if t == name)
+            offered = sum(rates.values())
+            gone, into.whole = min(offered, excess), topic.get("benefit", 1)
             excess -= gone
-            sums[name].refused += weight * gone
-            sums[name].refused += weight * sum(r for (topic, _), r in dead.items() if topic == name)
-            sums[name].offered += weight * sum(r for (t, _), r in (*rates.items(), *dead.items())
-                                               if t == name)
-            stays = 1 - gone / offered if offered else 0.0
-            waits = named[name].get("objective", 0) / SEC if gone else 0.0
-            for (topic, number), rate in rates.items():
-                if topic == name and rate:
-                    self.deliver(sums[name], named[name], number, weight * rate * stays, waits, price)
-            sums[name].whole = named[name].get("benefit", 1)
-        now = {kind.name: kind for kind in self.figures.kinds}
-        for name in order:
-            if kind := now.get(name):
-                sums[name].now_refused += weight * kind.refused / MILLI
-                sums[name].now_late += weight * kind.late / MILLI
-                sums[name].now_crossed += weight * kind.crossed / MILLI
-
-    def deliver(self, into, topic, number, rate, waits, price):
-        """Threat: what was refused for room first stood in line; the rest of its type waited as long as its
-        objective lets it."""
-        for site, (part, lasts, miss) in self.reach[number].items():
-            at = max(lasts, waits)
-            into.late += rate * part * worth(topic, at, miss)
-            into.late_most += rate * part * max(fades(topic, at + FACTOR * miss), worth(topic, at, miss))
-            into.late_least += rate * part * min(fades(topic, lasts), worth(topic, at, miss))
-            if site != self.site:
-                into.crossings += rate * part
-                cost = price(self.site, site) if price else None
-                into.price += rate * part * (cost or 0.0)
-                into.priced = into.priced and cost is not None
+            played = ends.get(name)
+            settled = sum(played.at.values()) + played.refused if played else 0
+            if settled >= LEAST_SETTLED * (played.offered if played else 1) and settled:
+                gone, late = offered * played.refused / settled, offered * played.late / settled
+                at = {site: (offered - gone) * count / sum(sites.values()) for site, count in sites.items()}
+            else:
+                late, at = self.by_rates(rates, topic, gone / offered if offered else 0.0)
+            least, most = self.range(rates, topic, offered - gone)
+            into.offered += weight * (offered + dead)
+            into.refused += weight * (gone + dead)
+            into.late += weight * late
+            into.late_least, into.late_most = (into.late_least + weight * min(least, late / 2),
+                                               into.late_most + weight * max(most, late * 2))
+            for site, rate in at.items():
+                if site != self.site:
+                    into.crossings += weight * rate
+                    cost = price(self.site, site) if price else None
+                    into.price += weight * rate * (cost or 0.0)
+                    into.priced = into.priced and cost is not None
+            refused, was_late, crossed = self.now.get(name, (0.0, 0.0, 0.0))
+            into.now_refused, into.now_late, into.now_crossed = (
+                into.now_refused + weight * refused, into.now_late + weight * was_late,
+                into.now_crossed + weight * crossed)
+
+    def by_rates(self, rates, topic, refused):
+        """(benefit lost to lateness a second, site -> deliveries).  Threat: of what is refused in part, the
+        rest waited as long as its objective lets it."""
+        waits, late, at = topic.get("objective", 0) / SEC if refused else 0.0, 0.0, {}
+        for number, rate in rates.items():
+            for site, (part, lasts, miss) in self.reach[number].items():
+                carried = rate * part * (1 - refused)
+                at[site] = at.get(site, 0.0) + carried
+                late += carried * worth(topic, max(lasts, waits), miss)
+        return late, at
+
+    def range(self, rates, topic, carried):
+        """The benefit lost to lateness with every answer at the forecast, and at forecast + 2 x root of
+        MSE."""
+        whole = sum(rates.values())
+        found = [(rate / whole * part, lasts, miss) for number, rate in rates.items() if whole
+                 for part, lasts, miss in self.reach[number].values()]
+        return (carried * sum(part * fades(topic, lasts) for part, lasts, _ in found),
+                carried * sum(part * fades(topic, lasts + FACTOR * miss) for part, lasts, miss in found))
 
 
 def share_of(demand, name):
@@ -308,10 +399,13 @@
     """Bands: of own errors where there are enough, else of the forecasts' own, of chance, and of who is
     unknown."""
     errors = errors or (lambda measure, topic: None)
+    swing = FACTOR * sqrt(sum(s.offered for s in sums.values()) / told.LOAD_SPAN)
     for name in order:
         s = sums[name]
         # Threat: a few more or fewer a second by chance alone are no wrong projection.
         chance = [FACTOR * sqrt(max(count, 1 / told.SPAN) / told.SPAN) for count in (s.refused, s.crossings)]
+        if s.refused > TO_SPARE * s.offered:  # what is over is the difference of two large figures
+            chance[0] = max(chance[0], swing)
         blind, whole = s.offered * stand_ins / (1 + stand_ins), s.offered * s.whole
         refused = banded(s.refused, chance[0], chance[0] + blind, errors("refused", name), s.offered)
         late = banded(s.late, s.late - s.late_least, s.late_most - s.late, errors("late", name), whole)
