--- a/juniperlanding/net/parts.py
+++ b/juniperlanding/net/parts.py
@@ -9,10 +9,15 @@
 
         fleet = Agent(told.fleet, told.name, told.state, node.world, node.load, node.log)
         parts.append(fleet)
+        if told.policy:
+            from juniperlanding.accord.part import Policy
+
+            parts.append(Policy(told.policy, node, fleet))
         if told.sites:
             from juniperlanding.sites.part import Sites
 
-            parts.append(Sites(node, fleet))
+            prices = [part.crossings for part in parts if part.section == "policy"]
+            parts.append(Sites(node, fleet, *prices))
     return parts
 
 
--- a/juniperlanding/sites/part.py
+++ b/juniperlanding/sites/part.py
@@ -23,16 +23,20 @@
 
 
 class Sites(Part):
-    """`prices()` gives {(from, to): price} of the policy in force, or None: then the settings' one price."""
+    """`prices()` gives {(from, to): price} by the policy in force; elsewhere the settings' one price goes."""
 
     section = "sites"
 
-    def __init__(self, node, agent, prices=None):
+    def __init__(self, node, agent, prices=dict):
         self.node, self.agent, self.log, self.prices = node, agent, node.log, prices
         self.now = agent.now
         self.seen, self.outages, self.projected, self.turn = words.Seen(self.now()), Outages(), {}, 0
         self.ended, self.mine, self.cost = {}, None, 0
-        self.topics = node.config.settings["topic_types"]
+        self.named = {}  # prices as they stood at the last look
+
+    @property
+    def topics(self):
+        return self.node.owner.at.me.settings["topic_types"]
 
     # ---- what the owner says, in its rounds
 
@@ -79,7 +83,7 @@
         now = self.now()
         self.mine = self.figures(owner.at, now)
         view.figures = words.encoded(self.mine)
-        members = self.members(now)
+        members, self.named = self.members(now), self.prices()
         names = sorted({member.site for member in members if member.site})
         self.projected = {name: made for name, made in self.projected.items() if name in names}
         if names:
@@ -104,10 +108,7 @@
             self.log("sites", event, sure=f"{view.sure():.2f}", **fields)
 
     def price(self, source, target):
-        prices = self.prices() if self.prices else None
-        if prices is not None:
-            return prices.get((source, target))
-        return self.node.config.settings.get("crossing_price")
+        return self.named.get((source, target), self.node.owner.at.me.settings.get("crossing_price"))
 
     def members(self, now):
         """All of the view as the projection takes them.  Threat: a projection from what is known only here
