--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -13,6 +13,7 @@
 from test_fleet import KEY, record, said, view
 
 from juniperlanding.choice import MS, SEC, Dispatcher
+from juniperlanding.emulator.region import Town
 from juniperlanding.fleet import words
 from juniperlanding.processes.region import Region
 from juniperlanding.sites import figures as told
@@ -267,6 +268,26 @@
     assert rates.a_second("x", 60 * SEC) == 0 and not rates.sums
 
 
+def test_prices_by_pair_are_those_of_the_document_in_force():
+    from types import SimpleNamespace
+
+    from juniperlanding.accord.part import Policy
+
+    document = (b'[sites.crossing]\n"east>west" = 2.5\n[[topic]]\nname = "n"\nkind = "repeatable"\n'
+                b'objective = "1s"\nttl = "4s"\n')
+    held = SimpleNamespace(accord=SimpleNamespace(document=document))
+    assert Policy.crossings(held) == {("east", "west"): 2.5}
+    assert Policy.crossings(SimpleNamespace(accord=None)) == {}
+
+
+def test_an_emulated_loss_comes_as_foretold_and_the_same_again():
+    one, other = (Town(seed=3, level=0.5).lose("west") for _ in range(2))
+    assert one == other
+    for name, (estimate, seen, _, now) in one.cells.items():
+        assert estimate.holds(seen), (name, estimate, seen)
+        assert not name.startswith("crossings") or seen > now > 0
+
+
 # ---- an outage
 
 
