--- a/juniperlanding/processes/region.py
+++ b/juniperlanding/processes/region.py
@@ -34,8 +34,9 @@
 WORTH = {"news": 1.0, "status": 2.0, "order": 3.0}
 LATE_SHARE = 0.1
 NOTICES = 1.0  # seconds until the front turns a lost site's clients away
-CALM, FROM, UNTIL, LASTS = 13.0, 5.0, 20.0, 24.0  # seconds before a loss; of it that are compared; of it
+CALM, FROM, UNTIL, LASTS = 10.0, 5.0, 17.0, 20.0  # seconds before a loss; of it that are compared; of it
 ENDPOINTS = {1: 3, 2: 3, 3: 2, 4: 1}  # destination -> sites that have an endpoint of it
+FRESH = 8.0  # seconds since a projection was made, for it to be compared
 MEASURES = ("refused", "lost", "crossings")
 
 
@@ -208,13 +209,14 @@
         self.losses.append((site, foretold, second, even, rested_on, at))
 
     async def foretold(self, member, site):
-        """What a door's `SITES` says of one site; it has been projected within so many seconds as there are
-        sites."""
-        for _ in range(30):
+        """What a door's `SITES` says of one site, as it stands in calm: from all members, and made lately."""
+        for _ in range(60):
             part = re.split(r"^(?=\S)", await member.ask("SITES") or "", flags=re.M)
             for block in part:
                 if block.startswith(f"{site} ") and "load=" in block:
-                    return read(block)
+                    found = read(block)
+                    if found["known"] == f"{self.count}/{self.count}" and found["made"] < FRESH:
+                        return found
             await trio.sleep(0.5)
         raise RuntimeError(f"{member.name} foretells nothing of {site}: {part}")
 
@@ -283,7 +285,8 @@
 def read(block):
     """One site's lines of the door as plain figures."""
     found = {"shares": {}, "topics": {}, "load": float(re.search(rf"load={NUMBER}/s", block)[1]),
-             "known": re.search(r"rests_on=(\S+)", block)[1], "tested": 0}
+             "known": re.search(r"rests_on=(\S+)", block)[1], "tested": 0,
+             "made": float(re.search(rf"made={NUMBER}s", block)[1])}
     line = next(line for line in block.splitlines() if "load=" in line)
     found["shares"] = {name: float(share) / 100 for name, share in re.findall(rf"(\S+)={NUMBER}%", line)
                        if name != "over"}
--- a/juniperlanding/sites/figures.py
+++ b/juniperlanding/sites/figures.py
@@ -120,10 +120,11 @@
     """Sums of the last `span` whole seconds by key.  Bounded by what is counted in so long."""
 
     def __init__(self, now, span=SPAN):
-        self.begun, self.second, self.span, self.sums = now, now // SEC, span, {}
+        self.begun, self.second, self.span, self.sums = 0, now // SEC, span, {}
 
     def add(self, key, now, amount=1.0):
         self.roll(now)
+        self.begun = self.begun or now  # threat: a start before the first one comes makes it seem little
         ring = self.sums.setdefault(key, [0.0] * (self.span + 1))
         ring[self.second % (self.span + 1)] += amount
 
@@ -138,7 +139,7 @@
     def a_second(self, key, now):
         """The rate in thousandths, over the whole seconds before this one."""
         self.roll(now)
-        ring, whole = self.sums.get(key, [0.0]), min(self.span, max(1, (now - self.begun) // SEC))
+        ring, whole = self.sums.get(key, [0.0]), min(self.span, max(1, self.second - self.begun / SEC))
         this = self.second % (self.span + 1)
         return int(1000 * sum(amount for at, amount in enumerate(ring) if at != this) / whole)
 
--- a/juniperlanding/sites/part.py
+++ b/juniperlanding/sites/part.py
@@ -14,7 +14,7 @@
 from juniperlanding.sites.project import Member, steps
 
 EVERY = 1.0  # seconds between two looks; one site is projected in each
-LEISURE = 30  # times as long as a projection took are left between two
+LEISURE = 15  # times as long as a projection took are left between two
 FORGOTTEN = 30 * SEC  # a member dead for longer is no part of its site any more
 SLOWED = 30 * SEC  # so long after a throttling the present pace is told, else what the rule allows
 RECORD = 512  # bytes of the ledger that one notification is taken to need while none is owed
@@ -99,7 +99,7 @@
                     made = end.value
                 spent += self.now() - begun
                 await trio.sleep(0)  # threat: a projection of many members holds the flow up
-            self.projected[name], self.cost = made, spent
+            made.made_at, self.projected[name], self.cost = now, made, spent
         self.outages.tick(members, self.projected, now)
         said, self.outages.said = self.outages.said, []
         if any(event == "is back" for event, _ in said):
@@ -199,7 +199,8 @@
                 rows.append(f"{head} not projected yet")
                 continue
             rows.append(f"{head} rests_on={made.rests_on}/{made.rests_on + len(made.unknown)} "
-                        f"oldest={made.oldest / SEC:.1f}s unknown={','.join(made.unknown) or '-'}")
+                        f"made={(now - made.made_at) / SEC:.1f}s oldest={made.oldest / SEC:.1f}s "
+                        f"unknown={','.join(made.unknown) or '-'}")
             if made.nothing:
                 rows.append(f"  unknown: {made.nothing}")
                 continue
--- a/juniperlanding/sites/project.py
+++ b/juniperlanding/sites/project.py
@@ -85,6 +85,7 @@
     guessed: list = field(default_factory=list)
     rests_on: int = 0
     oldest: int = 0
+    made_at: int = 0  # by whoever keeps it
     nothing: str = ""
 
 
