--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -159,6 +159,7 @@
     made, full = project(blind, "west", TOPICS), project(some, "west", TOPICS)
     assert made.unknown == ["west1", "east1"] and made.rests_on == 4
     assert made.load == pytest.approx(full.load)
+    assert made.shares["east1"] > 0
     line = made.topics["news"]
     assert line.offered == pytest.approx(full.topics["news"].offered) and line.refused.most > 4
     nobody = [Member(m.name, m.site, m.lives) if m.site == "west" else m for m in some]
