--- a/juniperlanding/sites/part.py
+++ b/juniperlanding/sites/part.py
@@ -19,6 +19,7 @@
 SLOWED = 30 * SEC  # so long after a throttling the present pace is told, else what the rule allows
 RECORD = 512  # bytes of the ledger that one notification is taken to need while none is owed
 LEARNT = ("errors", "windows")
+LONGEST = 3.0  # threat: on a machine short of CPU a projection grows a minute old
 MOST_LINES = 32  # sites at the door
 
 
@@ -74,7 +75,7 @@
                 await self.look()
             except Exception as error:  # threat: one odd figure must not end the program
                 self.log("fault", part="sites", why=described(error), at_line=where(error))
-            await trio.sleep(max(EVERY, self.cost * LEISURE / SEC))
+            await trio.sleep(max(EVERY, min(LONGEST, self.cost * LEISURE / SEC)))
 
     async def look(self):
         owner, view = self.node.owner, self.agent.view
