--- a/juniperlanding/accord/part.py
+++ b/juniperlanding/accord/part.py
@@ -62,6 +62,12 @@
     def settings(self, document):
         return read(document).settings(self.own) if document else self.own
 
+    def crossings(self):
+        """(from, to) -> the price of a crossing, as the document in force names them; {} without one."""
+        document = self.accord.document if self.accord else b""
+        named = read(document).values.get("sites.crossing", {}) if document else {}
+        return {tuple(key.split(">")): price for key, price in named.items()}
+
     def holds(self):
         """The number under which new work may be taken on at this moment, or None."""
         return self.accord.holds(self.steady()) if self.accord else None
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -175,6 +175,12 @@
     count: told(Annotated[int, Meta(ge=1, le=256)], "The most files.") = 64
 
 
+class Sites(Section):
+    """What it would cost to lose a site, foretold (docs/sites.md).  Needs `[fleet]` with a `site`."""
+
+    enabled: told(bool, "Whether this dispatcher tells its room and projects.") = False
+
+
 class Endpoint(Section):
     """An endpoint known before discovery answers (a table in the list `endpoint`)."""
 
@@ -207,6 +213,7 @@
     fleet: Fleet = field(default_factory=Fleet)
     policy: Policy = field(default_factory=Policy)
     shards: Shards = field(default_factory=Shards)
+    sites: Sites = field(default_factory=Sites)
     kind: list[Kind] = []
     topic: list[Topic] = []
     endpoint: list[Endpoint] = []
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -62,6 +62,7 @@
     fleet: object = None  # the operators' `Fleet`; nothing else turns it on
     policy: object = None  # their `Policy`, in the same way
     shards: object = None  # their `Shards`, in the same way
+    sites: bool = False  # whether the cost of losing a site is foretold; the operators' file alone says so
 
     @property
     def disk(self):
@@ -107,8 +108,8 @@
         limits=ours.limits | told.get("limits", {}), known=told.get("known") or ours.known, settings=settings,
         kinds=wire.get("models") or ours.kinds, zones=wire.get("areas") or ours.zones,
         connect_within=wire.get("permissions", {}).get("connect_timeout_ns", ours.connect_within),
-        report=report, log=ours.log, fleet=ours.fleet, policy=ours.policy,
-        shards=ours.shards)
+        report=report, log=ours.log, fleet=ours.fleet, policy=ours.policy, shards=ours.shards,
+        sites=ours.sites)
 
 
 def need(value, name):
@@ -137,6 +138,7 @@
     fleet: object = None
     policy: object = None
     shards: object = None
+    sites: bool = False
 
     def __post_init__(self):
         for name in ("limits", "known", "settings", "report", "log"):
@@ -168,7 +170,7 @@
                 kinds=[kind.name for kind in kinds], zones=list(get("zones")),
                 connect_within=int(get("connections.connect_within")), report=dict(get("reports")),
                 log={"form": get("log.form"), "lines": get("log.lines")}, fleet=fleet(get),
-                policy=policy(get), shards=shards(get))
+                policy=policy(get), shards=shards(get), sites=bool(get("sites.enabled")))
 
 
 @dataclass(slots=True)
--- a/juniperlanding/net/parts.py
+++ b/juniperlanding/net/parts.py
@@ -15,6 +15,11 @@
             from juniperlanding.accord.part import Policy
 
             parts.append(Policy(told.policy, node, fleet))
+        if told.sites:
+            from juniperlanding.sites.part import Sites
+
+            prices = [part.crossings for part in parts if part.section == "policy"]
+            parts.append(Sites(node, fleet, *prices))
     if told.shards:
         from juniperlanding.shards.part import Shards
 
