--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -15,8 +15,7 @@
 from pathlib import Path
 from statistics import median
 
-HEAD = ("processes", "fault", "plays", "changes", "decided", "refused", "kept", "lost", "nowhere", "breaches",
-        "settled after, median / worst s", "pause, median / worst ms")
+FATES = ("decided", "refused", "kept", "lost", "nowhere", "unsettled")
 
 
 def run(folder, count, trouble, first, last, changes):
@@ -35,41 +34,47 @@
 
 
 def table(folder):
+    """By size and trouble what became of changes; by fault and size how long they took."""
     from juniperlanding.processes import policy, policy_verdict
 
-    cells, answers = {}, Counter()
+    plays, took, spans = {}, {}, {}
     for path in sorted(Path(folder).glob("*.json")):
-        told = json.loads(path.read_text())
-        history = policy.kept(path.with_suffix(".sqlite"))
-        answers.update(notifications=told["notifications"], faults=sum(map(len, told["faults"].values())))
-        answers.update(orders=len(history.orders), polls=len(history.polls))
-        by_change = {change.change: change for change in history.changes}
-        breaches, spans = policy_verdict.judge(history)[0], policy_verdict.pauses(history)
-        for fault in {change.fault for change in history.changes}:
-            cell = cells.setdefault((told["count"], fault), {"plays": 0, "took": [], "spans": []} | Counter())
-            cell["plays"] += 1
-            cell["spans"] += spans.get(fault, [])
-            cell["took"] += [change.settled_at - change.mended_at for change in history.changes
-                             if change.fault == fault and change.settled_at > 0]
-        for proposal, fate in policy_verdict.fates(history):
-            fault = by_change[proposal.change].fault if proposal.change in by_change else "-"
-            cell = cells.setdefault((told["count"], fault), {"plays": 0, "took": [], "spans": []})
-            cell[fate] = cell.get(fate, 0) + 1
+        told, history = json.loads(path.read_text()), policy.kept(path.with_suffix(".sqlite"))
+        breaches, fates = policy_verdict.judge(history)[0], policy_verdict.fates(history)
         for breach, shown in breaches.items():
             print("BREACH", path.name, breach, shown[:2])
-    fates = ("decided", "refused", "kept", "lost", "nowhere", "unheard", "unsettled")
-    print("|", " | ".join(HEAD), "|")
-    print("|", " | ".join("---" for _ in HEAD), "|")
-    for (count, fault), cell in sorted(cells.items()):
-        told = [cell.get(fate, 0) for fate in fates]
-        print("|", " | ".join(map(str, [
-            count, fault, cell["plays"], sum(told[:5]) + told[6], *told[:5], told[6],
-            spread(cell["took"], 1e9), spread(cell["spans"], 1e6)])), "|")
-    print(dict(answers), "changes", sum(cell.get(fate, 0) for cell in cells.values() for fate in fates[:5]))
+        row = plays.setdefault((told["count"], told["trouble"]), Counter())
+        row.update(fate for _, fate in fates)
+        row.update(plays=1, breaches=len(breaches), notifications=told["notifications"],
+                   answers=sum(map(len, told["faults"].values())))
+        for change in history.changes:
+            if change.settled_at > 0:
+                place = change.fault, told["count"]
+                took.setdefault(place, []).append(change.settled_at - change.mended_at)
+        for fault, found in policy_verdict.pauses(history).items():
+            spans.setdefault((fault, told["count"]), []).extend(found)
+    head = "processes", "trouble", "plays", "changes", *FATES, "breaches", "notifications", "not one answer"
+    rows([head] + [
+        (*place, row["plays"], sum(row[fate] for fate in FATES), *(row[fate] for fate in FATES),
+         row["breaches"], row["notifications"], row["answers"]) for place, row in sorted(plays.items())])
+    counts = sorted({count for _, count in took})
+    head = [f"{count}: {what}" for count in counts for what in ("changes", "settled s", "pause ms")]
+    rows([("fault", *head)] + [
+        (fault, *(cell for count in counts for cell in (
+            len(took.get((fault, count), [])), spread(took.get((fault, count)), 1e9, 1),
+            spread(spans.get((fault, count)), 1e6, 0)))) for fault in policy.FAULTS])
 
 
-def spread(spans, unit):
-    digits = 1 if unit == 1e9 else 0
+def rows(lines):
+    for number, line in enumerate(lines):
+        print("|", " | ".join(map(str, line)), "|")
+        if not number:
+            print("|", " | ".join("---" for _ in line), "|")
+    print()
+
+
+def spread(spans, unit, digits):
+    """Median / worst."""
     return f"{median(spans) / unit:.{digits}f} / {max(spans) / unit:.{digits}f}" if spans else "-"
 
 
