--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -249,17 +249,12 @@
             events.append(await self.inbox.receive())
         # Threat: after standing still, timers would come before answers; and the first look at the sockets
         # tells of nothing then (EINTR), so that there has to be another.
-        since, looked = self.at.now, self.now()
-        for _ in range(2):
-            for _ in range(1 if looked - since < STOOD_STILL else 3):
-                await trio.lowlevel.checkpoint()
-            while len(events) < ROUND:
-                try:
-                    events.append(self.inbox.receive_nowait())
-                except trio.WouldBlock:
-                    break
-            since, looked = looked, self.now()
-            if looked - since < STOOD_STILL:
+        for _ in range(1 if self.now() - self.at.now < STOOD_STILL else 3):
+            await trio.lowlevel.checkpoint()
+        while len(events) < ROUND:
+            try:
+                events.append(self.inbox.receive_nowait())
+            except trio.WouldBlock:
                 break
         return events
 
