--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -122,9 +122,10 @@
 
     async def kill(self, folder=False):
         """SIGKILL; with its folder, the machine is lost."""
+        killed_at = self.rig.now()
         self.running.kill()
-        self.rig.killed(self, folder)
         await self.running.wait()
+        self.rig.killed(self, folder, killed_at)
         self.rig.audit.excused_until = max(self.rig.audit.excused_until, self.rig.now() + 10 * SEC)
         if folder:
             for path in (self.folder / "state").iterdir():
@@ -213,7 +214,8 @@
         for number, (destination, temper) in enumerate(
                 (destination, temper) for destination, tempers in DESTINATIONS.items() for temper in tempers):
             character = Character(TEMPERS[temper], Random(f"{self.seed}/endpoint {number}"))
-            endpoint = Endpoint(number + 1, destination, character, self.audit, self.now)
+            endpoint = Endpoint(number + 1, destination, character, self.audit, self.now,
+                                free(socket.SOCK_STREAM))
             self.endpoints.append(await nursery.start(endpoint.run))
         self.write_links()
 
--- a/juniperlanding/standins/endpoints.py
+++ b/juniperlanding/standins/endpoints.py
@@ -16,17 +16,25 @@
 class Endpoint:
     """One server.  While its character is not there it listens to nobody, and all connections are reset."""
 
-    def __init__(self, number, destination, character, audit, now):
+    def __init__(self, number, destination, character, audit, now, port=0):
         self.id, self.destination, self.character = f"e-{number}", destination, character
         self.audit, self.now, self.address, self.since = audit, now, None, now()
+        self.port = port  # 0: one that the system gives
         self.streams = set()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         while True:
-            port = self.address[1] if self.address else 0
-            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+            try:
+                listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
+            except OSError:
+                # Threat: the system gave its port to a client while it was away; it comes back later then.
+                if not self.address:
+                    raise
+                await trio.sleep(LOOK)
+                continue
             if not self.address:
                 self.address = listeners[0].socket.getsockname()[:2]
+                self.port = self.address[1]
                 task_status.started(self)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(trio.serve_listeners, self.attend, listeners)
