Sites: counting and what another version hands over fail nobody; one series for both parts

Found by rereading: with [sites] on, a fault in counting an answer was raised within the owner's round before the outcome was heard, so the notification stayed out until its TTL; what an earlier process had learnt, in another form, failed the replacement (so did the accord's lives). And the forecaster's fields stood twice, in shards and in sites. Change: counting is guarded with a log line, an odd form is told and begins anew, the fields stand in series.py.

--- a/juniperlanding/accord/part.py
+++ b/juniperlanding/accord/part.py
@@ -109,7 +109,8 @@
         return ([self.accord.life] if self.accord else []) + self.before[:MOST_BEFORE - 1]
 
     def taken(self, state):
-        self.before = [life for life in state[:MOST_BEFORE] if isinstance(life, int) and 0 < life < 1 << 62]
+        lives = state[:MOST_BEFORE] if isinstance(state, list) else []  # threat: another version's form
+        self.before = [life for life in lives if isinstance(life, int) and 0 < life < 1 << 62]
 
     def reachable(self):
         """Who is believed alive, and voters of whom nothing is known yet."""
--- a/juniperlanding/shards/growth.py
+++ b/juniperlanding/shards/growth.py
@@ -5,24 +5,15 @@
 live grows in it, and how long a byte stays (live over what ended, in ns).  A record's error is that of one
 second; over several seconds errors add as the roots of their squares do."""
 
-from dataclasses import dataclass, field
-
 from juniperlanding.choice import SAMPLES, SEC, learn
+from juniperlanding.series import Series
 
 BAND = 2  # roots of the MSE from the forecast to the earlier edge
 FAR = 24 * 3600  # seconds; later than this is never
 
 
-@dataclass(slots=True, eq=False)
-class Record:
-    """One series with the forecaster's fields."""
-    samples: int = 0
-    series: list = field(default_factory=list)
-    mean: float = 0.0
-    smooth: float = 0.0
-    errors: list = field(default_factory=list)
-    forecast: int = 0
-    miss: int = 0
+class Record(Series):
+    """A series with the band over it."""
 
     def edge(self, seconds=1):
         """The upper edge of the sum over so many seconds, or None while there are too few samples."""
--- a/juniperlanding/sites/figures.py
+++ b/juniperlanding/sites/figures.py
@@ -3,13 +3,13 @@
 Rates are thousandths a second, answer times microseconds, rests milliseconds: whole numbers, which
 MessagePack keeps in one to five bytes."""
 
-from dataclasses import dataclass, field
 from functools import lru_cache
 
 import msgspec
 
 from juniperlanding.choice import MS, SEC, Dispatcher, Pick, benefit, learn
 from juniperlanding.fleet.words import MOST_FIGURES
+from juniperlanding.series import Series
 from juniperlanding.state import Endpoint, Instance, Push
 
 VERSION = 1
@@ -102,20 +102,6 @@
 
 # ---- counting
 
-@dataclass
-class Series:
-    """A forecaster's record of our own: what `choice.learn` and `choice.forecast` read and write."""
-
-    samples: int = 0
-    series: list = field(default_factory=list)
-    mean: float = 0.0
-    smooth: float = 0.0
-    errors: list = field(default_factory=list)
-    forecast: int = 0
-    miss: int = 0
-    last_at: int = 0
-
-
 class Rates:
     """Sums of the last `span` whole seconds by key.  Bounded by what is counted in so long."""
 
--- a/juniperlanding/sites/outage.py
+++ b/juniperlanding/sites/outage.py
@@ -7,7 +7,8 @@
 from math import hypot
 
 from juniperlanding.choice import FACTOR, SAMPLES, SEC, learn
-from juniperlanding.sites.figures import SPAN, Series
+from juniperlanding.series import Series
+from juniperlanding.sites.figures import SPAN
 from juniperlanding.sites.project import MILLI, Estimate, Projection, together
 
 WHOLE, LOST = "whole", "lost"
--- a/juniperlanding/sites/part.py
+++ b/juniperlanding/sites/part.py
@@ -9,6 +9,7 @@
 from juniperlanding.fleet.words import ALIVE, DEAD, LEFT, SUSPECT
 from juniperlanding.ground.log import described, where
 from juniperlanding.ground.part import Part
+from juniperlanding.series import Series
 from juniperlanding.sites import figures as words
 from juniperlanding.sites.outage import LOST, Outages, shown
 from juniperlanding.sites.project import Member, steps
@@ -42,12 +43,22 @@
     # ---- what the owner says, in its rounds
 
     def handed_in(self, topic, destination):
-        self.seen.handed_in(topic, destination, self.now())
+        self.guarded(self.seen.handed_in, topic, destination, self.now())
 
-    def answered(self, ntf, endpoint, latency, in_time, heard):
+    def answered(self, *fields):
+        self.guarded(self.count, *fields)
+
+    def count(self, ntf, endpoint, latency, in_time, heard):
         site = self.site_of(endpoint.zone) if endpoint else "?"
         self.seen.answered(ntf, site, site != self.agent.told.site, latency, in_time, self.now(), heard)
 
+    def guarded(self, what, *fields):
+        """Threat: a fault in counting, and the owner never hears the outcome that was counted."""
+        try:
+            what(*fields)
+        except Exception as error:
+            self.log("fault", part="sites", why=described(error), at_line=where(error))
+
     def site_of(self, zone):
         """A zone of endpoints is the site of the same name; one that nobody named is no site of ours."""
         zones = self.node.config.zones
@@ -64,10 +75,14 @@
                        for key, s in getattr(self.outages, name).items()} for name in LEARNT}
 
     def taken(self, state):
-        for name in LEARNT:
-            found = (state or {}).get(name, {}).items()
-            setattr(self.outages, name, {tuple(key.split("/", 1)): words.Series(*fields)
-                                         for key, fields in found})
+        try:
+            found = {name: {tuple(key.split("/", 1)): Series(*fields) for key, fields in state[name].items()}
+                     for name in LEARNT}
+        except (TypeError, KeyError, AttributeError) as error:
+            # Threat: another version's form, and the replacement fails for it; what was learnt begins anew.
+            return self.log("sites", "what was learnt cannot be read", why=described(error))
+        for name, series in found.items():
+            setattr(self.outages, name, series)
 
     async def run(self):
         while True:
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -1,9 +1,11 @@
 """What the loss of a site costs, foretold: the projection alone, what is told, and real processes."""
 
+import json
 import os
 import re
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -16,9 +18,11 @@
 from juniperlanding.emulator.region import Town
 from juniperlanding.fleet import words
 from juniperlanding.processes.region import Region
+from juniperlanding.series import Series
 from juniperlanding.sites import figures as told
-from juniperlanding.sites.figures import Figures, Kind, Place, Series
+from juniperlanding.sites.figures import Figures, Kind, Place
 from juniperlanding.sites.outage import LOST, SETTLES, WHOLE, WINDOW, Outages
+from juniperlanding.sites.part import Sites
 from juniperlanding.sites.project import Estimate, Member, project, spread_over
 
 SITES = ("east", "north", "west")
@@ -353,6 +357,38 @@
     assert (series.forecast, series.miss) == (5, 0)
 
 
+@pytest.fixture
+def part():
+    lines = []
+    made = Sites.__new__(Sites)
+    made.outages, made.lines_of = Outages(), lines
+    made.log = lambda event, text="", **fields: lines.append((event, text, fields))
+    made.now = lambda: 9 * SEC
+    return made
+
+
+@pytest.mark.parametrize("state", [None, [], {"errors": {}}, {"errors": {"a/b": [1] * 20}, "windows": {}},
+                                   {"errors": [1], "windows": {}}])
+def test_what_another_version_hands_over_fails_no_replacement(part, state):
+    part.taken(state)
+    assert part.outages.errors == part.outages.windows == {} and part.lines_of[0][0] == "sites"
+
+
+def test_what_was_learnt_is_handed_over_whole(part):
+    told.learn(part.outages.errors.setdefault(("refused", "news"), Series()), 5)
+    state, part.outages = json.loads(json.dumps(part.given())), Outages()
+    part.taken(state)
+    series = part.outages.errors["refused", "news"]
+    assert (series.samples, series.series) == (1, [5]) and not part.lines_of
+
+
+def test_a_fault_in_counting_is_a_line_and_ends_no_outcome(part):
+    part.seen = SimpleNamespace(handed_in=lambda *fields: fields[99])
+    part.handed_in("news", 1)
+    part.answered(None, None, 1, True, 1)
+    assert [event for event, *_ in part.lines_of] == ["fault", "fault"]
+
+
 # ---- real processes
 
 
