Calls: what has ended while its connection came up does not leave with the others

Ruled out: a client that left (none was taken back), a push after the end, a kept connection's second try.

Endpoints.write looks at each part once the connection is up: what is over, called off or past its bound stays behind, told moot; what is left goes, as a call of one where it is one. Endpoints.expire tells it moot at its bound, not as a time-out, while nothing was written, and ends with its call (it slept on until the TTL before). The module tells the bound for every push, not for repeats alone: the TTL less the forecast, by which it already decides whether a push may begin (choice.py is a line shorter).

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -703,13 +703,12 @@
         endpoint.tokens -= weight  # counts while it warms
 
     def launch(self, push, endpoint, call):
-        ntf = push.ntf
+        ntf, ends = push.ntf, self.ttl.ends(push.ntf)
         push.endpoint, push.zone, push.call, push.sent_at = endpoint, endpoint.zone, call, self.now
         ntf.out, ntf.pushes = push, ntf.pushes + 1
         ntf.destination.waiting.remove(ntf)
         call.pushes.append(push)
         self.me.pushes[ntf.id, push.number] = push
-        # Threat: a connection that is slow to come up, and the repeat arrives after its window.
-        again = repeats_until(ntf) - self.now if ntf.may_have_run and ntf.topic.get("window") else 0
-        self.host.push(ntf.id, endpoint.id, push.timeout, again)
+        # Threat: a connection that is slow to come up, and it arrives past its window, or after its end.
+        self.host.push(ntf.id, endpoint.id, push.timeout, ends - self.now)
         self.wake_at(push.overdue_at)
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -28,6 +28,11 @@
     over: bool = False  # its outcome was told
     cancelled: bool = False
 
+    @property
+    def bound(self):
+        """`leave_by`, or never when the time-out ends the call no later."""
+        return self.leave_by if self.leave_by < self.until else 1 << 62
+
 
 class Call:
     """Lives from the push to the last outcome: a scope to end it, and how far its bytes have come."""
@@ -35,6 +40,7 @@
     def __init__(self, endpoint, sends, now):
         self.endpoint, self.sends, self.scope = endpoint, sends, trio.CancelScope()
         self.began_at, self.tried, self.written, self.line = now, False, False, None
+        self.ends = trio.CancelScope()  # of the watch over the time of each of several
 
 
 class Endpoints:
@@ -51,12 +57,11 @@
         self.go_on(nursery, Call(endpoint, sends, self.now()))
 
     def go_on(self, nursery, call):
-        last = max(send.until for send in call.sends)
         for send in call.sends:
             if not send.over:
                 self.out[send.id, send.number] = call
-                if send.ttl_at < last:
-                    nursery.start_soon(self.expire, call, send)
+        if len(call.sends) > 1:
+            nursery.start_soon(self.expire, call)
         nursery.start_soon(self.run, call)
 
     def inherit(self, nursery, calls, idle):
@@ -108,12 +113,10 @@
 
     async def run(self, call):
         call.scope.deadline = trio.current_time() + (max(s.until for s in call.sends) - self.now()) / SEC
-        reason, leave_by = "gave_up", min((s.leave_by for s in call.sends if s.leave_by < s.until), default=0)
+        reason = "gave_up"
         try:
             with call.scope:
-                if not leave_by:
-                    await self.write(call)
-                elif not await self.write_by(call, leave_by):
+                if not await self.write(call):
                     return
                 await self.answered(call)
                 reason = "answered"
@@ -129,6 +132,7 @@
             reason = type(error).__name__
             self.log("fault", part="call", endpoint=call.endpoint, why=described(error), at_line=where(error))
         finally:
+            call.ends.cancel()
             if self.frozen and call.written and not all(send.cancelled or send.over for send in call.sends):
                 self.carried.append(call)
             else:
@@ -142,34 +146,51 @@
                     self.drop(call.endpoint, call.line, reason)
                 await self.unanswered(call)
 
-    async def write_by(self, call, leave_by):
-        """Whether it left in time.  That it did not is ours to say, and nobody's fault."""
-        with trio.move_on_after(max(0, leave_by - call.began_at) / SEC) as leaving:
-            await self.write(call)
-        call.tried &= not leaving.cancelled_caught
-        return not leaving.cancelled_caught
+    def when(self, at):
+        """Trio's time for one of ours."""
+        return trio.current_time() + (at - self.now()) / SEC
 
     async def write(self, call):
-        """Threat: a kept connection that breaks before the last byte says nothing of the endpoint."""
-        while not call.written:
-            call.line = await self.line(call)
-            kept = call.line.used_at
-            try:
-                await call.line.send_in_two(*self.request(call))
-                call.written = True
-                self.counters[FORWARDS] += len(call.sends)
-                if self.frozen:
-                    call.scope.cancel()
-            except GONE:
-                if not kept:
-                    raise
-                line, call.line = call.line, None
-                self.drop(call.endpoint, line, "stale")
-
-    async def expire(self, call, send):
-        """Threat: in a call of several, one's time ends before the call does, and its end is due then."""
-        await trio.sleep(max(0, send.ttl_at - self.now()) / SEC)  # past already if we stood still meanwhile
-        await self.tell(call, [(send, "timeout")])
+        """Whether any of it left in time.  That it did not is ours to say, and nobody's fault.
+
+        Threats: a kept connection that breaks before the last byte says nothing of the endpoint; one that
+        comes up late would carry what has ended meanwhile."""
+        with trio.CancelScope() as leaving:
+            while call.sends and not call.written:
+                leaving.deadline = self.when(max(send.bound for send in call.sends))
+                call.line = await self.line(call)
+                kept, now = call.line.used_at, self.now()
+                late = [send for send in call.sends if send.over or send.cancelled or send.leave_by <= now]
+                call.sends = [send for send in call.sends if send not in late]
+                await self.tell(call, [(send, "moot") for send in late])
+                leaving.deadline = self.when(min((send.bound for send in call.sends), default=now))
+                try:
+                    if call.sends:
+                        await call.line.send_in_two(*self.request(call))
+                        call.written = True
+                        self.counters[FORWARDS] += len(call.sends)
+                        if self.frozen:
+                            call.scope.cancel()
+                except GONE:
+                    if not kept:
+                        raise
+                    line, call.line = call.line, None
+                    self.drop(call.endpoint, line, "stale")
+        call.tried &= call.written
+        return call.written
+
+    async def expire(self, call):
+        """Threats: in a call of several, one's time ends before the call does, and its end is due then; the
+        connection is still coming up, and it would leave after its end."""
+        times = [(at, place, send) for place, send in enumerate(call.sends)
+                 for at in (send.leave_by, send.ttl_at)]
+        with call.ends:
+            for at, _, send in sorted(times, key=lambda time: time[:2]):
+                await trio.sleep_until(self.when(at))  # past already if we stood still meanwhile
+                if not call.line:
+                    await self.tell(call, [(send, "moot")])
+                elif at >= send.ttl_at:
+                    await self.tell(call, [(send, "timeout")])
 
     async def unanswered(self, call):
         """The outcome of what got no answer, or a spoilt one, follows from how far the call came."""
--- /dev/null
+++ b/tests/test_endings_endpoint.py
@@ -0,0 +1,120 @@
+"""Calls to endpoints at the instant in which they end: each crossing is forced, and has one outcome.
+
+docs/sockets.md, "What ends a call, and what it proves", says which outcome that is."""
+
+import json
+from dataclasses import replace
+
+import pytest
+import trio
+from conftest import WIRE
+from test_net import CLOCK, endpoints, send
+
+from juniperlanding.choice import SEC
+from juniperlanding.ground.seams import Network
+from juniperlanding.net.endpoints import Send
+from juniperlanding.standins.peers import http
+
+PAIR = WIRE | {"family_info": WIRE["family_info"] | {"batch_by_kind": [5, 5]}}
+
+
+class Held(Network):
+    """Connections to endpoints come up once `go` is set; `began` counts those that were asked for."""
+
+    def __init__(self, far):
+        self.far, self.go, self.began = far, trio.Event(), 0
+
+    async def connect(self, address):
+        if address == self.far.address:
+            self.began += 1
+            await self.go.wait()
+        return await super().connect(address)
+
+
+def each_accepted(first, headers, body):
+    if first.startswith("POST /v1/messages:batch"):
+        return http(200, json.dumps([{"id": item["id"], "state": "accepted"}
+                                     for item in json.loads(body)]).encode())
+    return http(200)
+
+
+def ids(far):
+    """What reached an endpoint, call by call.  Threat: its port was another test's, whose caller comes again."""
+    return [[item["id"] for item in json.loads(body)] if first.startswith("POST /v1/messages:batch")
+            else [headers["x-trace-id"]] for first, headers, body in far.got if first.startswith("POST /v1/")]
+
+
+async def held(site, outcomes):
+    calls = await endpoints(site, outcomes)
+    calls.network = Held(site.far)
+    return calls
+
+
+# ---- a connection that comes up late
+
+def test_what_ended_while_the_connection_came_up_does_not_leave_with_the_others(site):
+    outcomes = []
+
+    async def scene(site):
+        calls, now = await held(site, outcomes), CLOCK.now()
+        soon, late = now + SEC // 10, now + 5 * SEC
+        calls.start(site.nursery, "s-1", [Send("a", 0, "", b"", soon, soon, soon),
+                                          Send("b", 0, "", b"", late, late, late),
+                                          Send("c", 0, "", b"", late, late, late)])
+        await site.until(lambda: outcomes)  # its end is told at once, and not when the connection is up
+        assert [told[:3] for told in outcomes] == [("a", 0, "moot")]
+        calls.network.go.set()
+        await site.until(lambda: len(outcomes) == 3)
+        assert [told[2] for told in outcomes] == ["moot", "delivered", "delivered"]
+        assert ids(site.far) == [["b", "c"]] and not calls.out
+    site.run(scene, each_accepted)
+
+
+def test_of_two_the_one_that_is_left_goes_as_a_call_of_one(site):
+    outcomes = []
+
+    async def scene(site):
+        calls = await held(site, outcomes)
+        calls.start(site.nursery, "s-1", [send("a"), send("b")])
+        await site.until(lambda: calls.network.began)
+        calls.cancel("a", 0)
+        calls.network.go.set()
+        await site.until(lambda: len(outcomes) == 2)
+        assert [(told[0], told[2]) for told in outcomes] == [("a", "moot"), ("b", "delivered")]
+        assert ids(site.far) == [["b"]] and not calls.out
+    site.run(scene, each_accepted)
+
+
+@pytest.mark.parametrize("sends", [1, 2])
+def test_none_leaves_once_all_have_ended(site, sends):
+    outcomes = []
+
+    async def scene(site):
+        calls = await held(site, outcomes)
+        calls.start(site.nursery, "s-1", [send(name, SEC // 10) for name in "ab"[:sends]])
+        await site.until(lambda: len(outcomes) == sends)
+        calls.network.go.set()
+        await site.until(lambda: calls.places.value == 8)
+        assert {told[2] for told in outcomes} <= {"moot", "unreachable"}
+        assert not site.far.connections and not calls.out
+    site.run(scene, each_accepted)
+
+
+@pytest.mark.parametrize("topic", ["order", "pay", "news"])
+def test_a_notice_is_posted_and_nothing_sent_on_after_it(site, topic):
+    """A connection comes up once the notice is there; whatever the kind, nothing has run."""
+    site.wire = PAIR
+
+    async def scene(site):
+        site.world = replace(site.world, network=Held(site.far))
+        node = await site.start()
+        # The first goes alone and holds its connection; the two behind it share a call.
+        for number, ttl in (("a", 900), ("b", 900), ("c", 5000)):
+            assert await site.hand_in(number, topic, ttl=ttl) == 202
+        await site.until(lambda: len(site.platform.notices) == 2)
+        assert all(told["outcome"] == "handed_back" for told in site.platform.notices)
+        site.world.network.go.set()
+        await site.until(lambda: node.counters["pushes_delivered"] and not node.ledger.owed)
+        assert ids(site.far) == [["c"]]
+        assert sorted(told["message"] for told in site.platform.notices) == ["a", "b"]
+    site.run(scene, each_accepted)
