Known red: KNOWN-RED.txt lists what is passed over, three at most, and nothing else

One line each, `node id | cause | issue number`. A listed test that fails is passed over and printed before pytest's closing line; one that passes (strict xfail), one that a whole run does not find, a fourth line or a malformed one fails the run, with xdist or without. No file or an empty one: as before. None is listed now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from known_red import pytest_collection_modifyitems, pytest_configure, pytest_terminal_summary  # noqa: F401
 
 from juniperlanding.choice import SEC, Dispatcher
 from juniperlanding.ground.seams import system
