Start: a SIGHUP that comes after the file was read is kept until the process serves

Cause: `serve` ignored SIGHUP from its first lines until it listened for signals, and the system forgets what is ignored. Between the two the file is read, then the folder is claimed and the ledger read (up to 12 s where another process has to go first): a move told in that time was lost, and the process followed the old address. Change: an early SIGHUP is written down, and the file read again once the process serves. tests/test_endings.py holds the program between the two with the folder's lock and its channel; on the text before it fails (nothing is asked at the new address in 10 s). Left: one that comes before the program's first lines still ends it, as the system does.

--- a/juniperlanding/cli/serve.py
+++ b/juniperlanding/cli/serve.py
@@ -41,7 +41,8 @@
 
 
 def run(asked):
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # threat: one that comes before `serve` listens for it
+    early = []  # threats: a SIGHUP before `serve` listens for it ends us, or the file was read just before it
+    signal.signal(signal.SIGHUP, lambda *which: early.append(which))
     from juniperlanding.ground.seams import system
 
     world = system()
@@ -50,10 +51,10 @@
     import trio
 
     # Threat: the environment is as old as the process; a replaced file's discovery goes before it.
-    return trio.run(serve, config, world, partial(read, ("EDGE_DISCOVERY",)))
+    return trio.run(serve, config, world, partial(read, ("EDGE_DISCOVERY",)), early)
 
 
-async def serve(config, world, read):
+async def serve(config, world, read, early):
     import trio
 
     from juniperlanding.ground.errors import system
@@ -70,6 +71,8 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(node.run)
+            if early:
+                node.reload(read)
             async for number in signals:
                 if number == signal.SIGHUP:  # while draining too: notices still go out
                     node.reload(read)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,10 +1,17 @@
 """Paths that end something, each held at the instant in which something is still owed (docs/endings.md)."""
 
 
+import os
+import signal
+import subprocess
+import sys
+
 import trio
 from test_upgrade import first, node, replace
 
+from juniperlanding.ground.lock import Lock
 from juniperlanding.ground.seams import Network
+from juniperlanding.handover.channel import Harbour
 from juniperlanding.net import protocol, succession
 from juniperlanding.standins.peers import Platform, http, read_message
 
@@ -161,3 +168,28 @@
         assert len(site.far.got) == 1 and not site.platform.notices and old.counters["pushes_moot"] == 1
     site.run(scene)
 
+
+# ---- start
+
+def test_a_sighup_after_the_file_was_read_and_before_anybody_listens_is_not_lost(site):
+    async def scene(site):
+        site.config()
+        state, old = str(site.folder / "state"), site.platform
+        lock, harbour = Lock(state), Harbour(state)  # holds the start where the file was read
+        environ = dict(os.environ, EDGE_CONFIG=str(site.folder / "config.json"), EDGE_STATE=state,
+                       EDGE_LISTEN="127.0.0.1:0")
+        process = await trio.lowlevel.open_process([sys.executable, "-m", "juniperlanding", "serve"],
+                                                   env=environ, stderr=subprocess.DEVNULL)
+        try:
+            channel = await harbour.accept()
+            site.platform = await Platform().open(site.nursery)
+            site.config()
+            process.send_signal(signal.SIGHUP)
+            for one in (channel, harbour, lock):
+                one.close()
+            await site.until(lambda: site.platform.got)
+            assert len(old.got) <= 1
+        finally:
+            process.kill()
+            await process.wait()
+    site.run(scene)
