--- a/juniperlanding/cli/serve.py
+++ b/juniperlanding/cli/serve.py
@@ -43,10 +43,17 @@
 def run(asked):
     early = []  # threats: a SIGHUP before `serve` listens for it ends us, or the file was read just before it
     signal.signal(signal.SIGHUP, lambda *which: early.append(which))
+    try:
+        return started(asked["FILE"], early)
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # threat: it ends us while the interpreter ends
+
+
+def started(path, early):
     from juniperlanding.ground.seams import system
 
     world = system()
-    read = reader(asked["FILE"], os.environ, world.files)
+    read = reader(path, os.environ, world.files)
     config = told(read)
     import trio
 
