--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,10 +3,11 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tomllib
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import trio
@@ -94,17 +95,24 @@
     site.run(scene)
 
 
-def test_the_list_is_asked_for_whole_when_a_move_was_not_over_at_the_hand_over(site):
+def test_the_list_is_asked_for_whole_when_a_move_was_not_over_at_the_hand_over(site, monkeypatch):
+    send, asked = line.Line.send, []
+
+    async def kept(self, *events):
+        asked.extend(one.target.decode() for one in events if getattr(one, "method", b"") == b"GET")
+        await send(self, *events)
+    monkeypatch.setattr(line.Line, "send", kept)
+
     async def scene(site):
         old = await first(site)
-        await site.until(lambda: site.platform.got)
-        site.platform = await Platform().open(site.nursery)  # silent: what it asks for does not come
+        await site.until(lambda: len(asked) == 1)
+        site.platform = await Platform().open(site.nursery)  # silent: what it is asked for does not come
         site.config()
         old.reload(site.reread)
-        await site.until(lambda: lists_asked(site.platform))
+        await site.until(lambda: len(asked) == 2)
         await replace(site)
-        await site.until(lambda: len(lists_asked(site.platform)) == 2)
-        assert lists_asked(site.platform) == [protocol.LIST] * 2
+        await site.until(lambda: len(asked) == 3)
+        assert asked[1:] == [protocol.LIST] * 2
     site.run(scene)
 
 
@@ -184,43 +192,21 @@
     site.run(scene)
 
 
-# ---- start
-
-def test_a_sighup_after_the_file_was_read_and_before_anybody_listens_is_not_lost(site):
-    async def scene(site):
-        site.config()
-        state, old = str(site.folder / "state"), site.platform
-        lock, harbour = Lock(state), Harbour(state)  # holds the start where the file was read
-        environ = dict(os.environ, EDGE_CONFIG=str(site.folder / "config.json"), EDGE_STATE=state,
-                       EDGE_LISTEN="127.0.0.1:0")
-        process = await trio.lowlevel.open_process([sys.executable, "-m", "juniperlanding", "serve"],
-                                                   env=environ, stderr=subprocess.DEVNULL)
-        try:
-            channel = await harbour.accept()
-            site.platform = await Platform().open(site.nursery)
-            site.config()
-            process.send_signal(signal.SIGHUP)
-            for one in (channel, harbour, lock):
-                one.close()
-            await site.until(lambda: lists_asked(site.platform))
-            assert len(lists_asked(old)) <= 1
-        finally:
-            process.kill()
-            await process.wait()
-    site.run(scene)
-
+# ---- start and end
 
-DEPLOY = Path(__file__).parent.parent / "deploy" / "balancer.toml"
-RUN = tomllib.loads(DEPLOY.read_text())["run"].replace(".venv/bin/python", sys.executable)
+RUN = tomllib.loads((Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text())["run"]
 
 
 @asynccontextmanager
 async def begun(site):
     """The program as the deploy file runs it, from the moment in which its interpreter begins."""
     site.config()
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        site.address = free.getsockname()
     environ = dict(os.environ, EDGE_CONFIG=str(site.folder / "config.json"),
-                   EDGE_STATE=str(site.folder / "state"), EDGE_LISTEN="127.0.0.1:0")
-    process = await trio.lowlevel.open_process(["/bin/sh", "-c", RUN], env=environ, stderr=subprocess.DEVNULL)
+                   EDGE_STATE=str(site.folder / "state"), EDGE_LISTEN="{}:{}".format(*site.address))
+    run = RUN.replace(".venv/bin/python", sys.executable)
+    process = await trio.lowlevel.open_process(["/bin/sh", "-c", run], env=environ, stderr=subprocess.DEVNULL)
     try:
         command = Path(f"/proc/{process.pid}/cmdline")
         while not command.read_bytes().startswith(sys.executable.encode()):
@@ -232,19 +218,44 @@
             await process.wait()
 
 
+async def ready(site, process):
+    while process.returncode is None:
+        with suppress(OSError):
+            if (await site.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200:
+                return True
+        await trio.sleep(0.02)
+    return False
+
+
+def test_a_sighup_after_the_file_was_read_and_before_anybody_listens_is_not_lost(site):
+    async def scene(site):
+        (site.folder / "state").mkdir()
+        state, old = str(site.folder / "state"), site.platform
+        lock, harbour = Lock(state), Harbour(state)  # holds the start where the file was read
+        async with begun(site) as process:
+            channel = await harbour.accept()
+            site.platform = await Platform().open(site.nursery)
+            site.config()
+            process.send_signal(signal.SIGHUP)
+            for one in (channel, harbour, lock):
+                one.close()
+            await site.until(lambda: lists_asked(site.platform))
+            assert len(lists_asked(old)) <= 1
+    site.run(scene)
+
+
 def test_a_sighup_as_the_interpreter_begins_does_not_end_it(site):
     async def scene(site):
         async with begun(site) as process:
             process.send_signal(signal.SIGHUP)
-            await site.until(lambda: lists_asked(site.platform) or process.returncode is not None)
-            assert process.returncode is None
+            assert await ready(site, process)
     site.run(scene)
 
 
 def test_a_sighup_as_the_interpreter_ends_does_not_end_it(site):
     async def scene(site):
         async with begun(site) as process:
-            await site.until(lambda: lists_asked(site.platform))
+            assert await ready(site, process)
             process.terminate()
             while process.returncode is None:  # at each instant of the drain and of the end
                 process.send_signal(signal.SIGHUP)
