--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -28,7 +28,7 @@
 RAMP_SHARE = 0.8  # of what the rule allows
 STALE = 4  # one part in so many of the idle time that broke a connection is what the next may have
 REST, MOST_REST = 250 * MS, 2 * SEC
-MOST_LIST_PAUSE = 1 * SEC  # until a list that is pushed is asked for again
+MOST_LIST_PAUSE, MOST_ASK_PAUSE = 500 * MS, 2 * SEC  # until a list is asked for again: pushed; else
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
 SPARE, NEARLY_ALL = 0.25, 0.8  # of a limit that any one may use, since it mostly stands idle; that is left
@@ -518,9 +518,8 @@
         me.list_failures = me.list_failures + 1 if news == "failed" else 0
         if me.list_failures:
             # Threats: discovery in trouble, so a growing pause; drains told meanwhile, so a short one first.
-            most = me.settings.get("must_ask_in", 10 * SEC)
-            if me.settings.get("list_mode") != "ask":
-                most = min(most, MOST_LIST_PAUSE)  # threat: a list that is pushed counts as told unasked
+            # What is pushed counts as told unasked, the rest 6 s after it was there, by any settings.
+            most = MOST_ASK_PAUSE if me.settings.get("list_mode") == "ask" else MOST_LIST_PAUSE
             pause = min(SEC // 8 << min(me.list_failures, 7), most)
             me.subscribe_at = self.now + pause // 2 + int(pause / 2 * self.chance(me.rank))
             self.wake_at(me.subscribe_at)
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -20,7 +20,7 @@
 
 OTHER_FILES = 20  # descriptors for everything but the connections bounded here: 16 are in use, a few to spare
 AGAIN = 0.25  # seconds until a ledger that could not be read is tried again
-REREAD, MOST_REREAD = 0.25, 8.0  # seconds until a configuration that could not be read is tried again
+REREAD, MOST_REREAD = 0.25, 2.0  # seconds until a configuration that could not be read is tried again
 CLIENT_SIZE = 2 * (protocol.MOST_BODY + protocol.MOST_HEAD)  # the most that a client's connection holds
 
 
@@ -198,22 +198,21 @@
         if self.door:
             self.door.listener.close()
 
-    def reload(self, read):
+    def reload(self, read, said=None):
         """Move to the address that the replaced file names; what else it may change waits for a restart.
 
-        `read` gives the configuration anew.  Threat: the disk fails for a moment, and the platform has
-        moved for good; a file that could not be read is tried again, one that is wrong is not."""
+        `read` gives the configuration anew; `said`: what was logged of the try before.  Threat: the file is
+        half written, or the disk fails for a moment, and the platform has moved for good; so it is tried
+        again, with one line for as long as the same is wrong."""
         self.rereads.cancel()
         try:
             discovery = read().discovery
-        except OSError as error:
-            self.rereads = trio.CancelScope()
-            self.nursery.start_soon(self.reread, read, self.rereads)
-            return self.log("config", "cannot be read, tried again soon", why=described(error),
-                            **config.trouble(error).fields)
         except Exception as error:  # threat: a file half written or wrong must not end the program
-            return self.log("config", "cannot be read, the old one stays in force", why=described(error),
-                            **config.trouble(error).fields)
+            self.rereads = trio.CancelScope()
+            if said != (why := described(error)):
+                then = "tried again soon" if isinstance(error, OSError) else "the old one stays in force"
+                self.log("config", f"cannot be read, {then}", why=why, **config.trouble(error).fields)
+            return self.nursery.start_soon(self.reread, read, why, self.rereads)
         self.log("config", "read again", discovery="{}:{}".format(*discovery))
         if discovery != self.config.discovery:
             self.config.discovery = discovery
@@ -223,13 +222,13 @@
         for part in self.parts:
             part.reload()
 
-    async def reread(self, read, scope):
+    async def reread(self, read, said, scope):
         """Try a failed reload again: soon, then less and less often."""
         with scope:
             await trio.sleep(self.reread_after)
             self.reread_after = min(2 * self.reread_after, MOST_REREAD)
         if not scope.cancelled_caught:
-            self.reload(read)
+            self.reload(read, said)
 
     def enter(self, phase):
         """Tell the parts; those of a process that was replaced say nothing any more."""
