Restart: what it finds untried goes first, and ends only once its time is up

Cause, three rules of choice.py: within a destination the highest benefit goes first, so whatever is fresh passes them (`serve`); who has less time left than the forecast ends unsent (`Ttl.ends`); at nine in ten places the one worth least is thrown out (`shed`), and these are. Change: a notification that an earlier process took on and of which no endpoint saw a push yet (`unsent`) goes first, ends at its TTL alone, and is not shed. A push that ended moot or unreachable is none. The pace of the route stays: a call or two at once, then its share (test).

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -121,15 +121,14 @@
 
     def ends(self, ntf):
         """From when on it cannot arrive in time, or may not go again."""
-        least, settings = forecast(ntf.destination), self.me.settings
+        least, settings = 0 if ntf.unsent else forecast(ntf.destination), self.me.settings
         until = min(ntf.ttl_at - max(least, 2 * settings.get("tick", 0)), repeats_until(ntf))
         return until if ntf.pushes < settings.get("most_pushes", 1 << 30) else 0
 
     def back(self, push, ending, latency, wait, report):
-        ntf, now = push.ntf, self.at.now
-        ntf.out = None
-        if ending not in NEVER_RAN and ntf.may_have_run is None:
-            ntf.may_have_run = push
+        ntf, now, push.ntf.out = push.ntf, self.at.now, None
+        ntf.may_have_run = ntf.may_have_run or (None if ending in NEVER_RAN else push)
+        ntf.unsent &= ending in ("moot", "unreachable")  # nobody saw that push
         if ntf.over:
             return
         if self.ends(ntf) <= now:
@@ -548,10 +547,11 @@
     def destination(self, number):
         return self.me.destinations.setdefault(number, Destination(number))
 
-    def notification(self, ntf_id, topic, destination, ttl_at=0, key=0, pushes=0, ran_zone=0, ran_at=0):
+    def notification(self, ntf_id, topic, destination, ttl_at=0, key=0, pushes=0, ran_zone=0, ran_at=0,
+                     unsent=False):
         topic = (self.me.settings.get("topic_types", [])[topic:] or [{}])[0]
         dest = self.destination(destination)
-        ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes)
+        ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes, unsent)
         # Threat: a push from before a restart runs on, or has run, and nobody will ever tell.
         ntf.may_have_run = Push(ntf, 0, sent_at=ran_at, zone=ran_zone) if ran_at else None
         self.me.notifications[ntf_id] = ntf
@@ -636,7 +636,7 @@
             self.host.log(f"places run out: {held} held, throttling what is worth least")
         self.me.shedding = held > most or (self.me.shedding and held > most / 2)
         while len(self.me.notifications) > most and (
-                least := [n for d in waiting for n in d.waiting if harmless(n, self.now)]):
+                least := [n for d in waiting for n in d.waiting if harmless(n, self.now) and not n.unsent]):
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
     def reclaim(self, waiting):
@@ -663,7 +663,7 @@
         if all(e.down for e in dest.endpoints):  # a trial takes what affords the loss, fewest pushes first
             ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)))
         else:
-            ready.sort(key=lambda n: (-benefit(n, now + forecast(dest)), n.ttl_at))
+            ready.sort(key=lambda n: (not n.unsent, -benefit(n, now + forecast(dest)), n.ttl_at))
         for ntf in ready[:4]:
             push = Push(ntf, ntf.pushes)
             if all(stage.out(push) == PASS for stage in self.stages):
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -148,7 +148,8 @@
         present, self.at.me.settings = self.at.me.settings, self.terms_of(owed)
         try:
             self.at.notification(owed.id, self.named().get(owed.topic, len(self.topics)), owed.destination,
-                                 ttl_at=owed.ttl_at, pushes=owed.pushes, ran_zone=first[0], ran_at=first[1])
+                                 ttl_at=owed.ttl_at, pushes=owed.pushes, ran_zone=first[0], ran_at=first[1],
+                                 unsent=not owed.pushes)
         finally:
             self.at.me.settings = present
 
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -39,6 +39,7 @@
     ttl_at: int
     key: int = 0
     pushes: int = 0
+    unsent: bool = False  # taken on by an earlier process; no push of it was seen
     cut: int = 0
     out: Push | None = None
     not_before: int = 0
