Warming: after few bad outcomes too where a share is below one call; given-up calls tell of silence

Need: cold servers fall under the sum of what all dispatchers send; past their budget of N calls only 2 sqrt(N) + 2 are put down to chance. tests/test_ramp.py plays 20, 30 and 200 instances that share nothing against one endpoint that returns (hung, silent, refused, shut). Worst windows were taken apart by what each call was. Ruled out: the random part of a call at the start of warming (thirty halves of a call are not sent, a call goes at a whole one), the cycle of trials, the 80%: trials and warming calls stayed within N. With little traffic each dispatcher met one or two failures, and a return after fewer than three did not warm: what had gathered went at up to a quarter of the limit, from each. 103 to 141 of the calls in the worst windows of 200 instances. The three are now not asked for where the share of the budget is below one call in the time that the settings name. 2. Who fills its slots has calls given up after 0.5 s, before they are overdue at 2.5 s; a cancelled call told nothing, so it never learnt of a hung endpoint and went on in full at the return. Now such a call counts when nothing was delivered there since it was sent; a cancelled one else still proves nothing.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -257,11 +257,11 @@
         endpoint.tokens, endpoint.filled_at = min(1.0, endpoint.tokens + gained), now
         return endpoint.tokens >= 1.0
 
-    def unlikely(self, surely=False):
+    def unlikely(self, surely=False, least=LEAST_RUN):
         """The run of bad outcomes that this instance's own share of them no longer explains.
 
         Threat: a path of ours that loses calls everywhere makes sound endpoints look down or back."""
-        return max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(0.01, self.me.loss * (not surely)), 0.5))))
+        return max(least, ceil(log(CHANCE_RUN) / log(min(max(0.01, self.me.loss * (not surely)), 0.5))))
 
     def back(self, push, ending, latency, wait, report):
         endpoint, now = push.endpoint, self.at.now
@@ -281,7 +281,7 @@
             # Threat: what stands between drops idle connections unseen, and the next call on one breaks.
             # The endpoint may be sound or have crashed: the next call goes over a new connection and tells.
             endpoint.excused = push.call.idle
-        elif ending != "cancelled":
+        elif ending != "cancelled" or (push.cancelled and endpoint.good_at < push.sent_at):  # lost at silence
             self.strike(endpoint, ending, push.sent_at)
         push.call.judged = True
 
@@ -292,7 +292,9 @@
                 self.at.host.log(f"connections idle for {idle // MS} ms break: new ones from now on")
             self.me.stale_after = max(SILENCE, min(self.me.stale_after or idle, idle) // STALE)
             endpoint.excused, self.me.stale_seen = 0, now
-        outage = endpoint.down or endpoint.run >= self.unlikely()
+        # Threat: among many, each meets too few failures to tell an outage, and all return as one.
+        seldom = self.budget(endpoint, 0) * self.me.settings.get("fall_within", 1 << 62) < SEC
+        outage = endpoint.down or endpoint.run >= self.unlikely(least=1 if seldom else LEAST_RUN)
         if told or outage and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at, endpoint.filled_at, gone = now, now, (now - endpoint.bad_since) // MS
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
