Tenants: what is beyond a tenant's share counts for what the settings say

Cause: in_our_words dropped tenants and over_share_worth, Drill.incoming dropped the tenant, benefit() knew of none. Change: a notification beyond this dispatcher's even part of its tenant's share (10 s of it at once) counts for over_share of its benefit, in ranking and in shed.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -24,7 +24,7 @@
 SHORT_OUTAGE, SHUT_AFTER = 1500 * MS, 2500 * MS  # no cold return before; only throttled for so long
 DOUBT_GROWTH = 10  # for each bad outcome in a row: the pause until the next push there
 SILENCE = 500 * MS  # a push that fails later than this met silence
-USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual deliveries at a destination are counted
+USUAL_SPAN, SHARE_SPAN = 30 * SEC, 10 * SEC  # over which usual deliveries are counted; a tenant's share
 RAMP_SHARE = 0.8  # of what the rule allows
 STALE = 4  # one part in so many of the idle time that broke a connection is what the next may have
 REST, MOST_REST = 250 * MS, 2 * SEC
@@ -68,8 +68,8 @@
 # ---- what a notification is worth, and what may still be done with it
 
 def benefit(ntf, at):
-    topic = ntf.topic
-    whole, objective, ttl = topic.get("benefit", 1), topic.get("objective", 0), topic.get("ttl", 0)
+    topic, whole = ntf.topic, ntf.topic.get("benefit", 1) * ntf.counts
+    objective, ttl = topic.get("objective", 0), topic.get("ttl", 0)
     late, least = max(0, at - (ntf.ttl_at - ttl) - objective), topic.get("late_share", 0)
     if topic.get("fades") == "halves":
         return whole * max(least, 0.5 ** (late / max(objective, 1)))
@@ -548,12 +548,18 @@
     def destination(self, number):
         return self.me.destinations.setdefault(number, Destination(number))
 
-    def notification(self, ntf_id, topic, destination, ttl_at=0, key=0, pushes=0, ran_zone=0, ran_at=0):
+    def notification(self, ntf_id, topic, destination, ttl_at=0, key=0, pushes=0, ran_zone=0, ran_at=0,
+                     tenant=""):
         topic = (self.me.settings.get("topic_types", [])[topic:] or [{}])[0]
         dest = self.destination(destination)
         ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes)
         # Threat: a push from before a restart runs on, or has run, and nobody will ever tell.
         ntf.may_have_run = Push(ntf, 0, sent_at=ran_at, zone=ran_zone) if ran_at else None
+        # Threat: a tenant's rush, worth little beyond its share, displaces what others may have of theirs.
+        if share := self.me.settings.get("tenants", {}).get(tenant):
+            due = max(self.me.tenants.get(tenant, 0), self.now - SHARE_SPAN)  # our even part, in bursts
+            ntf.counts = self.me.settings.get("over_share", 1.0) if due > self.now else 1.0
+            self.me.tenants[tenant] = due + (due <= self.now) * int(SEC * self.me.dispatchers / share)
         self.me.notifications[ntf_id] = ntf
         if key and topic.get("ordered"):
             self.me.keys.setdefault(key, []).append(ntf)
@@ -660,16 +666,13 @@
         first = Push(min(ready, key=lambda n: n.pushes), 0) if ready else None
         if not ready or any(stage.out(first) != PASS for stage in self.stages[2:6]):
             return False
-        if all(e.down for e in dest.endpoints):  # a trial takes what affords the loss, fewest pushes first
-            ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)))
-        else:
-            ready.sort(key=lambda n: (-benefit(n, now + forecast(dest)), n.ttl_at))
-        for ntf in ready[:4]:
-            push = Push(ntf, ntf.pushes)
-            if all(stage.out(push) == PASS for stage in self.stages):
-                self.send(push, ready)
-                return True
-        return False
+        trial = all(e.down for e in dest.endpoints)  # takes what affords the loss, fewest pushes first
+        ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)) if trial
+                   else (-benefit(n, now + forecast(dest)), n.ttl_at))
+        pushes = (Push(ntf, ntf.pushes) for ntf in ready[:4])
+        if push := next((p for p in pushes if all(stage.out(p) == PASS for stage in self.stages)), None):
+            self.send(push, ready)
+        return push is not None
 
     def most_in_call(self, endpoint):
         sizes = self.me.settings.get("batch_by_kind", [])
--- a/juniperlanding/drill/host.py
+++ b/juniperlanding/drill/host.py
@@ -127,7 +127,9 @@
         dispatcher.withdrawn(ntf)
 
     def incoming(self, dispatcher, ntf, grade, tenant, key, ttl_at, work, destination, bits):
-        dispatcher.notification(ntf, grade, int(destination), ttl_at=ttl_at, key=key)
+        names = [*dispatcher.me.settings.get("tenants", {})]
+        dispatcher.notification(ntf, grade, int(destination), ttl_at=ttl_at, key=key,
+                                tenant=names[tenant] if tenant < len(names) else "")
 
     @staticmethod
     def outcome(code):
--- a/juniperlanding/settings.py
+++ b/juniperlanding/settings.py
@@ -3,6 +3,7 @@
 NAMES = {
     "rank": "rank", "n_instances": "dispatchers", "tick_ns": "tick", "registry_mode": "list_mode",
     "weight_kind": "scale_kind",
+    "over_share_worth": "over_share",
     "family_info.workers": "slots", "family_info.batch_by_kind": "batch_by_kind",
     "family_info.routes_apart": "routes_apart",
     "permissions.most_held": "most_held", "permissions.max_attempts": "most_pushes",
@@ -32,6 +33,10 @@
             value = value.get(part) if isinstance(value, dict) else None
         if value is not None:
             settings[name] = value
+    # How many a second of each tenant's count in full, over all dispatchers.
+    shares = {entry.get("name"): entry.get("allowance_per_s") for entry in wire.get("tenants") or []}
+    if shares:
+        settings["tenants"] = shares
     fades = (wire.get("family_info") or {}).get("fades")
     topics = settings["topic_types"] = []
     for entry in wire.get("request_classes") or []:
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -43,6 +43,7 @@
     out: Push | None = None
     not_before: int = 0
     may_have_run: Push | None = None
+    counts: float = 1.0
     over: bool = False
 
 
@@ -127,6 +128,7 @@
     scarce: set = field(default_factory=set)
     keys: dict = field(default_factory=dict)
     key_rest: dict = field(default_factory=dict)
+    tenants: dict = field(default_factory=dict)
     wakes: set = field(default_factory=set)
     list_failures: int = 0
     subscribe_at: int = 0
