Keys in order on sockets: the query's key is read, kept in the ledger; X-Customer names the tenant

Clients.answer cut the query off, Owner.hand_in gave the module no key, so that Order had nothing to keep.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -172,15 +172,16 @@
             return await self.respond(line, 404)
         if request.method != b"POST":
             return await self.respond(line, 405)
-        return await self.hand_in(line, dict(request.headers), body)
+        return await self.hand_in(line, dict(request.headers), body, request.target)
 
-    async def hand_in(self, line, headers, body):
+    async def hand_in(self, line, headers, body, target=b""):
         self.counters["handed_in"] += 1
         try:
             ntf_id, topic = protocol.name(headers[protocol.ID]), headers[protocol.TOPIC].decode("latin-1")
             ttl_at = self.now() + protocol.left(headers[protocol.TTL])
             destination = protocol.destination(headers[protocol.WHERE])
             key = protocol.name(headers[protocol.KEY]) if protocol.KEY in headers else ""
+            keys = protocol.turn(target), headers.get(protocol.TENANT, b"").decode("latin-1")
         except (KeyError, ValueError):
             return await self.respond(line, 400)
         if topic not in self.owner.topics:
@@ -189,7 +190,7 @@
         # Threat: we stood still, and the client has left and hands it in elsewhere.
         unfit = not self.owner.ready or self.owner.stuck or line.waiting() == b""
         if unfit or not self.owner.tell_now(self.owner.hand_in, topic, destination, ttl_at, key, body,
-                                            answer):
+                                            answer, *keys):
             self.counters.ended(topic, DECLINED)
             return await self.respond(line, 503)
         await answer.ready.wait()
--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -4,6 +4,7 @@
 are safe from then on, whatever happens to the process.
 
     t id topic destination ttl_at idempotency-key body   taken on; under a policy, its number follows
+    k id key                                             it keeps its order after that key
     p id number zone sent_at                             a push whose bytes may leave from now on
     n id number                                          that push is known never to have run
     o id outcome retry_ms                                over but for its notice
@@ -62,11 +63,14 @@
     notice: tuple = ()
     size: int = 0
     under: int = 0  # the policy's number when it was taken on
+    turn: str = ""  # the key after which it keeps its order
 
     def records(self):
         body = b64encode(self.body).decode()
         under = [self.under] if self.under else []
         yield ["t", self.id, self.topic, self.destination, self.ttl_at, self.key, body, *under]
+        if self.turn:
+            yield ["k", self.id, self.turn]
         if self.pushes:
             for number in [*self.ran, *({self.pushes - 1} - set(self.ran))]:
                 yield ["p", self.id, number, *self.ran.get(number, (0, 0))]
@@ -134,6 +138,8 @@
         if kind == "p":
             owed.pushes = max(owed.pushes, rest[0] + 1)
             owed.ran[rest[0]] = tuple(rest[1:])
+        elif kind == "k":
+            owed.turn = rest[0]
         elif kind == "n":
             owed.ran.pop(rest[0], None)
         elif kind == "o":
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -148,7 +148,8 @@
         present, self.at.me.settings = self.at.me.settings, self.terms_of(owed)
         try:
             self.at.notification(owed.id, self.named().get(owed.topic, len(self.topics)), owed.destination,
-                                 ttl_at=owed.ttl_at, pushes=owed.pushes, ran_zone=first[0], ran_at=first[1])
+                                 ttl_at=owed.ttl_at, key=owed.turn, pushes=owed.pushes,
+                                 ran_zone=first[0], ran_at=first[1])
         finally:
             self.at.me.settings = present
 
@@ -314,7 +315,7 @@
         for gone in self.entries.keys() - self.at.me.endpoints.keys():
             del self.endpoints.book[gone], self.entries[gone]
 
-    def hand_in(self, topic, destination, ttl_at, key, body, answer):
+    def hand_in(self, topic, destination, ttl_at, key, body, answer, turn="", tenant=""):
         ntf_id = answer.ntf_id
         self.answers.append(answer)
         if ntf_id in self.taken or ntf_id in self.ledger.owed:
@@ -333,9 +334,12 @@
             self.counters["turned_away_full"] += 1
             return self.counters.ended(topic, DECLINED)
         self.ledger.take(ntf_id, topic, destination, ttl_at, key, body, under=self.in_force)
+        if turn:
+            self.ledger.write("k", ntf_id, turn)
         self.held[ntf_id] = answer
         try:
-            self.at.notification(ntf_id, self.topics[topic], destination, ttl_at=ttl_at)
+            self.at.notification(ntf_id, self.topics[topic], destination, ttl_at=ttl_at, key=turn,
+                                 tenant=tenant)
         except Exception:  # threat: the client hears yes, and the module has nothing of it
             self.end(ntf_id)
             raise
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -17,7 +17,8 @@
 NOTICES, LIST = "/reports", "/catalog/members"
 
 ID, TOPIC, TTL, KEY, WHERE = b"x-trace-id", b"x-qos", b"x-expires-in-ms", b"idempotency-key", b"x-addressing"
-ONCE = {ID, TOPIC, TTL, KEY, WHERE, b"content-length", b"transfer-encoding"}
+TENANT, TURN = b"x-customer", b"key="  # whose it is; in the target's query, by which it keeps its order
+ONCE = {ID, TOPIC, TTL, KEY, WHERE, TENANT, b"content-length", b"transfer-encoding"}
 POLICY = "x-policy-number"
 RETRY, REPORT, NO_SLOT = b"retry-after", b"endpoint-load-metrics", b"x-over-slots"
 
@@ -38,6 +39,17 @@
     raise ValueError("no destination")
 
 
+def turn(target):
+    """The key of `/api?key=1f`, after which a notification keeps its order; "" where there is none.
+
+    Threat: two keys, of which either may be meant."""
+    parts = target.partition(b"?")[2].split(b"&")
+    found = [part.removeprefix(TURN) for part in parts if part.startswith(TURN)]
+    if len(found) > 1:
+        raise ValueError("two keys")
+    return name(found[0]) if found else ""
+
+
 def left(value):
     """A client's TTL in nanoseconds."""
     return number(value) * MS
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -1,14 +1,107 @@
 """What other customers' settings ask: topic types that keep their order, and tenants with shares."""
 
-from conftest import Bed
+import pytest
+from conftest import WIRE, Bed
+from test_net import handed
 
 from juniperlanding.choice import SEC
 from juniperlanding.drill.host import Drill
 from juniperlanding.settings import in_our_words
+from juniperlanding.standins.peers import http
 
+STEP = {"name": "step", "effect": "safe", "fifo_by_key": True, "aim_ns": 2 * SEC, "deadline_ns": 20 * SEC,
+        "worth": 1}
 SHARES = {"tenants": {"a": 0.2, "b": 0.2}, "over_share": 0.05}  # two at once and one each 10 s, at one of two
 
 
+async def keyed(site, number, query="", *more):
+    text = handed(f"X-Trace-Id: {number}", "X-Qos: step", "X-Expires-In-Ms: 20000", *more)
+    return (await site.ask(text.replace(b"/api ", b"/api" + query.encode() + b" ", 1)))[0]
+
+
+def sent(site):
+    return [headers["x-trace-id"] for _, headers, _ in site.far.got if "x-trace-id" in headers]
+
+
+def ordered(site, answer="late"):
+    site.wire = WIRE | {"request_classes": [STEP]}
+    return lambda first, headers, body: answer if headers.get("x-trace-id") == "a1" else http(200)
+
+
+def test_what_carries_one_key_goes_in_turn(site):
+    """`c1` comes after `a2` and goes before it: the round that could have sent `a2` is over."""
+    async def scene(site):
+        node = await site.start()
+        for number, query in ("a1", "?key=1f"), ("a2", "?key=1f"), ("c1", "?key=20"), ("d1", ""):
+            assert await keyed(site, number, query) == 202
+        await site.until(lambda: {"c1", "d1"} <= set(sent(site)))
+        assert "a2" not in sent(site)
+        site.far.go.set()
+        await site.until(lambda: not node.ledger.owed)
+        assert sent(site)[-1] == "a2"
+    answer = ordered(site)
+    site.run(scene, answer)
+
+
+def test_what_carries_one_key_goes_in_turn_after_a_kill_too(site):
+    async def scene(site):
+        await site.start()
+        for number in "a1", "a2":
+            assert await keyed(site, number, "?key=1f") == 202
+        await site.until(lambda: sent(site) == ["a1"])
+        site.kill()
+        site.far.answer = ordered(site, "late")
+        node = await site.start()
+        await site.until(lambda: sent(site) == ["a1", "a1"])
+        assert await keyed(site, "c1", "?key=20") == 202
+        await site.until(lambda: "c1" in sent(site))
+        assert "a2" not in sent(site)
+        site.far.go.set()
+        await site.until(lambda: not node.ledger.owed)
+        assert sent(site) == ["a1", "a1", "c1", "a2"]
+    answer = ordered(site, None)
+    site.run(scene, answer)
+
+
+@pytest.mark.parametrize("query, status", [
+    ("?key=1&key=2", 400), ("?key=", 400), ("?key=" + "a" * 300, 400), ("?other=1", 202), ("?", 202),
+    ("?other=1&key=2", 202)])
+def test_a_key_that_may_mean_two_things_is_refused(site, query, status):
+    async def scene(site):
+        await site.start()
+        assert await keyed(site, "b1", query) == status
+    answer = ordered(site)
+    site.run(scene, answer)
+
+
+def test_two_tenants_of_one_request_are_refused(site):
+    async def scene(site):
+        await site.start()
+        assert await keyed(site, "b1", "", "X-Customer: a", "x-customer: b") == 400
+    answer = ordered(site)
+    site.run(scene, answer)
+
+
+def test_what_is_inside_its_tenant_s_share_goes_first(site):
+    """With one slot: `a1` holds it while the others come, of which `a2` is beyond the share of its tenant."""
+    site.wire = WIRE | {
+        "tenants": [{"name": name, "allowance_per_s": 0.01} for name in "ab"], "over_share_worth": 0.05,
+        "family_info": WIRE["family_info"] | {"workers": 1}, "request_classes": [STEP]}
+
+    async def scene(site):
+        node = await site.start()
+        assert await keyed(site, "a1", "", "X-Customer: a") == 202
+        await site.until(lambda: sent(site))
+        for number, tenant in ("a2", "a"), ("b1", "b"):
+            assert await keyed(site, number, "", f"X-Customer: {tenant}") == 202
+        assert sent(site) == ["a1"]
+        site.far.go.set()
+        await site.until(lambda: not node.ledger.owed)
+        assert sent(site) == ["a1", "b1", "a2"]
+
+    site.run(scene, lambda *message: "late")
+
+
 def test_when_places_run_out_what_is_beyond_a_share_goes_first():
     bed = Bed(slots=0, most_held=10, **SHARES)
     for number, tenant in enumerate("aaaabbbbbb"):
