Hand-over: the list is asked for only once the first round knows what went over

Cause: the new process's watch was begun beside its owner's first round. Change: the watch is begun by an event behind the one that takes the offer over. tests/test_endings.py holds the first round until all else could run: fails on the text before, passes now.

--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -114,7 +114,8 @@
         if self.stops_at:  # threat: asked to stop while a hand-over came to nothing
             await owner.tell(owner.at.stopping, self.stops_at)
         if told.settings.get("list_mode") != "ask":
-            owner.discovery.subscribe(True)
+            # Threat: it asks before the first round has told it what the process before us had heard.
+            await owner.tell(owner.discovery.subscribe, True)
         self.succession.open(self.nursery, self.freeze)
         self.log("start", listening="{}:{}".format(*listener.address), endpoints=len(known),
                  owed=len(self.ledger.owed), torn_records=self.ledger.skipped)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,7 +3,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tomllib
@@ -11,7 +10,7 @@
 from pathlib import Path
 
 import trio
-from test_upgrade import first, node, replace
+from test_upgrade import first, node, replace, start
 
 from juniperlanding.choice import SEC
 from juniperlanding.ground.lock import Lock
@@ -110,12 +109,30 @@
         site.config()
         old.reload(site.reread)
         await site.until(lambda: len(asked) == 2)
-        await replace(site)
+        await late_first_round(site, lambda: len(asked) == 3)
         await site.until(lambda: len(asked) == 3)
         assert asked[1:] == [protocol.LIST] * 2
     site.run(scene)
 
 
+async def late_first_round(site, unless):
+    """A replacement whose owner has its first round only once all else could run, or `unless` holds."""
+    told = site.config()
+
+    def make(offer=None):
+        made = node(site, told, offer)
+        gather = made.owner.gather
+
+        async def late():
+            made.owner.gather = gather
+            with trio.move_on_after(0.2):
+                await site.until(unless)
+            return await gather()
+        made.owner.gather = late
+        return made
+    return await start(site, await succession.begin(make, told, site.world))
+
+
 def test_what_an_earlier_process_read_of_a_request_outlives_a_freeze_before_it_is_looked_at(site):
     async def scene(site):
         await first(site)
@@ -201,8 +218,8 @@
 async def begun(site):
     """The program as the deploy file runs it, from the moment in which its interpreter begins."""
     site.config()
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        site.address = free.getsockname()
+    # An address that no other test takes meanwhile: this process's own, and a port that is never given out.
+    site.address = f"127.{os.getpid() // 200 % 200 + 1}.{os.getpid() % 200 + 1}.1", 20_000
     environ = dict(os.environ, EDGE_CONFIG=str(site.folder / "config.json"),
                    EDGE_STATE=str(site.folder / "state"), EDGE_LISTEN="{}:{}".format(*site.address))
     run = RUN.replace(".venv/bin/python", sys.executable)
