Clients: a request that comes as its connection is given up is answered, none after our end is

Need: a wait for a request was cancelled (a place wanted by another, 2.5 s over, a drain) and the connection closed at once, with no look at what had come: a close over unread bytes, a reset, a request lost. Known as up to 10 of about 1,020 unanswered in the last 0.4 s of a drain.

Change: bytes that are there as we turn away are read and answered, with `Connection: close`; half a request gets 20 ms more as its place is wanted, 0.1 s in a drain, as does a connection just made, and 503 if its rest comes only as that time ends. Else our sending is ended, what comes is read for the time and bytes of any last answer and thrown away, never sent on, and only then closed. Who is so turned away holds no place that a new connection waits for.

Seen to fail on the text before: each case of a_request_that_comes_as (silent, evicted and drained), half_a_request (both) and the_rest_that_comes. what_comes_after_our_end and those_turned_away pass before too for what the client sees; the second fails with the linger alone, without the places given back.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -11,7 +11,11 @@
 from juniperlanding.net.line import GONE, Line
 from juniperlanding.net.owner import Answer
 
+TURNED_AWAY = ("closed_by_us", "silent")  # ends of connections on which no answer is owed
 ROOM = 8  # connections over the limit; they make others give way, and are closed after their answer
+# Seconds in which a request that has begun still gets whole as its connection gives way to another one, and
+# in which a new connection's request, or the rest of one, still comes as the process ends.
+REST_WITHIN, LAST_REST_WITHIN = 0.02, 0.1
 
 
 class Clients:
@@ -19,6 +23,7 @@
         self.now = clock.now
         self.owner, self.counters, self.log, self.most_open = owner, counters, log, most_open
         self.open, self.waiting, self.draining = 0, {}, False  # waiting: the scope of each wait for a request
+        self.turned_away, self.closing = {}, False  # turned away: the scope in which it is still listened to
         self.places = trio.Semaphore(most_open + ROOM)
         # Once frozen, whoever is between answers is carried over to the process that takes over.
         self.frozen, self.carried, self.leaving, self.accepting = False, [], set(), trio.CancelScope()
@@ -53,6 +58,8 @@
     async def accept(self, listener, nursery):
         said = None
         while True:
+            if not self.places.value and self.turned_away:
+                next(iter(self.turned_away.values())).cancel()  # it is owed nothing, and the next one waits
             # Threat: a connection that is accepted and then closed unanswered loses its request.
             await self.places.acquire()
             try:
@@ -68,22 +75,44 @@
                 await trio.sleep(0.05)  # threat: out of descriptors, which passes
                 continue
             self.open += 1
-            if self.open > self.most_open:
+            if self.crowded():
                 self.shed()
             nursery.start_soon(self.attend, Line(sock, h11.SERVER), peer)
 
+    def crowded(self):
+        return self.open - len(self.turned_away) > self.most_open
+
     def shed(self):
         """Threats: clients keep connections that they do not use, or never finish what they ask.
 
         Of those that owe us a request, the one that has done so longest goes."""
         if self.waiting:
-            self.waiting.pop(next(iter(self.waiting))).cancel()
+            self.give_way(next(iter(self.waiting)), REST_WITHIN)
+
+    def give_way(self, line, rest_within):
+        """No request is waited for any more.  Threat: one that has begun would be cut off unanswered."""
+        scope, now = self.waiting.pop(line), trio.current_time()
+        if line.raw:
+            scope.deadline = min(scope.deadline, now + rest_within)
+        elif not self.draining or line.came_at + rest_within <= now:
+            scope.cancel()
+        else:
+            scope.deadline = min(scope.deadline, line.came_at + rest_within)
 
     def drain(self):
-        """No connection is kept after its next answer; those between requests close now."""
+        """No connection is kept after its next answer; those between requests are ended now."""
         self.draining = True
-        while self.waiting:
-            self.shed()
+        for line in list(self.waiting):
+            self.give_way(line, LAST_REST_WITHIN)
+
+    def refuse(self):
+        """The last moments: who comes now is not taken on any more, and told so."""
+        self.closing = True
+        self.accepting.cancel()
+
+    def busy(self):
+        """How many are between their request and their answer."""
+        return self.open - len(self.waiting) - len(self.leaving) - len(self.carried)
 
     async def attend(self, line, peer, within=protocol.REQUEST_WITHIN):
         reason, served, line.until = "closed", 0, trio.current_time() + within
@@ -92,6 +121,10 @@
                 reason = "carried" if self.frozen else await self.one(line, line.until)
                 if reason == "closed":  # between requests a client may wait
                     served, line.until = served + 1, float("inf")
+            if reason in TURNED_AWAY:
+                with trio.CancelScope() as self.turned_away[line]:
+                    self.leaving.add(line)
+                    await line.finish()
         except GONE as error:
             reason = type(error).__name__
         except Exception as error:  # threat: one odd client must not end the program
@@ -101,25 +134,44 @@
             if reason == "carried":
                 self.carried.append(line)
             else:
+                self.turned_away.pop(line, None)
                 self.leaving.discard(line)
                 self.open -= 1
                 self.places.release()
                 line.close()
                 self.log("conn", client=f"{peer[0]}:{peer[1]}", end=reason, requests=served)
 
+    async def begin(self, line, until):
+        """Wait for the first bytes of a request; the reason why none will be read, or None.
+
+        Threat: they come in the very moment in which we give up; then they are read."""
+        came = False
+        with trio.CancelScope(deadline=until) as scope:
+            self.waiting[line], line.until = scope, until
+            try:
+                came = await line.begin()
+            finally:
+                gave_way = self.waiting.pop(line, None) is None
+        if scope.cancelled_caught:
+            if self.frozen:
+                return "carried"
+            if not line.waiting():
+                return "closed_by_us" if gave_way else "silent"
+            came = await line.begin()
+        # Threat: half a request, or a byte now and then, and its error is due.
+        within = LAST_REST_WITHIN if gave_way else protocol.REQUEST_WITHIN
+        line.until = min(max(until, trio.current_time() + LAST_REST_WITHIN), trio.current_time() + within)
+        return None if came else "ended"
+
     async def one(self, line, until):
         """Read one request and answer it; the reason to end the connection, or 'closed' to go on."""
-        status, reason, request, body, begun = 408, "slow", None, None, False
+        status, reason, request, body = 408, "slow", None, None
+        if why := await self.begin(line, until):
+            return why
         try:
-            with trio.CancelScope(deadline=until) as scope:
-                self.waiting[line], line.until = scope, until
+            with trio.CancelScope(deadline=line.until) as scope:
+                self.waiting[line] = scope  # the last in turn: it has done nothing for the least time
                 try:
-                    if not (begun := await line.begin()):
-                        return "ended"
-                    # Threat: half a request, or a byte now and then, and its error is due.
-                    line.until = scope.deadline = min(until, trio.current_time() + protocol.REQUEST_WITHIN)
-                    if line in self.waiting:
-                        self.waiting[line] = self.waiting.pop(line)  # it has done nothing for the least time
                     request = await line.event()
                     if isinstance(request, h11.ConnectionClosed):
                         return "ended"
@@ -134,8 +186,11 @@
             status, reason = error.error_status_hint, "malformed"
         if scope.cancelled_caught and self.frozen:
             return "carried"
-        if scope.cancelled_caught and (gave_way or not begun):
-            return "closed_by_us" if gave_way else "silent"
+        if scope.cancelled_caught and gave_way:
+            if not line.waiting():
+                return "closed_by_us"
+            # Threat: the rest is there by now, and a close over it would look as if we had it.
+            return await self.respond(line, 503, reason="too_late")
         if body is None or reason == "malformed":
             return await self.respond(line, status, reason=reason)
         if protocol.ambiguous(request.headers) or line.more():
@@ -144,7 +199,7 @@
         return await self.answer(line, request, body)
 
     async def respond(self, line, status, headers=(), payload=b"", reason="closed"):
-        last = reason != "closed" or self.draining or self.open > self.most_open
+        last = reason != "closed" or self.draining or self.crowded()
         headers = [*headers, ("Content-Length", str(len(payload)))]
         self.counters[f"answers_{status}"] += 1
         with trio.move_on_after(protocol.REQUEST_WITHIN) as scope:
@@ -187,7 +242,7 @@
             return await self.respond(line, 400)
         answer = Answer(ntf_id)
         # Threat: we stood still, and the client has left and hands it in elsewhere.
-        unfit = not self.owner.ready or self.owner.stuck or line.waiting() == b""
+        unfit = not self.owner.ready or self.owner.stuck or self.closing or line.waiting() == b""
         if unfit or not self.owner.tell_now(self.owner.hand_in, topic, destination, ttl_at, key, body,
                                             answer):
             self.counters.ended(topic, DECLINED)
