End of the process: the last answers leave, and what was heard in the last moments counts

Need: a clean end cancelled all tasks at once. A yes that was in the ledger and whose task had not had its turn ended in a closed connection; an outcome that was told but stood in the owner's queue, or in the hand of its task (trio gives a waiting receiver the value at once, so that no queue shows it), was dropped, as was a 200 that lay unread: a once-only push that was delivered was given up after the restart, a repeatable one ran twice.

Change: 0.1 s before its end a draining process accepts nobody and takes nothing on (503), the answers under way leave, the owner takes a last round and parks; what comes after that round is in the queue and is taken by `hear_out` before the ledger is closed, with each first line of 200 to a call of one that was read or lies unread. A hand-over is not begun any more in that time.

Seen to fail on the text before: a_yes_that_is_written_down, who_comes_in_the_last_moments, an_outcome_that_no_round, an_answer_that_lies_unread (nothing, half a line, half a head read). Held before as well, and seen to fail on a line broken for it: a push that is out at a kill, a kill between ledger and yes, a notice that is due at the end.

test_after_sigterm_each_request_on_an_open_connection_is_answered now allows no request without an answer; it allowed one in twenty.

--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -19,6 +19,7 @@
 from juniperlanding.net.succession import Offer, Succession
 
 OTHER_FILES = 20  # descriptors for everything but the connections bounded here: 16 are in use, a few to spare
+LAST_WORDS = 0.1  # seconds at the end in which nothing is taken on and the last answers leave
 AGAIN = 0.25  # seconds until a ledger that could not be read is tried again
 REREAD, MOST_REREAD = 0.25, 8.0  # seconds until a configuration that could not be read is tried again
 CLIENT_SIZE = 2 * (protocol.MOST_BODY + protocol.MOST_HEAD)  # the most that a client's connection holds
@@ -133,7 +134,8 @@
         return made
 
     async def freeze(self, within):
-        await self.owner.tell(self.owner.freeze, within)
+        if not self.clients.closing:  # threat: the process ends before it has handed anything over
+            await self.owner.tell(self.owner.freeze, within)
 
     async def stand_by(self):
         """Threat: the process that took over ends early; what it took on is in the folder."""
@@ -245,7 +247,7 @@
         self.enter("draining")
         self.log("stop", "draining", held=len(self.owner.held))
         until = protocol.KILL_AFTER - protocol.PATIENCE / 4
-        with trio.move_on_after(until):
+        with trio.move_on_after(until - LAST_WORDS):
             if not self.replaced:
                 self.stops_at = self.world.clock.now() + int(until * SEC)
                 await self.owner.tell(self.owner.at.stopping, self.stops_at)
@@ -254,10 +256,21 @@
                 if trio.current_time() > begun + protocol.KILL_AFTER - protocol.PATIENCE:
                     self.clients.drain()
                 await trio.sleep(0.02)
+        # Threats: a yes is in the ledger and its client's connection ends before it has left; what ended just
+        # now was told, and nobody writes it down.
+        self.clients.refuse()
+        with trio.move_on_after(LAST_WORDS):
+            while not self.replaced and self.clients.busy():
+                await trio.sleep(0.005)
+            if not self.replaced:
+                await self.owner.tell(self.owner.park)
+                await self.owner.parked.wait()
 
     def close(self):
         """The end; whether all that is owed could be written down."""
         self.enter("leaving")
+        if not self.replaced and not self.owner.frozen:
+            self.owner.hear_out()
         try:
             self.ledger.close()
         except OSError as error:
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -4,6 +4,7 @@
 answers clients and posts notices; nothing in a round waits for anybody."""
 
 import heapq
+from contextlib import suppress
 
 import trio
 
@@ -43,7 +44,7 @@
         self.calls, self.cancels, self.answers, self.notices_due = {}, [], [], []
         self.queue, self.inbox = trio.open_memory_channel(ROUND * 4)
         self.endpoints = self.notices = self.discovery = self.clients = None
-        self.ready, self.frozen = False, False
+        self.ready, self.frozen, self.parked = False, False, trio.Event()
         self.watch = None  # a part that counts what is handed in and answered
         self.stuck, self.write_at = False, 0  # the ledger cannot be written; when it is tried again
         self.stuck_at, self.said = 0, None
@@ -166,6 +167,12 @@
                 self.guarded(self.at.turn, not self.stuck)
             self.write()
             self.carry_out()
+            if self.parked.is_set():
+                await trio.sleep_forever()  # `hear_out` takes what still comes
+
+    def park(self):
+        """Take no round after this one.  Threat: an event in the hand of a task that is ended is lost."""
+        self.parked.set()
 
     def settled(self):
         if self.ledger.pending:
@@ -287,6 +294,23 @@
         for asked in (self.answers, self.calls, self.cancels):
             asked.clear()
 
+    def hear_out(self):
+        """The process ends: what was told or has come and no round has taken still counts.
+
+        Threat: what was answered with 200 is given up after the restart, or runs once more."""
+        self.at.now = now = self.now()
+        with suppress(trio.WouldBlock):
+            while True:
+                what, fields = self.inbox.receive_nowait()
+                if what != self.hand_in:  # its client is told no more, so nothing is owed
+                    self.guarded(what, *fields)
+        for call in set(self.endpoints.out.values()):
+            if call.written and call.line and len(call.sends) == 1:
+                if protocol.says_delivered(call.line.arrived()):
+                    one = call.sends[0]
+                    ended = [(one.id, one.number, "delivered", now - call.began_at, 0, True, None)]
+                    self.guarded(self.finished, call.endpoint, ended, now)
+
     def may_be_posted(self):
         """Threat: a notice goes out unwritten, we are killed, and what was handed back runs again.  Past its
         TTL it cannot."""
--- a/tests/test_endings_drain.py
+++ b/tests/test_endings_drain.py
@@ -4,12 +4,13 @@
 
 import pytest
 import trio
-from test_net import handed
+from test_net import handed, owed
 
 from juniperlanding.net import clients as ends
+from juniperlanding.net import protocol
 from juniperlanding.net.clients import Clients
 from juniperlanding.net.line import Line
-from juniperlanding.standins.peers import read_message
+from juniperlanding.standins.peers import http, read_message
 
 SHORT = 0.2  # seconds that a new client gets where the test waits for their end
 
@@ -135,3 +136,158 @@
             assert await site.hand_in("a1") == 202
         assert node.clients.open <= 16
     site.run(scene)
+
+
+# ---- the end of the process
+
+async def stop(site):
+    """As `serve` does it."""
+    await site.node.drain()
+    well = site.node.close()
+    site.scope.cancel()
+    return well
+
+
+def test_a_yes_that_is_written_down_leaves_before_the_process_ends(site, monkeypatch):
+    monkeypatch.setattr(protocol, "KILL_AFTER", 0.6)
+    whole = Clients.respond
+
+    async def respond(clients, line, status, *more, **named):
+        if status == 202:  # the round has written it, and its task gets its turn only now
+            await site.until(lambda: clients.accepting.cancel_called)
+        return await whole(clients, line, status, *more, **named)
+    monkeypatch.setattr(Clients, "respond", respond)
+
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        await stream.send_all(handed("X-Addressing: dest=8"))
+        await site.until(lambda: node.ledger.owed)
+        site.nursery.start_soon(stop, site)
+        assert await heard(stream) == 202
+    site.run(scene)
+
+
+def test_who_comes_in_the_last_moments_is_told_to_come_again(site):
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        await site.until(lambda: node.clients.waiting)
+        node.clients.refuse()
+        assert await site.hand_in("a1", stream=stream) == 503 and not node.ledger.owed
+    site.run(scene)
+
+
+def test_an_outcome_that_no_round_has_taken_counts_at_the_end(site, monkeypatch):
+    monkeypatch.setattr(protocol, "KILL_AFTER", 0.6)
+
+    async def scene(site):
+        node, held = await site.start(), []
+        close = node.close
+
+        async def keep(*fields):
+            held.append(fields)
+
+        def closing():
+            node.owner.queue.send_nowait((node.owner.finished, held[0]))
+            return close()
+        node.owner.endpoints.told, node.close = keep, closing
+        assert await site.hand_in("a1", "order") == 202
+        await site.until(lambda: held)
+        assert await stop(site)
+        node.release()
+        assert not owed(site)
+    site.run(scene)
+
+
+ANSWER = http(200, b"hello")
+
+
+@pytest.mark.parametrize("before", [b"", ANSWER[:9], ANSWER[:30]])
+def test_an_answer_that_lies_unread_as_the_process_ends_counts(site, before):
+    """Nothing of it, half its first line, half its head were read; what of it is true comes as we end."""
+    async def scene(site):
+        far = await site.nursery.start(trio.serve_tcp, attend, 0)
+        site.far.address = far[0].socket.getsockname()[:2]
+        node = await site.start()
+        assert await site.hand_in("a1", "order") == 202
+        await site.until(lambda: streams)
+        call, = set(node.owner.endpoints.out.values())
+        await site.until(lambda: call.written and call.line.head == before)
+        streams[0].socket._sock.send(ANSWER[len(before):50])
+        while call.line.sock.peek() is None:
+            pass
+        assert node.close()
+        site.scope.cancel()
+        node.release()
+        assert not owed(site)
+        node = await site.start()
+        assert node.counters["restored"] == 0
+    streams = []
+
+    async def attend(stream):
+        await read_message(stream, bytearray())
+        if before:
+            await stream.send_all(before)
+        streams.append(stream)
+        await trio.sleep_forever()
+    site.run(scene)
+
+
+@pytest.mark.parametrize("kind, again", [("news", True), ("order", False)])
+def test_a_push_that_is_out_as_the_process_ends_may_have_run(site, kind, again):
+    """SIGTERM or SIGKILL: what may be repeated is, what may not is given up, by the ledger's word alone."""
+    async def scene(site):
+        await site.start()
+        assert await site.hand_in("a1", kind) == 202
+        await site.until(lambda: site.far.got)
+        site.kill()
+        site.far.answer = lambda *message: http(200)
+        await site.start()
+        if again:
+            await site.until(lambda: len(site.far.got) == 2)
+        else:
+            await site.until(lambda: site.platform.notices)
+            assert site.platform.notices == [{"message": "a1", "outcome": "given_up"}]
+            assert len(site.far.got) == 1
+    site.run(scene, lambda *message: None)
+
+
+@pytest.mark.parametrize("step", ["before the write", "after the write"])
+def test_a_kill_between_the_ledger_and_the_yes_loses_nothing_and_invents_nothing(site, step):
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        await site.until(lambda: node.owner.ready)
+        write, killed = node.ledger.files.write, []
+
+        def struck(file, data):
+            size = write(file, data) if step == "after the write" else 0
+            if not killed:
+                killed.append(True)
+                site.kill()
+                raise OSError(5, "killed")
+            return size
+        node.ledger.files.write = struck
+        await stream.send_all(handed("X-Trace-Id: a1"))
+        assert await heard(stream) in (None, "reset")
+        del node.ledger.files.write
+        assert not site.far.got and list(owed(site)) == ["a1"] * (step == "after the write")
+        node = await site.start()
+        if step == "after the write":
+            await site.until(lambda: site.far.got and not node.ledger.owed)
+    site.run(scene)
+
+
+def test_a_notice_that_is_due_as_the_process_ends_is_posted_by_the_next(site):
+    async def scene(site):
+        site.platform.notice_status = 500
+        node = await site.start()
+        assert await site.hand_in("a1", dest=8, ttl=100) == 202
+        await site.until(lambda: node.owner.notices.due)
+        assert node.close()
+        site.scope.cancel()
+        node.release()
+        assert owed(site)["a1"].notice
+        site.platform.notice_status = 204
+        node = await site.start()
+        await site.until(lambda: site.platform.notices and not node.ledger.owed)
+        assert site.platform.notices[0]["message"] == "a1" and not site.far.got
+    site.run(scene)
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -143,8 +143,7 @@
             begun = trio.current_time()
         assert await process.wait() == 0
         assert len(answered) > 200 and last[-1] - begun > 3.2 and set(answered) <= {202, 503}
-        # In the last 0.4 s new connections are closed with those that are between requests.
-        assert all(at - begun > 3.2 for at in silent) and len(silent) <= len(answered) / 20
+        assert not silent
     site.run(scene)
 
 
