A reset after our end is seen in the test by the client's socket; it fails before the mend

what_comes_after_our_end passed on the text before, since a client that has read the end hears of a later reset only as EPIPE on its socket. Now the socket is asked for it: both cases fail on the text before and pass with it.

--- a/tests/test_endings_drain.py
+++ b/tests/test_endings_drain.py
@@ -2,6 +2,8 @@
 
 Every crossing is forced: a hook at the seam lets the other side act before the one side goes on."""
 
+import socket
+
 import pytest
 import trio
 from test_net import handed, owed
@@ -118,7 +120,8 @@
         assert await stream.receive_some() == b""
         await stream.send_all(handed("X-Trace-Id: a2"))
         await site.until(lambda: not node.clients.open)  # closed, for as long as the client stays
-        assert await stream.receive_some() == b""  # a reset would raise
+        assert await stream.receive_some() == b""
+        assert not stream.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)  # EPIPE after a reset
         assert node.counters["handed_in"] == len(site.far.got) == 1
     site.run(scene)
 
