Calls of several: the one that lasts longest stands first, and no mate is lost with it

In 4 calls in which another than the first had ended before the answer nothing was lost. Ruled out: drain, exit, notices.

Change: the body has the latest TTL first; outcomes are told in the order as before.

--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -281,8 +281,11 @@
                 headers.append(("Idempotency-Key", first.key.encode("latin-1")))
         else:
             target = protocol.MANY
+            # Threat: who goes by a call's first message believes no end that comes once its time is up; so
+            # the first is the one that lasts longest.
+            longest = sorted(call.sends, key=lambda send: -send.ttl_at)
             body = json.dumps([{"id": s.id} | ({"key": s.key} if s.key else {})
-                               | {"body": b64encode(s.body).decode()} for s in call.sends]).encode()
+                               | {"body": b64encode(s.body).decode()} for s in longest]).encode()
         headers.append(("Content-Length", str(len(body))))
         return (h11.Request(method="POST", target=target, headers=headers), h11.Data(data=body),
                 h11.EndOfMessage())
