--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -2,6 +2,7 @@
 
 
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -211,7 +212,8 @@
 
 # ---- start and end
 
-RUN = tomllib.loads((Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text())["run"]
+HERE = Path(__file__).parent
+RUN = tomllib.loads((HERE.parent / "deploy" / "balancer.toml").read_text())["run"]
 
 
 @asynccontextmanager
@@ -279,3 +281,10 @@
                 await trio.sleep(0.0005)
             assert process.returncode == 0
     site.run(scene)
+
+
+def test_the_table_names_tests_that_there_are():
+    named = set(re.findall(r"test_\w+", (HERE.parent / "docs" / "endings.md").read_text()))
+    files = list(HERE.glob("test_*.py"))
+    there = {name for file in files for name in re.findall(r"^def (test_\w+)", file.read_text(), re.M)}
+    assert named <= there | {file.stem for file in files}
