Warming: shares below three calls, and what a restart finds failed, ramp up too

Need: in tests/test_ramp.py five to thirty of thirty dispatchers that begin anew about the return, with what their ledgers hold, sent up to 65 calls over N + 2 sqrt(N) + 2: a new process has no down mark, and its pace is a quarter of the limit. And with two calls a second each (60 calls/s over 30), 3 of 12 short refused outages still fell, since a share of 1.3 calls asked for a run of three. Change: the run of three is not asked for where the share of the budget is below three calls, not one; a restored notification whose push failed, or is out for longer than an overdue one, starts the ramp at its destination where shares are that small, with a whole call, so that the first goes at once and tells. Tried: a random part of a call at that start falls no less and holds the first call back; a ramp for every restored push would have met what was only in flight at the kill.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -210,8 +210,7 @@
         for endpoint in push.options:
             quiet = all(p.overdue for call in endpoint.calls for p in call.pushes)
             if endpoint.down:
-                if now >= endpoint.trial_at and quiet:
-                    trials.append(endpoint)
+                trials += [endpoint] if quiet and now >= endpoint.trial_at else []
                 later.append(endpoint.trial_at)
             elif endpoint.bad_since and (not quiet or now < endpoint.trial_at):
                 later.append(endpoint.trial_at)  # single file until one is delivered, but for the overdue
@@ -229,10 +228,9 @@
         """This dispatcher's share of what an endpoint stands at this age of its return, in calls a second.
 
         Threat: held work pushes a destination over as it comes back; trials and throttled calls count."""
-        get = self.me.settings.get
+        get, whole = self.me.settings.get, known(endpoint.route) or FIRST_PACE
         start, warm = get("start_capacity", 1.0), get("warm_within", 0)
         level = start + (1 - start) * min(1.0, age / max(warm, 1))
-        whole = known(endpoint.route) or FIRST_PACE
         mates = sum(e.state == "ready" and e.route is endpoint.route for e in endpoint.destination.endpoints)
         own = max(whole / self.me.dispatchers, usual(endpoint.destination, self.at.now))
         return own / max(mates, 1) * level * get("overload_factor", 1.0) * RAMP_SHARE
@@ -246,6 +244,9 @@
     def full_turn(self, endpoint):
         return SEC / max(self.budget(endpoint, 0), 1 / 1800)  # for all dispatchers, half an hour at most
 
+    def few(self, endpoint):  # whether its part of a cold endpoint's budget is too small to tell an outage by
+        return LEAST_RUN * self.full_turn(endpoint) > self.me.settings.get("fall_within", 1 << 62)
+
     def warm(self, endpoint):
         now = self.at.now
         if now - endpoint.back_at >= self.me.settings.get("warm_within", 0):
@@ -275,8 +276,7 @@
             since = endpoint.route.refused_since
             if endpoint.down or (since and now - since > SHUT_AFTER):
                 self.strike(endpoint, ending, since or now)
-        elif (ending == "reset" and not endpoint.bad_since
-                and push.call.idle > SILENCE and now - push.sent_at < SILENCE):
+        elif ending == "reset" and not endpoint.bad_since and push.call.idle > SILENCE > now - push.sent_at:
             # Threat: what stands between drops idle connections unseen, and the next call on one breaks.
             # The endpoint may be sound or have crashed: the next call goes over a new connection and tells.
             endpoint.excused = push.call.idle
@@ -292,8 +292,7 @@
             self.me.stale_after = max(SILENCE, min(self.me.stale_after or idle, idle) // STALE)
             endpoint.excused, self.me.stale_seen = 0, now
         # Threat: among many, each meets too few failures to tell an outage, and all return as one.
-        seldom = self.budget(endpoint, 0) * self.me.settings.get("fall_within", 1 << 62) < SEC
-        outage = endpoint.down or endpoint.run >= self.unlikely(least=1 if seldom else LEAST_RUN)
+        outage = endpoint.down or endpoint.run >= self.unlikely(least=1 if self.few(endpoint) else LEAST_RUN)
         if told or outage and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at, endpoint.filled_at, gone = now, now, (now - endpoint.bad_since) // MS
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
@@ -314,11 +313,10 @@
         if full:
             self.me.scarce.add(endpoint.kind)
             endpoint.full_at = self.at.now
-        if not endpoint.down and not surely:
-            self.me.loss += (1 - self.me.loss) * LOSS_STEP
         endpoint.bad_since = endpoint.bad_since or since
         if endpoint.down:
             return self.aside(endpoint)
+        self.me.loss += (1 - self.me.loss) * LOSS_STEP * (not surely)
         endpoint.trial_at = self.at.now + int(self.pause(endpoint) * (0.5 + self.at.chance(endpoint.id)))
         self.at.wake_at(endpoint.trial_at)
         if endpoint.trouble > 1 - (1 - TROUBLE_STEP) ** (self.unlikely(surely) - 0.5):
@@ -561,6 +559,9 @@
             ntf.counts = self.me.settings.get("over_share", 1.0) if due > self.now else 1.0
             self.me.tenants[tenant] = due + (due <= self.now) * int(SEC * self.me.dispatchers / share)
         self.me.notifications[ntf_id] = ntf
+        failed = pushes > bool(ran_at) or 0 < ran_at < self.now - LEAST_OVERDUE  # else a restart forgets it
+        for endpoint in filter(self.health.few, dest.endpoints if failed else ()):
+            endpoint.back_at, endpoint.filled_at, endpoint.tokens = self.now, self.now, 1.0
         if key and topic.get("ordered"):
             self.me.keys.setdefault(key, []).append(ntf)
         dest.waiting.append(ntf)
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -184,7 +184,7 @@
         return max((over for over, _ in rooms), default=0.0), any(broken for _, broken in rooms)
 
 
-# Before the mends fell, of 20 seeds each: 20, 16, 8, 9, 4 and 2 of the first six; none of the last two.
+# Before the mends fell, of 20 seeds each: 20, 16, 8, 9, 4, 2, 0 and 0; with restarts 14, 18, 13 and 2.
 SCENES = [
     ("many-refused", 4, {"count": 200, "limit": 60.0, "how": "refused"}),
     ("short-refused", 12, {"limit": 20.0, "how": "refused", "down": 4.0}),
@@ -195,6 +195,10 @@
     ("little-shut", 20, {"limit": 6.0, "how": "shut"}),
     ("twenty-refused", 12, {"count": 20, "limit": 12.0, "how": "refused", "start_capacity": 0.3,
                             "overload_factor": 1.5, "warm_within": 8 * SEC, "fall_within": 3 * SEC}),
+    ("restarted-hung", 12, {"limit": 20.0, "how": "hang", "restarts": 30}),
+    ("restarted-refused", 12, {"limit": 20.0, "how": "refused", "restarts": 30}),
+    ("some-restarted-refused", 4, {"limit": 60.0, "how": "refused", "restarts": 15}),
+    ("one-in-six-restarted", 12, {"limit": 20.0, "how": "refused", "restarts": 5}),
 ]
 
 
