Order: a key rests until a call of several is over in which one timed out

Cause: a call of several stays open for the others when one of it is out of time (docs/sockets.md), so its copy is still out; Order.back let its key rest for order_pause from the time-out, not from the call's end. Ruled out: pushes with no outcome yet (none of 2,712 logged events), repeats by another dispatcher. Change: the key's rest is open until the call has no push left; the pause begins there. Test: fails on the text before (seen).

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -148,17 +148,18 @@
         return PASS if self.in_turn(push.ntf) else KEEP
 
     def in_turn(self, ntf):
-        if not ntf.key or not ntf.topic.get("ordered"):
-            return True
-        until, by = self.me.key_rest.get(ntf.key, (0, None))
-        return self.me.keys[ntf.key][0] is ntf and (until <= self.at.now or by is ntf)
+        until, by, _ = self.me.key_rest.get(ntf.key, (0, None, None))
+        free = not ntf.key or not ntf.topic.get("ordered")
+        return free or (self.me.keys[ntf.key][0] is ntf and (until <= self.at.now or by is ntf))
 
     def back(self, push, ending, latency, wait, report):
-        ntf = push.ntf
+        ntf, call, rests = push.ntf, push.call, self.me.key_rest
         if ntf.key and ntf.topic.get("ordered") and ending in SILENT:
+            rests[ntf.key] = (1 << 62, ntf, call)
+        if rests and not call.pushes:  # threat: one times out in a call of several, which runs on
             until = self.at.now + self.me.settings.get("order_pause", 0)
-            resting = {k: rest for k, rest in self.me.key_rest.items() if rest[0] > self.at.now}
-            self.me.key_rest = resting | {ntf.key: (until, ntf)}
+            self.me.key_rest = {key: (until, by, None) if of is call else (at, by, of)
+                                for key, (at, by, of) in rests.items() if at > self.at.now}
             self.at.wake_at(until)
 
 
@@ -555,8 +556,7 @@
         ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes)
         # Threat: a push from before a restart runs on, or has run, and nobody will ever tell.
         ntf.may_have_run = Push(ntf, 0, sent_at=ran_at, zone=ran_zone) if ran_at else None
-        # Threat: a tenant's rush, worth little beyond its share, displaces what others may have of theirs.
-        if share := self.me.settings.get("tenants", {}).get(tenant):
+        if share := self.me.settings.get("tenants", {}).get(tenant):  # threat: a rush displaces the others
             due = max(self.me.tenants.get(tenant, 0), self.now - SHARE_SPAN)  # our even part, in bursts
             ntf.counts = self.me.settings.get("over_share", 1.0) if due > self.now else 1.0
             self.me.tenants[tenant] = due + (due <= self.now) * int(SEC * self.me.dispatchers / share)
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -1,7 +1,7 @@
 """What other customers' settings ask: topic types that keep their order, and tenants with shares."""
 
 import pytest
-from conftest import WIRE, Bed
+from conftest import ORDERED, WIRE, Bed
 from test_net import handed
 
 from juniperlanding.choice import SEC
@@ -135,3 +135,23 @@
     Drill().incoming(bed.at, 1, 0, 1, 0, bed.at.now + SEC, 0, 1.0, 0)
     assert set(bed.at.me.tenants) == {"b"}
     Drill().incoming(Bed().at, 1, 0, 0, 0, SEC, 0, 1.0, 0)
+
+
+def test_a_key_rests_until_a_call_of_several_is_over_in_which_one_timed_out():
+    """Its copy is still out: the endpoint has it until the call's end, and the pause begins there."""
+    bed = Bed(batch_by_kind=[5], order_pause=2 * SEC)
+    first, other = bed.take(ORDERED, ttl=1, key="1f"), bed.take(ORDERED, key="20")
+    bed.turn()
+    late = bed.take(ORDERED, key="1f")
+    assert len(bed.endpoint().calls) == 1 and len(bed.endpoint().calls[0].pushes) == 2
+    bed.end(first, "timeout", after=1)
+    bed.turn(5)
+    assert late not in [ntf for ntf, *_ in bed.pushed]
+    bed.end(other, "delivered", after=1)
+    bed.turn(1.9)
+    assert late not in [ntf for ntf, *_ in bed.pushed]
+    bed.turn(0.2)
+    assert late in [ntf for ntf, *_ in bed.pushed] and not bed.at.me.notifications[late].not_before
+    bed.end(late, "delivered")
+    bed.turn()
+    assert not bed.at.me.key_rest
