--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -28,7 +28,7 @@
 RAMP_SHARE = 0.8  # of what the rule allows
 STALE = 4  # one part in so many of the idle time that broke a connection is what the next may have
 REST, MOST_REST = 250 * MS, 2 * SEC
-MOST_LIST_PAUSE = 1 * SEC  # until a list that is pushed is asked for again
+MOST_LIST_PAUSE, MOST_ASK_PAUSE = 500 * MS, 2 * SEC  # until a list is asked for again: pushed; else
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
 SPARE, NEARLY_ALL = 0.25, 0.8  # of a limit that any one may use, since it mostly stands idle; that is left
@@ -121,15 +121,14 @@
 
     def ends(self, ntf):
         """From when on it cannot arrive in time, or may not go again."""
-        least, settings = forecast(ntf.destination), self.me.settings
+        least, settings = 0 if ntf.unsent else forecast(ntf.destination), self.me.settings
         until = min(ntf.ttl_at - max(least, 2 * settings.get("tick", 0)), repeats_until(ntf))
         return until if ntf.pushes < settings.get("most_pushes", 1 << 30) else 0
 
     def back(self, push, ending, latency, wait, report):
-        ntf, now = push.ntf, self.at.now
-        ntf.out = None
-        if ending not in NEVER_RAN and ntf.may_have_run is None:
-            ntf.may_have_run = push
+        ntf, now, push.ntf.out = push.ntf, self.at.now, None
+        ntf.may_have_run = ntf.may_have_run or (None if ending in NEVER_RAN else push)
+        ntf.unsent &= ending in ("moot", "unreachable")  # nobody saw that push
         if ntf.over:
             return
         if self.ends(ntf) <= now:
@@ -258,11 +257,11 @@
         endpoint.tokens, endpoint.filled_at = min(1.0, endpoint.tokens + gained), now
         return endpoint.tokens >= 1.0
 
-    def unlikely(self, surely=False):
+    def unlikely(self, surely=False, least=LEAST_RUN):
         """The run of bad outcomes that this instance's own share of them no longer explains.
 
         Threat: a path of ours that loses calls everywhere makes sound endpoints look down or back."""
-        return max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(0.01, self.me.loss * (not surely)), 0.5))))
+        return max(least, ceil(log(CHANCE_RUN) / log(min(max(0.01, self.me.loss * (not surely)), 0.5))))
 
     def back(self, push, ending, latency, wait, report):
         endpoint, now = push.endpoint, self.at.now
@@ -282,7 +281,7 @@
             # Threat: what stands between drops idle connections unseen, and the next call on one breaks.
             # The endpoint may be sound or have crashed: the next call goes over a new connection and tells.
             endpoint.excused = push.call.idle
-        elif ending != "cancelled":
+        elif ending != "cancelled" or (push.cancelled and endpoint.good_at < push.sent_at):  # lost at silence
             self.strike(endpoint, ending, push.sent_at)
         push.call.judged = True
 
@@ -293,7 +292,9 @@
                 self.at.host.log(f"connections idle for {idle // MS} ms break: new ones from now on")
             self.me.stale_after = max(SILENCE, min(self.me.stale_after or idle, idle) // STALE)
             endpoint.excused, self.me.stale_seen = 0, now
-        outage = endpoint.down or endpoint.run >= self.unlikely()
+        # Threat: among many, each meets too few failures to tell an outage, and all return as one.
+        seldom = self.budget(endpoint, 0) * self.me.settings.get("fall_within", 1 << 62) < SEC
+        outage = endpoint.down or endpoint.run >= self.unlikely(least=1 if seldom else LEAST_RUN)
         if told or outage and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at, endpoint.filled_at, gone = now, now, (now - endpoint.bad_since) // MS
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
@@ -519,9 +520,8 @@
         me.list_failures = me.list_failures + 1 if news == "failed" else 0
         if me.list_failures:
             # Threats: discovery in trouble, so a growing pause; drains told meanwhile, so a short one first.
-            most = me.settings.get("must_ask_in", 10 * SEC)
-            if me.settings.get("list_mode") != "ask":
-                most = min(most, MOST_LIST_PAUSE)  # threat: a list that is pushed counts as told unasked
+            # What is pushed counts as told unasked, the rest 6 s after it was there, by any settings.
+            most = MOST_ASK_PAUSE if me.settings.get("list_mode") == "ask" else MOST_LIST_PAUSE
             pause = min(SEC // 8 << min(me.list_failures, 7), most)
             me.subscribe_at = self.now + pause // 2 + int(pause / 2 * self.chance(me.rank))
             self.wake_at(me.subscribe_at)
@@ -550,10 +550,10 @@
         return self.me.destinations.setdefault(number, Destination(number))
 
     def notification(self, ntf_id, topic, destination, ttl_at=0, key=0, pushes=0, ran_zone=0, ran_at=0,
-                     tenant=""):
+                     unsent=False, tenant=""):
         topic = (self.me.settings.get("topic_types", [])[topic:] or [{}])[0]
         dest = self.destination(destination)
-        ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes)
+        ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes, unsent)
         # Threat: a push from before a restart runs on, or has run, and nobody will ever tell.
         ntf.may_have_run = Push(ntf, 0, sent_at=ran_at, zone=ran_zone) if ran_at else None
         if share := self.me.settings.get("tenants", {}).get(tenant):  # threat: a rush displaces the others
@@ -642,7 +642,7 @@
             self.host.log(f"places run out: {held} held, throttling what is worth least")
         self.me.shedding = held > most or (self.me.shedding and held > most / 2)
         while len(self.me.notifications) > most and (
-                least := [n for d in waiting for n in d.waiting if harmless(n, self.now)]):
+                least := [n for d in waiting for n in d.waiting if harmless(n, self.now) and not n.unsent]):
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
     def reclaim(self, waiting):
@@ -668,7 +668,7 @@
             return False
         trial = all(e.down for e in dest.endpoints)  # takes what affords the loss, fewest pushes first
         ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)) if trial
-                   else (-benefit(n, now + forecast(dest)), n.ttl_at))
+                   else (not n.unsent, -benefit(n, now + forecast(dest)), n.ttl_at))
         pushes = (Push(ntf, ntf.pushes) for ntf in ready[:4])
         if push := next((p for p in pushes if all(stage.out(p) == PASS for stage in self.stages)), None):
             self.send(push, ready)
