--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -24,11 +24,11 @@
 SHORT_OUTAGE, SHUT_AFTER = 1500 * MS, 2500 * MS  # no cold return before; only throttled for so long
 DOUBT_GROWTH = 10  # for each bad outcome in a row: the pause until the next push there
 SILENCE = 500 * MS  # a push that fails later than this met silence
-USUAL_SPAN = 30 * SEC  # over which this dispatcher's usual deliveries at a destination are counted
+USUAL_SPAN, SHARE_SPAN = 30 * SEC, 10 * SEC  # over which usual deliveries are counted; a tenant's share
 RAMP_SHARE = 0.8  # of what the rule allows
 STALE = 4  # one part in so many of the idle time that broke a connection is what the next may have
 REST, MOST_REST = 250 * MS, 2 * SEC
-MOST_LIST_PAUSE = 1 * SEC  # until a list that is pushed is asked for again
+MOST_LIST_PAUSE, MOST_ASK_PAUSE = 500 * MS, 2 * SEC  # until a list is asked for again: pushed; else
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
 SPARE, NEARLY_ALL = 0.25, 0.8  # of a limit that any one may use, since it mostly stands idle; that is left
@@ -68,8 +68,8 @@
 # ---- what a notification is worth, and what may still be done with it
 
 def benefit(ntf, at):
-    topic = ntf.topic
-    whole, objective, ttl = topic.get("benefit", 1), topic.get("objective", 0), topic.get("ttl", 0)
+    topic, whole = ntf.topic, ntf.topic.get("benefit", 1) * ntf.counts
+    objective, ttl = topic.get("objective", 0), topic.get("ttl", 0)
     late, least = max(0, at - (ntf.ttl_at - ttl) - objective), topic.get("late_share", 0)
     if topic.get("fades") == "halves":
         return whole * max(least, 0.5 ** (late / max(objective, 1)))
@@ -121,15 +121,14 @@
 
     def ends(self, ntf):
         """From when on it cannot arrive in time, or may not go again."""
-        least, settings = forecast(ntf.destination), self.me.settings
+        least, settings = 0 if ntf.unsent else forecast(ntf.destination), self.me.settings
         until = min(ntf.ttl_at - max(least, 2 * settings.get("tick", 0)), repeats_until(ntf))
         return until if ntf.pushes < settings.get("most_pushes", 1 << 30) else 0
 
     def back(self, push, ending, latency, wait, report):
-        ntf, now = push.ntf, self.at.now
-        ntf.out = None
-        if ending not in NEVER_RAN and ntf.may_have_run is None:
-            ntf.may_have_run = push
+        ntf, now, push.ntf.out = push.ntf, self.at.now, None
+        ntf.may_have_run = ntf.may_have_run or (None if ending in NEVER_RAN else push)
+        ntf.unsent &= ending in ("moot", "unreachable")  # nobody saw that push
         if ntf.over:
             return
         if self.ends(ntf) <= now:
@@ -148,17 +147,18 @@
         return PASS if self.in_turn(push.ntf) else KEEP
 
     def in_turn(self, ntf):
-        if not ntf.key or not ntf.topic.get("ordered"):
-            return True
-        until, by = self.me.key_rest.get(ntf.key, (0, None))
-        return self.me.keys[ntf.key][0] is ntf and (until <= self.at.now or by is ntf)
+        until, by, _ = self.me.key_rest.get(ntf.key, (0, None, None))
+        free = not ntf.key or not ntf.topic.get("ordered")
+        return free or (self.me.keys[ntf.key][0] is ntf and (until <= self.at.now or by is ntf))
 
     def back(self, push, ending, latency, wait, report):
-        ntf = push.ntf
+        ntf, call, rests = push.ntf, push.call, self.me.key_rest
         if ntf.key and ntf.topic.get("ordered") and ending in SILENT:
+            rests[ntf.key] = (1 << 62, ntf, call)
+        if rests and not call.pushes:  # threat: one times out in a call of several, which runs on
             until = self.at.now + self.me.settings.get("order_pause", 0)
-            resting = {k: rest for k, rest in self.me.key_rest.items() if rest[0] > self.at.now}
-            self.me.key_rest = resting | {ntf.key: (until, ntf)}
+            self.me.key_rest = {key: (until, by, None) if of is call else (at, by, of)
+                                for key, (at, by, of) in rests.items() if at > self.at.now}
             self.at.wake_at(until)
 
 
@@ -211,8 +211,7 @@
         for endpoint in push.options:
             quiet = all(p.overdue for call in endpoint.calls for p in call.pushes)
             if endpoint.down:
-                if now >= endpoint.trial_at and quiet:
-                    trials.append(endpoint)
+                trials += [endpoint] if quiet and now >= endpoint.trial_at else []
                 later.append(endpoint.trial_at)
             elif endpoint.bad_since and (not quiet or now < endpoint.trial_at):
                 later.append(endpoint.trial_at)  # single file until one is delivered, but for the overdue
@@ -230,10 +229,9 @@
         """This dispatcher's share of what an endpoint stands at this age of its return, in calls a second.
 
         Threat: held work pushes a destination over as it comes back; trials and throttled calls count."""
-        get = self.me.settings.get
+        get, whole = self.me.settings.get, known(endpoint.route) or FIRST_PACE
         start, warm = get("start_capacity", 1.0), get("warm_within", 0)
         level = start + (1 - start) * min(1.0, age / max(warm, 1))
-        whole = known(endpoint.route) or FIRST_PACE
         mates = sum(e.state == "ready" and e.route is endpoint.route for e in endpoint.destination.endpoints)
         own = max(whole / self.me.dispatchers, usual(endpoint.destination, self.at.now))
         return own / max(mates, 1) * level * get("overload_factor", 1.0) * RAMP_SHARE
@@ -247,6 +245,9 @@
     def full_turn(self, endpoint):
         return SEC / max(self.budget(endpoint, 0), 1 / 1800)  # for all dispatchers, half an hour at most
 
+    def few(self, endpoint):  # whether its part of a cold endpoint's budget is too small to tell an outage by
+        return LEAST_RUN * self.full_turn(endpoint) > self.me.settings.get("fall_within", 1 << 62)
+
     def warm(self, endpoint):
         now = self.at.now
         if now - endpoint.back_at >= self.me.settings.get("warm_within", 0):
@@ -257,11 +258,11 @@
         endpoint.tokens, endpoint.filled_at = min(1.0, endpoint.tokens + gained), now
         return endpoint.tokens >= 1.0
 
-    def unlikely(self, surely=False):
+    def unlikely(self, surely=False, least=LEAST_RUN):
         """The run of bad outcomes that this instance's own share of them no longer explains.
 
         Threat: a path of ours that loses calls everywhere makes sound endpoints look down or back."""
-        return max(LEAST_RUN, ceil(log(CHANCE_RUN) / log(min(max(0.01, self.me.loss * (not surely)), 0.5))))
+        return max(least, ceil(log(CHANCE_RUN) / log(min(max(0.01, self.me.loss * (not surely)), 0.5))))
 
     def back(self, push, ending, latency, wait, report):
         endpoint, now = push.endpoint, self.at.now
@@ -276,12 +277,11 @@
             since = endpoint.route.refused_since
             if endpoint.down or (since and now - since > SHUT_AFTER):
                 self.strike(endpoint, ending, since or now)
-        elif (ending == "reset" and not endpoint.bad_since
-                and push.call.idle > SILENCE and now - push.sent_at < SILENCE):
+        elif ending == "reset" and not endpoint.bad_since and push.call.idle > SILENCE > now - push.sent_at:
             # Threat: what stands between drops idle connections unseen, and the next call on one breaks.
             # The endpoint may be sound or have crashed: the next call goes over a new connection and tells.
             endpoint.excused = push.call.idle
-        elif ending != "cancelled":
+        elif ending != "cancelled" or (push.cancelled and endpoint.good_at < push.sent_at):  # lost at silence
             self.strike(endpoint, ending, push.sent_at)
         push.call.judged = True
 
@@ -292,7 +292,8 @@
                 self.at.host.log(f"connections idle for {idle // MS} ms break: new ones from now on")
             self.me.stale_after = max(SILENCE, min(self.me.stale_after or idle, idle) // STALE)
             endpoint.excused, self.me.stale_seen = 0, now
-        outage = endpoint.down or endpoint.run >= self.unlikely()
+        # Threat: among many, each meets too few failures to tell an outage, and all return as one.
+        outage = endpoint.down or endpoint.run >= self.unlikely(least=1 if self.few(endpoint) else LEAST_RUN)
         if told or outage and now - endpoint.bad_since >= SHORT_OUTAGE:
             endpoint.back_at, endpoint.filled_at, gone = now, now, (now - endpoint.bad_since) // MS
             endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
@@ -313,11 +314,10 @@
         if full:
             self.me.scarce.add(endpoint.kind)
             endpoint.full_at = self.at.now
-        if not endpoint.down and not surely:
-            self.me.loss += (1 - self.me.loss) * LOSS_STEP
         endpoint.bad_since = endpoint.bad_since or since
         if endpoint.down:
             return self.aside(endpoint)
+        self.me.loss += (1 - self.me.loss) * LOSS_STEP * (not surely)
         endpoint.trial_at = self.at.now + int(self.pause(endpoint) * (0.5 + self.at.chance(endpoint.id)))
         self.at.wake_at(endpoint.trial_at)
         if endpoint.trouble > 1 - (1 - TROUBLE_STEP) ** (self.unlikely(surely) - 0.5):
@@ -518,9 +518,8 @@
         me.list_failures = me.list_failures + 1 if news == "failed" else 0
         if me.list_failures:
             # Threats: discovery in trouble, so a growing pause; drains told meanwhile, so a short one first.
-            most = me.settings.get("must_ask_in", 10 * SEC)
-            if me.settings.get("list_mode") != "ask":
-                most = min(most, MOST_LIST_PAUSE)  # threat: a list that is pushed counts as told unasked
+            # What is pushed counts as told unasked, the rest 6 s after it was there, by any settings.
+            most = MOST_ASK_PAUSE if me.settings.get("list_mode") == "ask" else MOST_LIST_PAUSE
             pause = min(SEC // 8 << min(me.list_failures, 7), most)
             me.subscribe_at = self.now + pause // 2 + int(pause / 2 * self.chance(me.rank))
             self.wake_at(me.subscribe_at)
@@ -548,13 +547,22 @@
     def destination(self, number):
         return self.me.destinations.setdefault(number, Destination(number))
 
-    def notification(self, ntf_id, topic, destination, ttl_at=0, key=0, pushes=0, ran_zone=0, ran_at=0):
+    def notification(self, ntf_id, topic, destination, ttl_at=0, key=0, pushes=0, ran_zone=0, ran_at=0,
+                     unsent=False, tenant=""):
         topic = (self.me.settings.get("topic_types", [])[topic:] or [{}])[0]
         dest = self.destination(destination)
-        ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes)
-        # Threat: a push from before a restart runs on, or has run, and nobody will ever tell.
-        ntf.may_have_run = Push(ntf, 0, sent_at=ran_at, zone=ran_zone) if ran_at else None
+        ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes, unsent)
+        # Threats: a push from before a restart has run, or may yet, and nobody will tell; a clock set back.
+        since = ran_at if ran_at <= self.now else 0
+        ntf.may_have_run = Push(ntf, 0, sent_at=since, zone=ran_zone) if ran_at else None
+        if share := self.me.settings.get("tenants", {}).get(tenant):  # threat: a rush displaces the others
+            due = max(self.me.tenants.get(tenant, 0), self.now - SHARE_SPAN)  # our even part, in bursts
+            ntf.counts = self.me.settings.get("over_share", 1.0) if due > self.now else 1.0
+            self.me.tenants[tenant] = due + (due <= self.now) * int(SEC * self.me.dispatchers / share)
         self.me.notifications[ntf_id] = ntf
+        failed = pushes > bool(ran_at) or 0 < ran_at < self.now - LEAST_OVERDUE  # else a restart forgets it
+        for endpoint in filter(self.health.few, dest.endpoints if failed else ()):
+            endpoint.back_at, endpoint.filled_at, endpoint.tokens = self.now, self.now, 1.0
         if key and topic.get("ordered"):
             self.me.keys.setdefault(key, []).append(ntf)
         dest.waiting.append(ntf)
@@ -636,7 +644,7 @@
             self.host.log(f"places run out: {held} held, throttling what is worth least")
         self.me.shedding = held > most or (self.me.shedding and held > most / 2)
         while len(self.me.notifications) > most and (
-                least := [n for d in waiting for n in d.waiting if harmless(n, self.now)]):
+                least := [n for d in waiting for n in d.waiting if harmless(n, self.now) and not n.unsent]):
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
     def reclaim(self, waiting):
@@ -660,16 +668,13 @@
         first = Push(min(ready, key=lambda n: n.pushes), 0) if ready else None
         if not ready or any(stage.out(first) != PASS for stage in self.stages[2:6]):
             return False
-        if all(e.down for e in dest.endpoints):  # a trial takes what affords the loss, fewest pushes first
-            ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)))
-        else:
-            ready.sort(key=lambda n: (-benefit(n, now + forecast(dest)), n.ttl_at))
-        for ntf in ready[:4]:
-            push = Push(ntf, ntf.pushes)
-            if all(stage.out(push) == PASS for stage in self.stages):
-                self.send(push, ready)
-                return True
-        return False
+        trial = all(e.down for e in dest.endpoints)  # takes what affords the loss, fewest pushes first
+        ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)) if trial
+                   else (not n.unsent, -benefit(n, now + forecast(dest)), n.ttl_at))
+        pushes = (Push(ntf, ntf.pushes) for ntf in ready[:4])
+        if push := next((p for p in pushes if all(stage.out(p) == PASS for stage in self.stages)), None):
+            self.send(push, ready)
+        return push is not None
 
     def most_in_call(self, endpoint):
         sizes = self.me.settings.get("batch_by_kind", [])
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -19,8 +19,9 @@
 from juniperlanding.net.succession import Offer, Succession
 
 OTHER_FILES = 20  # descriptors for everything but the connections bounded here: 16 are in use, a few to spare
+LAST_WORDS = 0.1  # seconds at the end in which nothing is taken on and the last answers leave
 AGAIN = 0.25  # seconds until a ledger that could not be read is tried again
-REREAD, MOST_REREAD = 0.25, 8.0  # seconds until a configuration that could not be read is tried again
+REREAD, MOST_REREAD = 0.25, 2.0  # seconds until a configuration that could not be read is tried again
 CLIENT_SIZE = 2 * (protocol.MOST_BODY + protocol.MOST_HEAD)  # the most that a client's connection holds
 
 
@@ -114,7 +115,8 @@
         if self.stops_at:  # threat: asked to stop while a hand-over came to nothing
             await owner.tell(owner.at.stopping, self.stops_at)
         if told.settings.get("list_mode") != "ask":
-            owner.discovery.subscribe(True)
+            # Threat: it asks before the first round has told it what the process before us had heard.
+            await owner.tell(owner.discovery.subscribe, True)
         self.succession.open(self.nursery, self.freeze)
         self.log("start", listening="{}:{}".format(*listener.address), endpoints=len(known),
                  owed=len(self.ledger.owed), torn_records=self.ledger.skipped)
@@ -133,7 +135,8 @@
         return made
 
     async def freeze(self, within):
-        await self.owner.tell(self.owner.freeze, within)
+        if not self.clients.closing:  # threat: the process ends before it has handed anything over
+            await self.owner.tell(self.owner.freeze, within)
 
     async def stand_by(self):
         """Threat: the process that took over ends early; what it took on is in the folder."""
@@ -198,22 +201,21 @@
         if self.door:
             self.door.listener.close()
 
-    def reload(self, read):
+    def reload(self, read, said=None):
         """Move to the address that the replaced file names; what else it may change waits for a restart.
 
-        `read` gives the configuration anew.  Threat: the disk fails for a moment, and the platform has
-        moved for good; a file that could not be read is tried again, one that is wrong is not."""
+        `read` gives the configuration anew; `said`: what was logged of the try before.  Threat: the file is
+        half written, or the disk fails for a moment, and the platform has moved for good; so it is tried
+        again, with one line for as long as the same is wrong."""
         self.rereads.cancel()
         try:
             discovery = read().discovery
-        except OSError as error:
-            self.rereads = trio.CancelScope()
-            self.nursery.start_soon(self.reread, read, self.rereads)
-            return self.log("config", "cannot be read, tried again soon", why=described(error),
-                            **config.trouble(error).fields)
         except Exception as error:  # threat: a file half written or wrong must not end the program
-            return self.log("config", "cannot be read, the old one stays in force", why=described(error),
-                            **config.trouble(error).fields)
+            self.rereads = trio.CancelScope()
+            if said != (why := described(error)):
+                then = "tried again soon" if isinstance(error, OSError) else "the old one stays in force"
+                self.log("config", f"cannot be read, {then}", why=why, **config.trouble(error).fields)
+            return self.nursery.start_soon(self.reread, read, why, self.rereads)
         self.log("config", "read again", discovery="{}:{}".format(*discovery))
         if discovery != self.config.discovery:
             self.config.discovery = discovery
@@ -223,13 +225,13 @@
         for part in self.parts:
             part.reload()
 
-    async def reread(self, read, scope):
+    async def reread(self, read, said, scope):
         """Try a failed reload again: soon, then less and less often."""
         with scope:
             await trio.sleep(self.reread_after)
             self.reread_after = min(2 * self.reread_after, MOST_REREAD)
         if not scope.cancelled_caught:
-            self.reload(read)
+            self.reload(read, said)
 
     def enter(self, phase):
         """Tell the parts; those of a process that was replaced say nothing any more."""
@@ -245,7 +247,7 @@
         self.enter("draining")
         self.log("stop", "draining", held=len(self.owner.held))
         until = protocol.KILL_AFTER - protocol.PATIENCE / 4
-        with trio.move_on_after(until):
+        with trio.move_on_after(until - LAST_WORDS):
             if not self.replaced:
                 self.stops_at = self.world.clock.now() + int(until * SEC)
                 await self.owner.tell(self.owner.at.stopping, self.stops_at)
@@ -254,10 +256,21 @@
                 if trio.current_time() > begun + protocol.KILL_AFTER - protocol.PATIENCE:
                     self.clients.drain()
                 await trio.sleep(0.02)
+        # Threats: a yes is in the ledger and its client's connection ends before it has left; what ended just
+        # now was told, and nobody writes it down.
+        self.clients.refuse()
+        with trio.move_on_after(LAST_WORDS):
+            while not self.replaced and self.clients.busy():
+                await trio.sleep(0.005)
+            if not self.replaced:
+                await self.owner.tell(self.owner.park)
+                await self.owner.parked.wait()
 
     def close(self):
         """The end; whether all that is owed could be written down."""
         self.enter("leaving")
+        if not self.replaced and not self.owner.frozen:
+            self.owner.hear_out()
         try:
             self.ledger.close()
         except OSError as error:
