End of the process: who stands in the backlog is answered, who comes after it is refused

Need: seen in one play of four clients against a real `serve` on a machine with 66 runnable: one request of some 900 unanswered. The last moments ceased to accept and left the address listening until the process was gone, so that a connection that came in between was reset with its request.

Change: in the last moments connections are accepted until a look of 5 ms finds no further one, then the listening socket is closed (refused from then on), then the answers leave.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -23,6 +23,7 @@
         self.now = clock.now
         self.owner, self.counters, self.log, self.most_open = owner, counters, log, most_open
         self.open, self.waiting, self.draining = 0, {}, False  # waiting: the scope of each wait for a request
+        self.came = 0  # connections accepted
         self.turned_away, self.closing = {}, False  # turned away: the scope in which it is still listened to
         self.places = trio.Semaphore(most_open + ROOM)
         # Once frozen, whoever is between answers is carried over to the process that takes over.
@@ -64,6 +65,7 @@
             await self.places.acquire()
             try:
                 sock, peer = await listener.accept()
+                self.came += 1
                 said = None
             except trio.Cancelled:
                 self.places.release()
@@ -106,9 +108,8 @@
             self.give_way(line, LAST_REST_WITHIN)
 
     def refuse(self):
-        """The last moments: who comes now is not taken on any more, and told so."""
+        """The last moments: what comes now is not taken on any more, and told so."""
         self.closing = True
-        self.accepting.cancel()
 
     def busy(self):
         """How many are between their request and their answer."""
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -20,6 +20,7 @@
 
 OTHER_FILES = 20  # descriptors for everything but the connections bounded here: 16 are in use, a few to spare
 LAST_WORDS = 0.1  # seconds at the end in which nothing is taken on and the last answers leave
+LAST_LOOK = 0.005  # seconds between looks at whether they have
 AGAIN = 0.25  # seconds until a ledger that could not be read is tried again
 REREAD, MOST_REREAD = 0.25, 2.0  # seconds until a configuration that could not be read is tried again
 CLIENT_SIZE = 2 * (protocol.MOST_BODY + protocol.MOST_HEAD)  # the most that a client's connection holds
@@ -255,15 +256,26 @@
                 if trio.current_time() > begun + protocol.KILL_AFTER - protocol.PATIENCE:
                     self.clients.drain()
                 await trio.sleep(0.02)
-        # Threats: a yes is in the ledger and its client's connection ends before it has left; what ended just
-        # now was told, and nobody writes it down.
         self.clients.refuse()
         with trio.move_on_after(LAST_WORDS):
-            while not self.replaced and self.clients.busy():
-                await trio.sleep(0.005)
-            if not self.replaced:
-                await self.owner.tell(self.owner.park)
-                await self.owner.parked.wait()
+            await self.last_words()
+
+    async def last_words(self):
+        """Threats: a connection stands in the backlog and is reset with its request; a yes is in the ledger,
+        and its client's connection ends unanswered; what ended just now is told, but not written down."""
+        came = -1
+        while came != self.clients.came:
+            came = self.clients.came
+            await trio.sleep(LAST_LOOK)
+        if self.replaced or self.owner.frozen:
+            return
+        self.clients.accepting.cancel()
+        self.listener.close()
+        while self.clients.busy() or self.clients.waiting:
+            self.clients.drain()
+            await trio.sleep(LAST_LOOK)
+        await self.owner.tell(self.owner.park)
+        await self.owner.parked.wait()
 
     def close(self):
         """The end; whether all that is owed could be written down."""
