--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -24,7 +24,7 @@
 
 
 def sent(site):
-    """Ids in the order of their calls.  Others on this machine, with a port that was ours, are passed over."""
+    """Ids in the order of their calls; strangers, at a port that was used before, are passed over."""
     return [headers["x-trace-id"] for _, headers, _ in site.far.got if "x-trace-id" in headers]
 
 
