--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -4,6 +4,7 @@
 are safe from then on, whatever happens to the process.
 
     t id topic destination ttl_at idempotency-key body   taken on; under a policy, its number follows
+    k id key                                             it keeps its order after that key
     p id number zone sent_at                             a push whose bytes may leave from now on
     n id number                                          that push is known never to have run
     o id outcome retry_ms                                over but for its notice
@@ -14,6 +15,7 @@
 
 import errno
 import json
+import re
 from base64 import b64decode, b64encode
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -23,6 +25,7 @@
 from juniperlanding.ground.seams import Files
 
 FILE, MANIFEST = "ledger", "shards"
+BEGINS = re.compile(rb"[0-9a-f]{8} \[")  # a record
 FULL, WASTE = 3, 4  # eighths of the disk: what is owed may fill so many, and the file grows to so many
 OVER = 16  # of the disk, one part in so many may hold ids that are over
 REMEMBERED = 64  # bytes beside its id that one which is over takes until its TTL
@@ -62,11 +65,14 @@
     notice: tuple = ()
     size: int = 0
     under: int = 0  # the policy's number when it was taken on
+    turn: str = ""  # the key after which it keeps its order
 
     def records(self):
         body = b64encode(self.body).decode()
         under = [self.under] if self.under else []
         yield ["t", self.id, self.topic, self.destination, self.ttl_at, self.key, body, *under]
+        if self.turn:
+            yield ["k", self.id, self.turn]
         if self.pushes:
             for number in [*self.ran, *({self.pushes - 1} - set(self.ran))]:
                 yield ["p", self.id, number, *self.ran.get(number, (0, 0))]
@@ -88,6 +94,14 @@
     return json.loads(raw[9:])
 
 
+def between(raw):
+    """The records that a line holds after all.  Threat: the damaged byte is the one that ends a record."""
+    starts = [0, *(begins.start() for begins in BEGINS.finditer(raw, 1))]
+    for start, end in zip(starts, [*(start - 1 for start in starts[1:]), len(raw)], strict=True):
+        with suppress(ValueError):
+            yield parse(raw[start:end]), end - start
+
+
 class Books:
     """What is owed, as the records read so far have it."""
 
@@ -112,6 +126,9 @@
             except (ValueError, TypeError, KeyError, IndexError):
                 self.skipped += 1  # threats: killed within a write; another version's record
                 self.damaged += at < len(lines)
+                for record in between(raw):
+                    with suppress(ValueError, TypeError, KeyError, IndexError):
+                        self.apply(*record)
         return self
 
     def add(self, owed, size):
@@ -134,6 +151,8 @@
         if kind == "p":
             owed.pushes = max(owed.pushes, rest[0] + 1)
             owed.ran[rest[0]] = tuple(rest[1:])
+        elif kind == "k":
+            owed.turn = rest[0]
         elif kind == "n":
             owed.ran.pop(rest[0], None)
         elif kind == "o":
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -39,10 +39,12 @@
     ttl_at: int
     key: int = 0
     pushes: int = 0
+    unsent: bool = False  # taken on by an earlier process; no push of it was seen
     cut: int = 0
     out: Push | None = None
     not_before: int = 0
     may_have_run: Push | None = None
+    counts: float = 1.0
     over: bool = False
 
 
@@ -127,6 +129,7 @@
     scarce: set = field(default_factory=set)
     keys: dict = field(default_factory=dict)
     key_rest: dict = field(default_factory=dict)
+    tenants: dict = field(default_factory=dict)
     wakes: set = field(default_factory=set)
     list_failures: int = 0
     subscribe_at: int = 0
