Sockets: both sides of a connection send small writes at once, held by a test

Need: what the system still holds back of a small write goes with a close. Every socket had TCP_NODELAY already (accepted, connected, handed over); no test said so. It fails with the option set to 0.

--- a/tests/test_endings_endpoint.py
+++ b/tests/test_endings_endpoint.py
@@ -3,6 +3,7 @@
 docs/sockets.md, "What ends a call, and what it proves", says which outcome that is."""
 
 import json
+import socket
 from dataclasses import replace
 
 import pytest
@@ -39,7 +40,7 @@
 
 
 def ids(far):
-    """What reached an endpoint, call by call.  Threat: its port was another test's, whose caller comes again."""
+    """What reached an endpoint, call by call; callers of another test that had its port are passed over."""
     calls = [message for message in far.got if message[0].startswith("POST /v1/")]
     return [[item["id"] for item in json.loads(body)] if first.startswith("POST /v1/messages:batch")
             else [headers["x-trace-id"]] for first, headers, body in calls]
@@ -119,3 +120,19 @@
         assert ids(site.far) == [["c"]]
         assert sorted(told["message"] for told in site.platform.notices) == ["a", "b"]
     site.run(scene, each_accepted)
+
+
+# ---- small writes
+
+def test_no_connection_holds_small_writes_back_on_either_side():
+    async def scene():
+        network = Network()
+        listener = network.bind(("127.0.0.1", 0))
+        listener.listen()
+        there = await network.connect(listener.address)
+        here, _ = await listener.accept()
+        for sock in (there, here, network.inherit(there.raw.dup().detach())):
+            assert sock.raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            sock.close()
+        listener.close()
+    trio.run(scene)
