--- a/tests/test_endings_endpoint.py
+++ b/tests/test_endings_endpoint.py
@@ -39,7 +39,7 @@
 
 
 def ids(far):
-    """What reached an endpoint, call by call.  Threat: its port was another test's, whose caller comes again."""
+    """What reached an endpoint, call by call.  Threat: its port was another test's, who calls again."""
     return [[item["id"] for item in json.loads(body)] if first.startswith("POST /v1/messages:batch")
             else [headers["x-trace-id"]] for first, headers, body in far.got if first.startswith("POST /v1/")]
 
