--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import pytest
+import trio
 from conftest import COLLAPSIBLE, REPEATABLE, WIRE, Bed
 from test_net import CLOCK, owed, silent
 
@@ -216,6 +217,37 @@
     narrow.run(scene, silent)
 
 
+def test_a_late_connect_after_a_restart_takes_no_repeat_past_its_window(narrow):
+    class Late:
+        """Connections to the endpoint come up once they are let; those to the platform at once."""
+
+        def __init__(self, network, far):
+            self.network, self.far, self.asked, self.go = network, far, 0, trio.Event()
+
+        def __getattr__(self, name):
+            return getattr(self.network, name)
+
+        async def connect(self, address):
+            if address == self.far:
+                self.asked += 1
+                with trio.CancelScope(shield=True):  # it comes up even though nobody waits for it any more
+                    await self.go.wait()
+            return await self.network.connect(address)
+
+    async def scene(site):
+        first = await pushed_and_killed(site)
+        late = Late(site.world.network, site.far.address)
+        site.world = replace(site.world, network=late)
+        site.clock.set(first + SEC // 2)
+        node = await site.start()
+        await site.until(lambda: late.asked)
+        await site.until(lambda: site.clock.now() > first + SEC)
+        late.go.set()
+        await site.until(lambda: not node.ledger.owed and node.owner.endpoints.settled())
+        assert len(site.far.got) == 1 and [one["outcome"] for one in site.platform.notices] == ["given_up"]
+    narrow.run(scene, silent)
+
+
 def test_a_window_counts_from_the_first_push_over_two_restarts(narrow):
     async def scene(site):
         first = await pushed_and_killed(site)
