End of the process: the accept task is out before its socket is closed

Need: 200 times each of test_endings_drain.py (4,600 runs, -n 4, load 60): one failed, a_notice_that_is_due, with an internal error of trio (the listen task ran on after its end): the test released the address in the breath in which it cancelled its tasks. The cause inside trio was not traced.

--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -270,6 +270,7 @@
         if self.replaced or self.owner.frozen:
             return
         self.clients.accepting.cancel()
+        await trio.lowlevel.checkpoint()  # threat: its task still waits on a closed number
         self.listener.close()
         while self.clients.busy() or self.clients.waiting:
             self.clients.drain()
