Idle clients give way before a request that has begun; a test of descriptors while discovery is down

Cause: `Clients.shed` took whoever had made no progress for longest, a half-read request like an idle connection. One whose first bytes lay unread counted as idle, too, and had 0.1 s for the rest.

Change: where half of those waited for or more are idle, the first idle one of whom nothing lies unread goes; else as before, since a crowd of half requests would push out whoever is about to ask (tried: idle ones first whatever the crowd; test_half_requests_push_out_each_other_before_who_is_about_to_ask fails).

Tests: on the text before, test_idle_clients_push_out_each_other_and_no_request_that_has_begun and test_who_has_asked_unread_is_not_idle fail; without the look at unread bytes, the latter. The test of descriptors (a `serve` with RLIMIT_NOFILE at its 64 sockets, 70 idle clients that come back, discovery silent or refusing, then back) held before; it fails, in both its forms, with a `bounds` that sets nothing aside.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -87,9 +87,14 @@
     def shed(self):
         """Threats: clients keep connections that they do not use, or never finish what they ask.
 
-        Of those that owe us a request, the one that has done so longest goes."""
-        if self.waiting:
-            self.give_way(next(iter(self.waiting)), REST_WITHIN)
+        Of those that owe us a request, the one that has done so longest goes; where half of them or more are
+        idle, the first of those of whom nothing came.  Threats: idle clients that come back push out whoever
+        is within a long request; a crowd of half requests pushes out whoever is about to ask."""
+        goes, idle = next(iter(self.waiting), None), [line for line in self.waiting if not line.raw]
+        if 2 * len(idle) >= len(self.waiting):
+            goes = next((line for line in idle if not line.waiting()), goes)
+        if goes:
+            self.give_way(goes, REST_WITHIN)
 
     def give_way(self, line, rest_within):
         """No request is waited for any more.  Threat: one that has begun would be cut off unanswered."""
--- /dev/null
+++ b/tests/test_places.py
@@ -0,0 +1,144 @@
+"""Who gets a place, and a descriptor, when idle clients hold all that clients may have."""
+
+import json
+import os
+import resource
+import signal
+from contextlib import suppress
+
+import pytest
+import trio
+from test_endings_drain import heard
+from test_net import handed, program
+from test_standing import with_wait
+
+from juniperlanding.net import clients as ends
+from juniperlanding.standins.peers import Far, http, member
+
+FEW = {"disk_mb": 3, "sockets": 52}  # room for eight clients, and eight over the limit
+SOCKETS = 64  # 12 for clients and 8 over that, 24 for calls, 20 for the rest
+IDLE = 70  # more than there are descriptors
+ASKS = handed("X-Trace-Id: a2", "Content-Length: 5", body=b"hello")
+
+
+@pytest.fixture
+def at_once(monkeypatch):
+    """Who has to give way gets no moment more."""
+    monkeypatch.setattr(ends, "REST_WITHIN", 0.0)
+    monkeypatch.setattr(ends, "LAST_REST_WITHIN", 0.0)
+
+
+def of(node, stream):
+    """The process's end of a client's connection."""
+    port = stream.socket.getsockname()[1]
+    return next(line for line in node.clients.waiting if line.sock.peer()[1] == port)
+
+
+# ---- who gives way
+
+def test_idle_clients_push_out_each_other_and_no_request_that_has_begun(site, at_once):
+    site.limits = FEW
+
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        await stream.send_all(ASKS[:-2])
+        await site.until(lambda: any(line.raw for line in node.clients.waiting))
+        line, idle = of(node, stream), [await site.client() for _ in range(30)]
+        for gone in idle[:20]:  # each of them after it began
+            assert await gone.receive_some() == b""
+        assert line in node.clients.waiting
+        await stream.send_all(ASKS[-2:])
+        assert await heard(stream) == 202
+    site.run(scene)
+
+
+def test_who_has_asked_unread_is_not_idle(site, at_once):
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        await site.until(lambda: len(node.clients.waiting) == 1)
+        line, idle = of(node, stream), await site.client()
+        await site.until(lambda: len(node.clients.waiting) == 2)
+        stream.socket._sock.send(ASKS[:-2])
+        while line.waiting() is None:  # loopback: it is there at once
+            pass
+        node.clients.shed()
+        assert await idle.receive_some() == b""
+        await stream.send_all(ASKS[-2:])
+        assert await heard(stream) == 202
+    site.run(scene)
+
+
+def test_half_requests_push_out_each_other_before_who_is_about_to_ask(site, at_once):
+    async def scene(site):
+        node, halves = await site.start(), [await site.client() for _ in range(3)]
+        for stream in halves:
+            await stream.send_all(ASKS[:-2])
+        await site.until(lambda: sum(bool(line.raw) for line in node.clients.waiting) == 3)
+        stream = await site.client()
+        await site.until(lambda: len(node.clients.waiting) == 4)
+        line = of(node, stream)
+        node.clients.shed()
+        assert line in node.clients.waiting and len(node.clients.waiting) == 3
+        assert await site.hand_in("a1", stream=stream) == 202
+    site.run(scene)
+
+
+# ---- who gets a descriptor
+
+async def idle(site, ended):
+    """Holds a connection for as long as it may, and then the next one."""
+    while True:
+        with suppress(OSError, trio.BrokenResourceError):
+            async with await site.client() as stream:
+                await stream.receive_some()
+                ended.append(stream)
+        await trio.sleep(0.1)
+
+
+def files(process):
+    return len(os.listdir(f"/proc/{process.pid}/fd"))
+
+
+@pytest.mark.parametrize("down", ["silent", "refused"])
+def test_idle_clients_hold_all_places_while_discovery_is_down_and_comes_back(site, down):
+    """A process under a limit of its own takes its list, calls, tells, and writes its ledger anew."""
+    site.limits, site.wire = {"disk_mb": 3, "sockets": SOCKETS}, with_wait(0.2)
+    up, notices = [], []
+
+    def platform(first, headers, body):
+        if not up:
+            return None if down == "silent" else "reset"
+        if first.startswith("POST"):
+            notices.extend(json.loads(line)["message"] for line in body.splitlines())
+            return http(204)
+        told = {"revision": 2, "complete": True, "members": [
+            member(1, site.far.address), member(2, site.other.address, cell=9)]}
+        return http(200, json.dumps(told).encode())
+
+    async def scene(site):
+        site.platform.answer = platform
+        site.other, ended = await Far().open(site.nursery), []
+        process = await program(site)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+        try:
+            for _ in range(IDLE):
+                site.nursery.start_soon(idle, site, ended)
+            await site.until(lambda: len(ended) > IDLE)  # all places are held; one gives way to the next
+            ledger = site.folder / "state" / "ledger"
+            first = ledger.stat().st_ino
+            for number in range(24):  # three eighths of the disk may be owed
+                assert await site.hand_in(f"b{number}", body=b"x" * 60_000, ttl=9000) == 202
+                await site.until(lambda least=number - 5: len(site.far.got) > least)
+            await site.until(lambda: len(site.far.got) >= 24 and ledger.stat().st_ino != first)
+            assert await site.hand_in("c1", dest=8, ttl=300) == 202
+            assert await site.hand_in("c2", dest=9) == 503  # no list named it yet
+            up.append(True)
+            await site.until(lambda: "c1" in notices)
+            while await site.hand_in("c3", dest=9) != 202:
+                await trio.sleep(0.05)
+            await site.until(lambda: site.other.got)
+            assert files(process) <= SOCKETS
+        finally:
+            process.send_signal(signal.SIGKILL)
+        await process.wait()
+    site.run(scene)
