--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -13,8 +13,8 @@
 
 TURNED_AWAY = ("closed_by_us", "silent")  # ends of connections on which no answer is owed
 ROOM = 8  # connections over the limit; they make others give way, and are closed after their answer
-# Seconds in which a request that has begun still gets whole as its connection gives way to another one, and
-# in which a new connection's request, or the rest of one, still comes as the process ends.
+# Seconds in which a new connection's request, or the rest of one, still comes as the connection gives way to
+# another one, and as the process ends.
 REST_WITHIN, LAST_REST_WITHIN = 0.02, 0.1
 
 
@@ -97,11 +97,12 @@
             self.give_way(goes, REST_WITHIN)
 
     def give_way(self, line, rest_within):
-        """No request is waited for any more.  Threat: one that has begun would be cut off unanswered."""
+        """No request is waited for any more.  Threats: one that has begun would be cut off unanswered; a new
+        client's first bytes are still under way."""
         scope, now = self.waiting.pop(line), trio.current_time()
         if line.raw:
             scope.deadline = min(scope.deadline, now + rest_within)
-        elif not self.draining or line.came_at + rest_within <= now:
+        elif line.came_at + rest_within <= now:
             scope.cancel()
         else:
             scope.deadline = min(scope.deadline, line.came_at + rest_within)
@@ -130,6 +131,9 @@
             if reason in TURNED_AWAY:
                 with trio.CancelScope() as self.turned_away[line]:
                     self.leaving.add(line)
+                    if self.places.statistics().tasks_waiting and not any(
+                            scope.cancel_called for scope in self.turned_away.values()):
+                        self.turned_away[line].cancel()  # as in `accept`, which waits by now
                     await line.finish()
         except GONE as error:
             reason = type(error).__name__
@@ -165,7 +169,9 @@
                 return "closed_by_us" if gave_way else "silent"
             came = await line.begin()
         # Threat: half a request, or a byte now and then, and its error is due.
-        within = LAST_REST_WITHIN if gave_way else protocol.REQUEST_WITHIN
+        line.gives_way = gave_way and not self.draining
+        rest_within = REST_WITHIN if line.gives_way else LAST_REST_WITHIN
+        within = rest_within if gave_way else protocol.REQUEST_WITHIN
         line.until = min(max(until, trio.current_time() + LAST_REST_WITHIN), trio.current_time() + within)
         return None if came else "ended"
 
@@ -185,7 +191,7 @@
                         body = await line.body(protocol.MOST_BODY)
                     status, reason = 413, "too_long"
                 finally:
-                    gave_way = self.waiting.pop(line, None) is None
+                    gave_way = self.waiting.pop(line, None) is None or line.gives_way
                     if body is not None:
                         line.raw.clear()  # whole, so it is answered here
         except h11.RemoteProtocolError as error:
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -18,7 +18,7 @@
     def __init__(self, sock, role, early=b""):
         self.sock, self.early = sock, early
         self.until = float("inf")  # trio's time at which the present request has to be whole
-        self.came_at = trio.current_time()
+        self.came_at, self.gives_way = trio.current_time(), False  # gives way: another one needs its place
         self.raw = []  # what came of the present message, for a process that takes over from us
         self.http = h11.Connection(role, max_incomplete_event_size=MOST_HEAD)
         self.used_at, self.head = 0, b""  # head: what came of an answer until its head could be read
