Warming: a return told by fewer than three outcomes has part of its ramp behind it

Change: with fewer than three outcomes, and not set aside, the endpoint counts as back for a third of the time since the first of them, a third of the ramp at most.

The new test's first two rows fail on the text before.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -25,7 +25,7 @@
 DOUBT_GROWTH = 10  # for each bad outcome in a row: the pause until the next push there
 SILENCE = 500 * MS  # a push that fails later than this met silence
 USUAL_SPAN, SHARE_SPAN = 30 * SEC, 10 * SEC  # over which usual deliveries are counted; a tenant's share
-RAMP_SHARE = 0.8  # of what the rule allows
+RAMP_SHARE, SOONER = 0.8, 3  # of what the rule allows; few outcomes: back for one part in so many of it
 STALE = 4  # one part in so many of the idle time that broke a connection is what the next may have
 REST, MOST_REST = 250 * MS, 2 * SEC
 MOST_LIST_PAUSE, MOST_ASK_PAUSE = 500 * MS, 2 * SEC  # until a list is asked for again: pushed; else
@@ -295,9 +295,10 @@
         # Threat: among many, each meets too few failures to tell an outage, and all return as one.
         outage = endpoint.down or endpoint.run >= self.unlikely(least=1 if self.few(endpoint) else LEAST_RUN)
         if told or outage and now - endpoint.bad_since >= SHORT_OUTAGE:
-            endpoint.back_at, endpoint.filled_at, gone = now, now, (now - endpoint.bad_since) // MS
-            endpoint.tokens = self.at.chance(endpoint.id)  # a share of less than one call still counts
-            self.at.host.log(f"endpoint {endpoint.id} back after {gone} ms, warming")
+            gone, sure = now - endpoint.bad_since, told or endpoint.down or endpoint.run >= LEAST_RUN
+            endpoint.back_at = now - (not sure) * min(gone, self.me.settings.get("warm_within", 0)) // SOONER
+            endpoint.filled_at, endpoint.tokens = now, self.at.chance(endpoint.id)  # less than a call counts
+            self.at.host.log(f"endpoint {endpoint.id} back after {gone // MS} ms, warming")
             # Threat: each of many dispatchers would find out late, at the cost of a push.  It may get lost.
             if not told and self.me.settings.get("may_note"):
                 self.at.host.note(None, f"back {endpoint.id}".encode())
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -228,3 +228,16 @@
             bed.end(ntf, "cancelled", after=0, number=number)
         bed.turn()
     assert bed.endpoint().down
+
+
+@pytest.mark.parametrize(("run", "down", "gone", "left"), [
+    (2, False, 6, 8),  # one reset: back for a third of the 6 s
+    (2, False, 120, 20 / 3),  # two thirds of the ramp at least, however long nothing went there
+    (2, True, 6, 10), (3, False, 6, 10)])  # set aside, or more outcomes: all of it
+def test_a_return_that_few_outcomes_tell_of_is_taken_as_sooner(run, down, gone, left):
+    """Else one lost call of one of many costs its destination the whole ramp, after its whole pause."""
+    bed = Bed(dispatchers=200, start_capacity=0.25, warm_within=10 * SEC, fall_within=2 * SEC)
+    endpoint, bed.at.now = bed.endpoint(), 1000 * SEC
+    endpoint.run, endpoint.down, endpoint.bad_since = run, down, bed.at.now - gone * SEC
+    bed.at.health.good(endpoint)
+    assert endpoint.back_at + 10 * SEC - bed.at.now == pytest.approx(left * SEC)
