The queue ends with its owner, so that a process ends whatever its calls still tell

Cause, by reading and then forced: Endpoints.tell sends to the owner's queue of 1,024 under a shield. At exit the owner takes no round any more; with more calls out than the queue has room for, the rest wait in a shielded send for good, and the process stays until SIGKILL. The same as any part fails and the owner is cancelled.

Change: Owner.run closes the queue as it leaves; who still tells is let go. What is told before that counts as it did: hear_out takes the queue and those that wait to put something in.

--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -57,13 +57,14 @@
     # ---- what socket tasks say; each becomes a call in the owner's next round
 
     async def tell(self, what, *fields):
-        await self.queue.send((what, fields))
+        with suppress(trio.BrokenResourceError):  # the owner has ended: nobody is told any more
+            await self.queue.send((what, fields))
 
     def tell_now(self, what, *fields):
         """For clients: False when the queue is full, which they are told."""
         try:
             self.queue.send_nowait((what, fields))
-        except trio.WouldBlock:
+        except (trio.WouldBlock, trio.BrokenResourceError):
             return False
         return True
 
@@ -155,8 +156,15 @@
             self.at.me.settings = present
 
     async def run(self, nursery):
-        """Rounds until it was frozen and nothing that began is left open; then the module gets no turn."""
+        """Rounds until it was frozen and nothing that began is left open; then the module gets no turn.
+
+        Threat: the queue is full and nobody takes from it any more, so that who tells what must not be lost
+        waits for good, and the process never ends; so the queue ends with its owner."""
         self.nursery = nursery
+        with self.inbox:
+            await self.rounds()
+
+    async def rounds(self):
         while not (self.frozen and self.settled()):
             events = await self.gather()
             self.at.now = now = self.now()
