Calls at the instant at which they end: what lies unread is not waited on, what never left is called again

Cause, each seen by a forced test on the text before: - An answer of which a part lies unread at the time-out or cancel was waited for under a shield, up to 1 s for its head and 1 s for its body: the end was told late by that, and a process that stops was held up. It is read for 50 ms at most now, and counts as far as it came.

--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -14,6 +14,8 @@
 from juniperlanding.net.counters import FORWARDS
 from juniperlanding.net.line import GONE, connect
 
+LAST_READ = 0.05  # seconds to take in what came of an answer before its call was ended
+
 
 @dataclass(slots=True, eq=False)
 class Send:
@@ -111,6 +113,14 @@
                     send.cancelled = True
                 call.scope.cancel()
 
+    async def withdraw(self):
+        """The process ends: call back what has not left, and wait until that is told.
+
+        Threat: it is on file as begun, and a once-only one would be given up with no call made."""
+        self.recall({call.endpoint for call in self.out.values()})
+        while not all(call.written for call in self.out.values()):
+            await trio.sleep(LAST_READ / 10)
+
     async def run(self, call):
         call.scope.deadline = trio.current_time() + (max(s.until for s in call.sends) - self.now()) / SEC
         reason = "gave_up"
@@ -122,8 +132,9 @@
                 reason = "answered"
             if call.scope.cancelled_caught and call.written and not self.frozen and call.line.unheard():
                 # Threat: we stood still past the deadline.  The first look at the sockets after that tells of
-                # nothing (EINTR), so time is up before an answer that lies there is seen.
-                with trio.CancelScope(shield=True):
+                # nothing (EINTR), so time is up before an answer that lies there is seen.  A part of one lies
+                # there, and its end is not waited for.
+                with trio.move_on_after(LAST_READ, shield=True):
                     await self.answered(call)
                     reason = "answered"
         except (*GONE, h11.ProtocolError, trio.TooSlowError) as error:
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -278,6 +278,7 @@
             await trio.sleep(LAST_LOOK)
         await self.owner.tell(self.owner.park)
         await self.owner.parked.wait()
+        await self.owner.endpoints.withdraw()
 
     def close(self):
         """The end; whether all that is owed could be written down."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,12 +4,352 @@
 Every crossing is forced: the peer holds its bytes until the node is at the instant, or a hook at the seam
 lets the other side act before the node goes on."""
 
+import socket
+import struct
+from contextlib import suppress
+from dataclasses import replace
+
 import pytest
 import trio
 import trio.testing
-from test_net import owed
+from conftest import WIRE
+from test_endings_endpoint import Held
+from test_net import endpoints, owed, send
 
+from juniperlanding.choice import SEC
+from juniperlanding.net import line as lines
 from juniperlanding.net import owner as owners
+from juniperlanding.net.line import Line
+from juniperlanding.standins.peers import http, read_message
+
+KINDS = {"news": "repeatable", "pay": "collapsible", "order": "once-only"}
+OFTEN = WIRE | {"family_info": WIRE["family_info"] | {"batch_by_kind": [5, 5]}}
+
+
+class Peer:
+    """An endpoint that says what the test has it say; `calls` has the socket that each call came by."""
+
+    def __init__(self):
+        self.calls, self.got, self.answer = [], [], None
+
+    async def open(self, nursery):
+        listeners = await nursery.start(trio.serve_tcp, self.attend, 0)
+        self.address = listeners[0].socket.getsockname()[:2]
+        return self
+
+    async def attend(self, stream):
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            buffer = bytearray()
+            while message := await read_message(stream, buffer):
+                self.got.append(message)
+                self.calls.append(stream.socket)
+                if self.answer:
+                    await stream.send_all(self.answer)
+
+    def say(self, call, data):
+        """Bytes that lie in the node's kernel as this returns; no task of the node has run since."""
+        self.calls[-1]._sock.send(data)
+        while call.line.sock.peek() is None:  # loopback: it is there at once
+            pass
+
+    def reset(self):
+        sock = self.calls[-1]
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
+
+def time_is_up(call):
+    call.scope.cancel()  # as the deadline does, with no look at the sockets in between
+
+
+async def out(site, calls, many=1):
+    """A call that is written whole, and of whose answer nothing came yet."""
+    site.peer = await Peer().open(site.nursery)
+    calls.book["s-1"] = site.peer.address
+    calls.start(site.nursery, "s-1", [send("ab"[at], 8 * SEC) for at in range(many)])
+    await site.until(lambda: site.peer.calls)
+    call, = set(calls.out.values())
+    await site.until(lambda: call.written)
+    await trio.testing.wait_all_tasks_blocked()
+    return call
+
+
+BOTH = b'[{"id":"a","state":"accepted"},{"id":"b","state":"accepted"}]'
+HALF_A_LINE, HALF_A_HEAD = b"HTTP/1.1 20", b"HTTP/1.1 200 x\r\nContent-Le"
+HALF_A_BODY = http(200, BOTH)[:-9]
+
+
+# ---- what lies unread, or came in part, as a call is ended
+
+@pytest.mark.parametrize("many, unread, time_out, cancelled", [
+    (1, http(200), "delivered", "delivered"), (1, HALF_A_HEAD, "delivered", "delivered"),
+    (1, HALF_A_LINE, "timeout", "cancelled"), (1, http(500), "error", "error"),
+    (1, http(429), "throttled", "throttled"), (1, http(429, b"hello")[:-1], "timeout", "cancelled"),
+    (2, http(200, BOTH), "delivered", "delivered"), (2, HALF_A_HEAD, "timeout", "cancelled"),
+    (2, HALF_A_BODY, "timeout", "cancelled")])
+@pytest.mark.parametrize("how", ["time-out", "cancel"])
+def test_what_lies_unread_as_a_call_is_ended_counts_as_far_as_it_came(site, monkeypatch, how, many, unread,
+                                                                      time_out, cancelled):
+    """What lies there is read, and nothing that is still to come is waited for."""
+    outcomes = []
+    monkeypatch.setattr(lines, "ANSWER_WITHIN", 60)
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+        call = await out(site, calls, many)
+        site.peer.say(call, unread)
+        if how == "cancel":
+            for name in "ab"[:many]:
+                calls.cancel(name, 0)
+        else:
+            time_is_up(call)
+        await site.until(lambda: len(outcomes) == many)
+        assert {told[2] for told in outcomes} == {cancelled if how == "cancel" else time_out}
+        assert not calls.out
+    site.run(scene)
+
+
+@pytest.mark.parametrize("many, came, ending", [
+    (1, HALF_A_HEAD, "delivered"), (1, HALF_A_LINE, "timeout"), (1, http(500, b"hello")[:-1], "timeout"),
+    (1, http(200, b"hello")[:-1], "delivered"), (2, HALF_A_HEAD, "timeout"), (2, HALF_A_BODY, "timeout")])
+def test_an_answer_half_read_at_the_time_out_counts_as_far_as_it_came(site, monkeypatch, many, came, ending):
+    outcomes = []
+    monkeypatch.setattr(lines, "ANSWER_WITHIN", 60)
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+        call = await out(site, calls, many)
+        site.peer.say(call, came)
+        await site.until(lambda: call.line.sock.peek() is None)  # all of it was read
+        await trio.testing.wait_all_tasks_blocked()
+        time_is_up(call)
+        await site.until(lambda: len(outcomes) == many and calls.places.value == 8)
+        assert {told[2] for told in outcomes} == {ending} and not calls.out
+    site.run(scene)
+
+
+@pytest.mark.parametrize("many, ending", [(1, "delivered"), (2, "timeout")])
+@pytest.mark.parametrize("before", [b"", HALF_A_LINE])
+def test_a_line_that_gets_whole_as_its_connection_is_closed_still_counts(site, monkeypatch, many, ending,
+                                                                         before):
+    outcomes, whole, late = [], Line.arrived, []
+
+    def arrived(line):
+        if late:
+            site.peer.say(*late.pop())
+        return whole(line)
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+        call = await out(site, calls, many)
+        if before:
+            site.peer.say(call, before)
+            await site.until(lambda: call.line.head == before)
+        late.append((call, HALF_A_HEAD[len(before):]))
+        monkeypatch.setattr(Line, "arrived", arrived)
+        time_is_up(call)
+        await site.until(lambda: len(outcomes) == many)
+        assert {told[2] for told in outcomes} == {ending} and not late
+    site.run(scene)
+
+
+# ---- a connection that comes up in the instant in which its call is called off
+
+@pytest.mark.parametrize("many", [1, 2])
+@pytest.mark.parametrize("first", ["up", "off"])
+@pytest.mark.parametrize("how", ["cancel", "time-out", "recall"])
+def test_a_connection_that_comes_up_as_its_call_is_called_off_carries_nothing(site, how, first, many):
+    """Both in one turn of the loop, in either order: nothing leaves; a time-out alone is the endpoint's."""
+    outcomes = []
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+        calls.network = Held(site.far)
+        calls.start(site.nursery, "s-1", [send("ab"[at], 8 * SEC) for at in range(many)])
+        await site.until(lambda: calls.network.began)
+        call, = set(calls.out.values())
+
+        def off():
+            if how == "recall":
+                calls.recall({"s-1"})
+            elif how == "cancel":
+                for name in "ab"[:many]:
+                    calls.cancel(name, 0)
+            else:
+                time_is_up(call)
+        for act in (calls.network.go.set, off) if first == "up" else (off, calls.network.go.set):
+            act()
+        await site.until(lambda: len(outcomes) == many and calls.places.value == 8)
+        await trio.testing.wait_all_tasks_blocked()
+        assert {told[2] for told in outcomes} == {"unreachable" if how == "time-out" else "moot"}
+        assert not site.far.got and not calls.out
+    site.run(scene)
+
+
+@pytest.mark.parametrize("how", ["cancel", "recall", "time-out"])
+def test_a_call_whose_last_byte_is_held_back_has_not_run_once_it_is_called_off(site, monkeypatch, how):
+    """All but the last byte is out: the end comes after the look at the connection, before that byte."""
+    outcomes, look = [], Line.waiting
+
+    async def scene(site):
+        calls = await endpoints(site, outcomes)
+
+        def waiting(line):
+            if calls.out:
+                call, = calls.out.values()
+                if how == "cancel":
+                    calls.cancel("a", 0)
+                elif how == "recall":
+                    calls.recall({"s-1"})
+                else:
+                    call.scope.cancel()
+            return look(line)
+        monkeypatch.setattr(Line, "waiting", waiting)
+        calls.start(site.nursery, "s-1", [send("a", 8 * SEC)])
+        await site.until(lambda: outcomes and calls.places.value == 8)
+        await trio.testing.wait_all_tasks_blocked()
+        assert outcomes[0][2] == ("unreachable" if how == "time-out" else "moot")
+        assert site.far.connections == 1 and not site.far.got
+    site.run(scene)
+
+
+# ---- what becomes of each kind
+
+def endless(site, call):
+    """A 500 whose body never ends: the peer sends for as long as it is let."""
+    async def flood(sock):
+        with suppress(OSError, trio.ClosedResourceError):
+            await sock.send(b"HTTP/1.1 500 x\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                await sock.send(b"400\r\n" + b"x" * 1024 + b"\r\n")
+    site.nursery.start_soon(flood, site.peer.calls[-1])
+
+
+def endless_200(site, call):
+    site.peer.say(call, b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 70_000)
+
+
+def says(data, then=None):
+    def act(site, call):
+        site.peer.say(call, data)
+        if then:
+            then(call)
+    return act
+
+
+def reset(site, call):
+    site.peer.reset()
+
+
+CROSSINGS = {  # what the peer does with the first call; what is told; whether it may have run
+    "endless": (endless, "reset", True),
+    "endless, its line with 200 whole": (endless_200, "delivered", True),
+    "half a line at the time-out": (says(HALF_A_LINE, time_is_up), "timeout", True),
+    "a line with 200 at the time-out": (says(HALF_A_HEAD, time_is_up), "delivered", True),
+    "200 unread at the time-out": (says(http(200), time_is_up), "delivered", True),
+    "429 unread at the time-out": (says(http(429), time_is_up), "throttled", False),
+    "a head, then nothing": (says(http(500, b"hello")[:-5]), "reset", True),
+    "a head that says never ran, then nothing": (says(http(429, b"hello")[:-5]), "reset", True),
+    "a head with 200, then nothing": (says(http(200, b"hello")[:-5]), "delivered", True),
+    "reset": (reset, "reset", True)}
+
+
+@pytest.mark.parametrize("topic", KINDS)
+@pytest.mark.parametrize("crossing", CROSSINGS)
+def test_each_crossing_has_one_outcome_for_each_kind(site, monkeypatch, crossing, topic):
+    act, told, ran = CROSSINGS[crossing]
+    monkeypatch.setattr(lines, "ANSWER_WITHIN", 0.05)
+
+    async def scene(site):
+        site.far = site.peer = await Peer().open(site.nursery)
+        node = await site.start()
+        assert await site.hand_in("a", topic, ttl=9000) == 202
+        await site.until(lambda: site.peer.calls)
+        call, = set(node.owner.endpoints.out.values())
+        await site.until(lambda: call.written)
+        site.peer.answer = http(200)
+        act(site, call)
+        await site.until(lambda: not node.ledger.owed)
+        assert node.counters[f"pushes_{told}"] >= 1
+        given_up = ran and told != "delivered" and topic == "order"
+        assert len(site.peer.got) == (1 if told == "delivered" or given_up else 2)
+        assert {(told["message"], told["outcome"]) for told in site.platform.notices} == (
+            {("a", "given_up")} if given_up else set())  # posted twice does no harm
+    site.run(scene)
+
+
+# ---- the process ends meanwhile
+
+ENDS = {  # what came of the answer as the process ends; whether it was delivered
+    "nothing": (b"", False), "half a line": (HALF_A_LINE, False), "a line with 200": (HALF_A_HEAD, True),
+    "a head, the body never": (http(500, b"hello")[:-5], False),
+    "a head that says never ran, the body never": (http(429, b"hello")[:-5], False),
+    "a head with 200, the body never": (http(200, b"hello")[:-5], True)}
+
+
+@pytest.mark.parametrize("topic", KINDS)
+@pytest.mark.parametrize("read", [True, False])
+@pytest.mark.parametrize("came", ENDS)
+def test_a_call_under_way_as_the_process_ends_has_one_outcome_for_each_kind(site, monkeypatch, came, read,
+                                                                            topic):
+    data, delivered = ENDS[came]
+
+    async def scene(site):
+        site.far = site.peer = await Peer().open(site.nursery)
+        node = await site.start()
+        assert await site.hand_in("a", topic, ttl=9000) == 202
+        await site.until(lambda: site.peer.calls)
+        call, = set(node.owner.endpoints.out.values())
+        await site.until(lambda: call.written)
+        await node.owner.tell(node.owner.park)
+        await node.owner.parked.wait()
+        await trio.testing.wait_all_tasks_blocked()
+        if data:
+            site.peer.say(call, data)
+        if read:
+            await trio.testing.wait_all_tasks_blocked()
+            await site.until(lambda: call.line is None or call.line.sock.peek() is None)
+            await trio.testing.wait_all_tasks_blocked()
+        assert node.close()
+        site.scope.cancel()
+        await trio.testing.wait_all_tasks_blocked()
+        node.release()
+        assert list(owed(site)) == [] if delivered else ["a"]
+        site.peer.answer = http(200)
+        node = await site.start()
+        await site.until(lambda: node.owner.ready and not node.ledger.owed)
+        given_up = not delivered and topic == "order"
+        assert len(site.peer.got) == (1 if delivered or given_up else 2)
+        assert {(told["message"], told["outcome"]) for told in site.platform.notices} == (
+            {("a", "given_up")} if given_up else set())  # posted twice does no harm
+    site.run(scene)
+
+
+@pytest.mark.parametrize("topic", KINDS)
+@pytest.mark.parametrize("how", ["stopped", "killed"])
+def test_a_call_that_still_connects_as_the_process_ends_is_made_by_the_next(site, how, topic):
+    """Whatever the kind after a stop; after a kill the ledger cannot tell it from one that ran."""
+    async def scene(site):
+        world = site.world
+        site.world = replace(world, network=Held(site.far))
+        node = await site.start()
+        assert await site.hand_in("a", topic, ttl=9000) == 202
+        await site.until(lambda: site.world.network.began)
+        if how == "stopped":
+            await node.last_words()
+            site.world.network.go.set()
+            assert node.close()
+        site.scope.cancel()
+        await trio.testing.wait_all_tasks_blocked()
+        node.release()
+        assert not site.far.got and list(owed(site)) == ["a"]
+        site.world = world
+        node = await site.start()
+        await site.until(lambda: node.owner.ready and not node.ledger.owed)
+        given_up = how == "killed" and topic == "order"
+        assert len(site.far.got) == (not given_up)
+        assert bool(site.platform.notices) == given_up
+    site.run(scene)
 
 
 # ---- the process ends with more calls out than the queue has room for
