Names: hand_in is submit, what makes room by ending a connection is evict

The field's terms, in one commit apart from any mend: Owner.hand_in, Clients.hand_in and the tests' own; protocol.HAND_IN; Clients.shed and Endpoints.shed, which are evictions. Dispatcher.shed stays: it sheds load. Counters (handed_in), wire and files keep their spelling.

--- a/juniperlanding/emulator/decisions.py
+++ b/juniperlanding/emulator/decisions.py
@@ -168,7 +168,7 @@
         back = self.now + reply.delay + self.latency()
         self.at(back, host.tell, push, ending, back - sent_at, reply.wait)
 
-    def hand_in(self, ntf_id, topic, number, destination, key):
+    def submit(self, ntf_id, topic, number, destination, key):
         host = self.hosts[(int(ntf_id[1:]) + number) % len(self.hosts)]
         self.audit.handed_in(ntf_id, topic.name, destination, topic.kind, int(topic.ttl))
         if len(host.at.me.notifications) >= self.scenario.fleet.most_held:
@@ -251,7 +251,7 @@
         began = time.perf_counter()
         self.build()
         for count, (at, topic, destination, _, key) in enumerate(self.arrivals):
-            self.at(at, self.hand_in, f"c{count}", topic, self.seed, destination, key)
+            self.at(at, self.submit, f"c{count}", topic, self.seed, destination, key)
         for entry in self.scenario.fault:
             self.at(int(entry.at), self.fault, entry)
         until = int(self.scenario.length) + max(int(topic.ttl) for topic in self.scenario.topic) + GRACE + SEC
@@ -261,7 +261,7 @@
             touched = host if isinstance(host, Host) else None
             for one in self.hosts if touched is None and what == self.fault else ():
                 one.at.now = EPOCH + self.now
-            if touched is None and what in (self.hand_in,):
+            if touched is None and what in (self.submit,):
                 touched = self.hosts[(int(fields[0][1:]) + fields[2]) % len(self.hosts)]
             if touched:
                 touched.at.now = EPOCH + self.now
--- a/juniperlanding/emulator/mutants.py
+++ b/juniperlanding/emulator/mutants.py
@@ -175,11 +175,11 @@
     await UNANSWERED(self, call)
 
 
-@mutant(owner.Owner, "hand_in")
+@mutant(owner.Owner, "submit")
 def same_id_runs_again(self, topic, destination, ttl_at, key, body, answer, *keys):
     """An id that is over and comes again is taken on once more."""
     self.taken.discard(answer.ntf_id)
-    return HAND_IN(self, topic, destination, ttl_at, key, body, answer, *keys)
+    return SUBMIT(self, topic, destination, ttl_at, key, body, answer, *keys)
 
 
-HAND_IN = owner.Owner.hand_in
+SUBMIT = owner.Owner.submit
--- a/juniperlanding/emulator/parties.py
+++ b/juniperlanding/emulator/parties.py
@@ -322,10 +322,10 @@
 
     async def request(self, ntf_id, topic, destination, size, key):
         at = self.front()
-        status = await self.hand_in(ntf_id, topic, destination, size, key, at)
+        status = await self.submit(ntf_id, topic, destination, size, key, at)
         if status in (0, 429, 503) and self.chance.random() < self.retries:
             await trio.sleep(0.05 + 0.2 * self.chance.random())
-            await self.hand_in(f"{ntf_id}r", topic, destination, size, key, self.front())
+            await self.submit(f"{ntf_id}r", topic, destination, size, key, self.front())
         elif status == 202 and self.chance.random() < self.reuses:
             await trio.sleep(2 * self.chance.random())  # it may be over by then
             with trio.move_on_after(PATIENCE / SEC):
@@ -340,7 +340,7 @@
             f"Content-Length: {size}\r\n\r\n"
         ).encode() + b"x" * size
 
-    async def hand_in(self, ntf_id, topic, destination, size, key, dispatcher):
+    async def submit(self, ntf_id, topic, destination, size, key, dispatcher):
         self.watch.handed_in(ntf_id, topic, destination, dispatcher)
         status, patience = 0, PATIENCE
         if self.leaves and self.chance.random() < self.leaves:
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -78,13 +78,13 @@
                 continue
             self.open += 1
             if self.crowded():
-                self.shed()
+                self.evict()
             nursery.start_soon(self.attend, Line(sock, h11.SERVER), peer)
 
     def crowded(self):
         return self.open - len(self.turned_away) > self.most_open
 
-    def shed(self):
+    def evict(self):
         """Threats: clients keep connections that they do not use, or never finish what they ask.
 
         Of those that owe us a request, the one that has done so longest goes; where half of them or more are
@@ -235,13 +235,13 @@
             return await self.respond(line, 200 if well else 503)
         if request.method == b"GET" and path == protocol.COUNTERS:
             return await self.respond(line, 200, payload=self.counters.text().encode())
-        if path != protocol.HAND_IN:
+        if path != protocol.SUBMIT:
             return await self.respond(line, 404)
         if request.method != b"POST":
             return await self.respond(line, 405)
-        return await self.hand_in(line, dict(request.headers), body, request.target)
+        return await self.submit(line, dict(request.headers), body, request.target)
 
-    async def hand_in(self, line, headers, body, target=b""):
+    async def submit(self, line, headers, body, target=b""):
         self.counters["handed_in"] += 1
         try:
             ntf_id, topic = protocol.name(headers[protocol.ID]), headers[protocol.TOPIC].decode("latin-1")
@@ -256,7 +256,7 @@
         answer = Answer(ntf_id)
         # Threat: we stood still, and the client has left and hands it in elsewhere.
         unfit = not self.owner.ready or self.owner.stuck or self.closing or line.waiting() == b""
-        if unfit or not self.owner.tell_now(self.owner.hand_in, topic, destination, ttl_at, key, body,
+        if unfit or not self.owner.tell_now(self.owner.submit, topic, destination, ttl_at, key, body,
                                             answer, *keys):
             self.counters.ended(topic, DECLINED)
             return await self.respond(line, 503)
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -242,7 +242,7 @@
                 return line
             self.drop(endpoint, line, "stale")
         if not self.places.value:
-            self.shed()
+            self.evict()
         await self.places.acquire()  # threat: a call that finds no socket here is no fault of the endpoint's
         call.tried = True
         try:
@@ -339,7 +339,7 @@
         for line in self.idle.pop(endpoint, []):
             self.drop(endpoint, line, "asked")
 
-    def shed(self):
+    def evict(self):
         """Threat: idle connections use up the sockets; the one idle longest goes."""
         idle = [(lines[0].used_at, endpoint) for endpoint, lines in self.idle.items() if lines]
         if idle:
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -311,7 +311,7 @@
         with suppress(trio.WouldBlock):
             while True:
                 what, fields = self.inbox.receive_nowait()
-                if what != self.hand_in:  # its client is told no more, so nothing is owed
+                if what != self.submit:  # its client is told no more, so nothing is owed
                     self.guarded(what, *fields)
         for call in set(self.endpoints.out.values()):
             if call.written and call.line and len(call.sends) == 1:
@@ -347,7 +347,7 @@
         for gone in self.entries.keys() - self.at.me.endpoints.keys():
             del self.endpoints.book[gone], self.entries[gone]
 
-    def hand_in(self, topic, destination, ttl_at, key, body, answer, turn="", tenant=""):
+    def submit(self, topic, destination, ttl_at, key, body, answer, turn="", tenant=""):
         ntf_id = answer.ntf_id
         self.answers.append(answer)
         if ntf_id in self.taken or ntf_id in self.ledger.owed:
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -11,7 +11,7 @@
 MOST_HEAD = 16 << 10
 MOST_NAME = 256  # of an id or a key
 
-READY, HAND_IN, COUNTERS = b"/_health", b"/api", b"/_counters"
+READY, SUBMIT, COUNTERS = b"/_health", b"/api", b"/_counters"
 ANSWER = b"HTTP/1."
 ONE, MANY = "/v1/messages", "/v1/messages:batch"
 NOTICES, LIST = "/reports", "/catalog/members"
--- a/juniperlanding/processes/policy.py
+++ b/juniperlanding/processes/policy.py
@@ -209,7 +209,7 @@
 
     async def order(self, clients):
         clients.count += 1
-        await clients.hand_in(f"{clients.run_name}-{clients.count}", TOPICS[0], 1, 60)
+        await clients.submit(f"{clients.run_name}-{clients.count}", TOPICS[0], 1, 60)
 
     async def thick(self, seconds=0.8):
         """A denser flow to all for a moment, to see pauses by."""
--- a/juniperlanding/processes/region.py
+++ b/juniperlanding/processes/region.py
@@ -161,7 +161,7 @@
                 name = self.dealt(turn)
                 topic = chance.choices(TOPICS, [t.share for t in TOPICS])[0]
                 place = chance.choices([*self.places], [*self.places.values()])[0]
-                nursery.start_soon(clients[name].hand_in, f"{name}-{self.seed}-{self.counter}", topic, place,
+                nursery.start_soon(clients[name].submit, f"{name}-{self.seed}-{self.counter}", topic, place,
                                    chance.randrange(40, 600))
 
     def dealt(self, turn):
--- a/juniperlanding/standins/clients.py
+++ b/juniperlanding/standins/clients.py
@@ -58,9 +58,9 @@
                 await trio.sleep(max(0, begun + at - self.now()) / SEC)
                 self.late = max(self.late, self.now() - begun - at)
                 self.count += 1
-                nursery.start_soon(self.hand_in, f"{self.run_name}-{self.count}", topic, destination, size)
+                nursery.start_soon(self.submit, f"{self.run_name}-{self.count}", topic, destination, size)
 
-    async def hand_in(self, ntf_id, topic, destination, size):
+    async def submit(self, ntf_id, topic, destination, size):
         self.audit.handed_in(ntf_id, topic.name, destination, topic.kind, topic.ttl)
         key = f"Idempotency-Key: k-{ntf_id}\r\n" if topic.kind == "collapsible" else ""
         text = (
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -163,7 +163,7 @@
         first, headers, self.payload = await read_message(stream, bytearray())
         return int(first.split()[1]), headers
 
-    async def hand_in(self, number="a1", topic="news", stream=None, body=b"hello", ttl=5000, dest=7, more=""):
+    async def submit(self, number="a1", topic="news", stream=None, body=b"hello", ttl=5000, dest=7, more=""):
         text = (f"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: {number}\r\nX-Qos: {topic}\r\n"
                 f"X-Expires-In-Ms: {ttl}\r\nX-Addressing: dest={dest}\r\n{more}"
                 f"Content-Length: {len(body)}\r\n\r\n")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -273,7 +273,7 @@
     async def scene(site):
         site.far = site.peer = await Peer().open(site.nursery)
         node = await site.start()
-        assert await site.hand_in("a", topic, ttl=9000) == 202
+        assert await site.submit("a", topic, ttl=9000) == 202
         await site.until(lambda: site.peer.calls)
         call, = set(node.owner.endpoints.out.values())
         await site.until(lambda: call.written)
@@ -308,7 +308,7 @@
     async def scene(site):
         site.far = site.peer = await Peer().open(site.nursery)
         node = await site.start()
-        assert await site.hand_in("a", topic, ttl=9000) == 202
+        assert await site.submit("a", topic, ttl=9000) == 202
         await site.until(lambda: site.peer.calls)
         call, = set(node.owner.endpoints.out.values())
         await site.until(lambda: call.written)
@@ -345,7 +345,7 @@
         world = site.world
         site.world = replace(world, network=Held(site.far))
         node = await site.start()
-        assert await site.hand_in("a", topic, ttl=9000) == 202
+        assert await site.submit("a", topic, ttl=9000) == 202
         await site.until(lambda: site.world.network.began)
         if how == "stopped":
             await node.last_words()
@@ -374,7 +374,7 @@
     async def scene(site):
         node = await site.start()
         for number in range(7):
-            assert await site.hand_in(f"a{number}", ttl=9000) == 202
+            assert await site.submit(f"a{number}", ttl=9000) == 202
         await site.until(lambda: len(got(site.far)) == 7)
         owner = node.owner
         if how == "stopped":
@@ -397,7 +397,7 @@
     async def scene(site):
         node = await site.start()
         for number in range(7):
-            assert await site.hand_in(f"a{number}", "order", ttl=9000) == 202
+            assert await site.submit(f"a{number}", "order", ttl=9000) == 202
         await site.until(lambda: len(got(site.far)) == 7)
         queue, owner = node.owner.queue, node.owner
         await owner.tell(owner.park)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -96,7 +96,7 @@
         flood = [await site.client() for _ in range(40)]
         for stream in flood:
             await stream.send_all(b"POST /api HTTP/1.1\r\nHo")
-        assert await site.hand_in("a1") == 503
+        assert await site.submit("a1") == 503
         while node.owner.tell_now(node.owner.unheard, "none"):  # the owner stands, so its queue fills up
             pass
         with trio.fail_after(1):
@@ -111,9 +111,9 @@
         node = await site.start()
         for number, topic, ttl in (("d1", "news", 5000), ("d2", "pay", 5000), ("o1", "order", 5000),
                                    ("o2", "order", 400), ("h1", "news", 400), ("u1", "news", 1)):
-            await site.hand_in(number, topic, ttl=ttl, dest=8 if number == "h1" else 7)
-        assert await site.hand_in("d1") == 202  # once more: nothing new
-        assert await site.hand_in("x1", "pay", dest=70000) == 503
+            await site.submit(number, topic, ttl=ttl, dest=8 if number == "h1" else 7)
+        assert await site.submit("d1") == 202  # once more: nothing new
+        assert await site.submit("x1", "pay", dest=70000) == 503
         await site.until(lambda: not node.owner.held)
         told = await figures(site)
         assert {name.removeprefix("results."): value for name, (value, _) in told.items()} == {
@@ -128,8 +128,8 @@
 def test_what_an_earlier_process_took_on_is_counted_where_it_ends(site):
     async def scene(site):
         await site.start()
-        await site.hand_in("a1", "news")
-        await site.hand_in("a2", "order")
+        await site.submit("a1", "news")
+        await site.submit("a2", "order")
         await site.until(lambda: len(site.far.got) == 2)
         site.kill()
         site.far.answer = lambda *message: http(200)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -61,18 +61,18 @@
 def test_a_client_that_is_answered_as_all_is_frozen_may_rest_after_it(site):
     async def scene(site):
         old, stream = await first(site), await site.client()
-        hand_over, hand_in = Replaced(site, old), old.owner.hand_in
+        hand_over, submit = Replaced(site, old), old.owner.submit
 
         def frozen_in_the_same_round(*fields):
-            hand_in(*fields)
+            submit(*fields)
             hand_over.go()
         await hand_over.ask()
-        old.owner.hand_in = frozen_in_the_same_round
-        assert await site.hand_in("a1", stream=stream) == 202
+        old.owner.submit = frozen_in_the_same_round
+        assert await site.submit("a1", stream=stream) == 202
         new = await hand_over.over()
         await site.until(lambda: new.clients.waiting)
         assert [one.until for one in new.clients.waiting] == [float("inf")]
-        assert await site.hand_in("a2", stream=stream) == 202
+        assert await site.submit("a2", stream=stream) == 202
     site.run(scene)
 
 
@@ -178,7 +178,7 @@
         listeners = await site.nursery.start(trio.serve_tcp, in_two, 0)
         site.far.address = listeners[0].socket.getsockname()[:2]
         old = await first(site)
-        assert await site.hand_in("a1", "order") == 202
+        assert await site.submit("a1", "order") == 202
         out = old.owner.endpoints.out
         await site.until(lambda: any(call.line and call.line.head for call in out.values()))
         new = await replace(site)
@@ -200,7 +200,7 @@
 
     async def scene(site):
         old = await first(site)
-        assert await site.hand_in("a1", "order") == 202
+        assert await site.submit("a1", "order") == 202
         await site.until(lambda: old.owner.endpoints.out)
         new = await replace(site)
         up.set()
--- a/tests/test_endings_drain.py
+++ b/tests/test_endings_drain.py
@@ -47,7 +47,7 @@
 
 def end_by(node, how):
     if how == "evicted":
-        node.clients.shed()
+        node.clients.evict()
     if how == "drained":
         node.clients.drain()
 
@@ -63,7 +63,7 @@
         node = await site.start()
         stream = await site.client()
         if kept:
-            assert await site.hand_in("a1", stream=stream) == 202
+            assert await site.submit("a1", stream=stream) == 202
         await site.until(lambda: node.clients.waiting)
         late.append((stream.socket._sock, handed("X-Trace-Id: a2")))
         end_by(node, how)
@@ -106,7 +106,7 @@
         await stream.send_all(handed("X-Trace-Id: a2", "Content-Length: 5", body=b"hel"))
         await site.until(lambda: any(line.raw for line in node.clients.waiting))
         late.append(stream.socket._sock)
-        node.clients.shed()
+        node.clients.evict()
         assert await heard(stream) == 503
     site.run(scene)
 
@@ -115,7 +115,7 @@
 def test_what_comes_after_our_end_is_read_not_reset_and_never_sent_on(site, how):
     async def scene(site):
         node, stream = await site.start(), await site.client()
-        assert await site.hand_in("a1", stream=stream) == 202
+        assert await site.submit("a1", stream=stream) == 202
         await site.until(lambda: node.clients.waiting and site.far.got)
         end_by(node, how)
         assert await stream.receive_some() == b""
@@ -138,7 +138,7 @@
         with trio.fail_after(5):  # sixty seconds for each pair of eight else
             for stream in stay[:30]:
                 assert await stream.receive_some() == b""
-            assert await site.hand_in("a1") == 202
+            assert await site.submit("a1") == 202
         assert node.clients.open <= 16
     site.run(scene)
 
@@ -190,7 +190,7 @@
         node, stream = await site.start(), await site.client()
         await site.until(lambda: node.clients.waiting)
         node.clients.refuse()
-        assert await site.hand_in("a1", stream=stream) == 503 and not node.ledger.owed
+        assert await site.submit("a1", stream=stream) == 503 and not node.ledger.owed
     site.run(scene)
 
 
@@ -236,7 +236,7 @@
             node.owner.queue.send_nowait((node.owner.finished, held[0]))
             return close()
         node.owner.endpoints.told, node.close = keep, closing
-        assert await site.hand_in("a1", "order") == 202
+        assert await site.submit("a1", "order") == 202
         await site.until(lambda: held)
         assert await stop(site)
         node.release()
@@ -254,7 +254,7 @@
         far = await site.nursery.start(trio.serve_tcp, attend, 0)
         site.far.address = far[0].socket.getsockname()[:2]
         node = await site.start()
-        assert await site.hand_in("a1", "order") == 202
+        assert await site.submit("a1", "order") == 202
         await site.until(lambda: streams)
         call, = set(node.owner.endpoints.out.values())
         await site.until(lambda: call.written and call.line.head == before)
@@ -282,7 +282,7 @@
     """SIGTERM or SIGKILL: what may be repeated is, what may not is given up, by the ledger's word alone."""
     async def scene(site):
         await site.start()
-        assert await site.hand_in("a1", kind) == 202
+        assert await site.submit("a1", kind) == 202
         await site.until(lambda: site.far.got)
         site.kill()
         site.far.answer = lambda *message: http(200)
@@ -325,7 +325,7 @@
     async def scene(site):
         site.platform.notice_status = 500
         node = await site.start()
-        assert await site.hand_in("a1", dest=8, ttl=100) == 202
+        assert await site.submit("a1", dest=8, ttl=100) == 202
         await site.until(lambda: node.owner.notices.due)
         assert node.close()
         await gone(site)
--- a/tests/test_endings_endpoint.py
+++ b/tests/test_endings_endpoint.py
@@ -112,7 +112,7 @@
         node = await site.start()
         # The first goes alone and holds its connection; the two behind it share a call.
         for number, ttl in (("a", 900), ("b", 900), ("c", 5000)):
-            assert await site.hand_in(number, topic, ttl=ttl) == 202
+            assert await site.submit(number, topic, ttl=ttl) == 202
         await site.until(lambda: {told["message"] for told in site.platform.notices} == {"a", "b"})
         assert all(told["outcome"] == "handed_back" for told in site.platform.notices)
         site.world.network.go.set()
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -158,11 +158,11 @@
         def broken(data):
             raise OSError(errno.ENOSPC, "No space left on device")
         node.ledger.added = broken
-        assert await site.hand_in("a1") == 503
+        assert await site.submit("a1") == 503
         await trio.sleep(0.2)
         node.ledger.added = added
         await site.until(lambda: not node.owner.stuck)
-        assert await site.hand_in("a2") == 202
+        assert await site.submit("a2") == 202
         said = [text for event, text in site.lines if event == "ledger"]
         assert len(said) == 2 and "code=disk-full" in said[0] and said[1].startswith("writes again after=0.")
     site.run(scene)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -45,7 +45,7 @@
 def test_a_notification_goes_through_unchanged_and_is_over(site):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("9b1f", "pay", body=b"\x00\xff", more="Idempotency-Key: k-1\r\n") == 202
+        assert await site.submit("9b1f", "pay", body=b"\x00\xff", more="Idempotency-Key: k-1\r\n") == 202
         await site.until(lambda: node.counters["pushes_delivered"] and not node.ledger.owed)
         (first, headers, body), = site.far.got
         assert first == "POST /v1/messages HTTP/1.1" and body == b"\x00\xff"
@@ -58,7 +58,7 @@
     async def scene(site):
         node, stream = await site.start(), await site.client()
         for number in "abc":
-            assert await site.hand_in(number, stream=stream) == 202
+            assert await site.submit(number, stream=stream) == 202
             await site.until(lambda: not node.ledger.owed)
         assert (len(site.far.got), site.far.connections) == (3, 1)
     site.run(scene)
@@ -387,7 +387,7 @@
             full.listen(0)
             others = [await trio.open_tcp_stream(*full.getsockname())]
             node.owner.endpoints.book["s-1"] = full.getsockname()
-            assert await site.hand_in("a1", "order") == 202
+            assert await site.submit("a1", "order") == 202
             await site.until(lambda: node.owner.endpoints.out)
             news = protocol.entries([member(1, full.getsockname(), phase)], ["m1"], ["a"])
             await node.owner.tell(node.owner.listed, "changes", news)
@@ -407,7 +407,7 @@
 
     async def scene(site):
         await site.start()
-        await site.hand_in("a1", "order")
+        await site.submit("a1", "order")
         await site.until(lambda: found)
         assert (found[0].id, found[0].pushes, len(found[0].ran)) == ("a1", 1, 1)
     site.run(scene, answer)
@@ -417,7 +417,7 @@
 def test_after_a_kill_the_module_decides_between_resending_and_a_notice(site, topic, notices, calls):
     async def scene(site):
         await site.start()
-        await site.hand_in("a1", topic)
+        await site.submit("a1", topic)
         await site.until(lambda: site.far.got)
         site.kill()
         site.far.answer = lambda *message: http(200)
@@ -431,7 +431,7 @@
 def test_what_never_left_goes_on_after_a_kill_with_its_ttl(site):
     async def scene(site):
         await site.start()
-        await site.hand_in("a1", "order", dest=8)
+        await site.submit("a1", "order", dest=8)
         first = owed(site)["a1"].ttl_at
         site.kill()
         node = await site.start()
@@ -518,7 +518,7 @@
 def test_what_is_over_only_as_its_time_is_up_is_ended_by_a_notice_too(site, left, notices, ending):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1", "order") == 202
+        assert await site.submit("a1", "order") == 202
         await site.until(lambda: site.far.got)
         node.ledger.owed["a1"].ttl_at = CLOCK.now() + int(left * SEC)
         await node.owner.tell(node.owner.finished, "s-1", [("a1", 0, ending, SEC, 0, True, None)],
@@ -533,11 +533,11 @@
     async def scene(site):
         node = await site.start()
         whole, node.ledger.added = node.ledger.added, broken
-        assert await site.hand_in("a1") == 503
-        assert await site.hand_in("a1") == 503  # at once, though the owner waits for the disk
+        assert await site.submit("a1") == 503
+        assert await site.submit("a1") == 503  # at once, though the owner waits for the disk
         node.ledger.added = whole
         await site.until(lambda: not node.owner.stuck)
-        assert await site.hand_in("a2") == 202
+        assert await site.submit("a2") == 202
         await site.until(lambda: not node.ledger.owed)
         assert [headers["x-trace-id"] for _, headers, _ in site.far.got] == ["a2"]
         assert node.owner.at.me.slots_out == 0
@@ -554,11 +554,11 @@
     async def scene(site):
         node = await site.start()
         owner = node.owner
-        assert await site.hand_in("a1", "order") == 202  # out, and silent
-        assert await site.hand_in("a2", dest=8, ttl=600) == 202  # waits for an endpoint that drains
+        assert await site.submit("a1", "order") == 202  # out, and silent
+        assert await site.submit("a2", dest=8, ttl=600) == 202  # waits for an endpoint that drains
         await site.until(lambda: site.far.got)
         whole, node.ledger.added = node.ledger.added, broken
-        assert await site.hand_in("a3") == 503
+        assert await site.submit("a3") == 503
         gate.set()
         owner.cancels.clear()
         await owner.tell(owner.finished, "s-1", [("a1", 0, "delivered", SEC, 0, True, None)], CLOCK.now())
@@ -575,7 +575,7 @@
 def test_a_delivery_heard_in_time_counts_however_late_its_round_comes(site):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1", "order") == 202
+        assert await site.submit("a1", "order") == 202
         await site.until(lambda: site.far.got)
         heard = CLOCK.now()
         node.ledger.owed["a1"].ttl_at = heard + SEC // 5
@@ -613,7 +613,7 @@
 def test_an_end_that_cannot_be_written_is_told_and_does_not_break(site):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1", dest=8) == 202
+        assert await site.submit("a1", dest=8) == 202
         node.ledger.added = broken
         node.owner.end("a1")
         assert not node.close() and any("could not be written" in text for _, text in site.lines)
@@ -626,10 +626,10 @@
 
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1", body=b"x" * 9000) == 503
-        assert await site.hand_in("a2") == 202
+        assert await site.submit("a1", body=b"x" * 9000) == 503
+        assert await site.submit("a2") == 202
         node.owner.held.update(dict.fromkeys(("b1", "b2")))
-        assert await site.hand_in("a3") == 503
+        assert await site.submit("a3") == 503
         assert node.counters["turned_away_full"] == 2
     site.run(scene, silent)
 
@@ -641,7 +641,7 @@
     async def scene(site):
         site.platform.notice_status = 500
         node = await site.start()
-        await site.hand_in("a1", "order", ttl=300)
+        await site.submit("a1", "order", ttl=300)
         await site.until(lambda: any(first.startswith("POST") for first, _, _ in site.platform.got))
         if kill:
             site.kill()
@@ -680,7 +680,7 @@
 def test_what_comes_too_late_is_refused_in_the_answer_itself(site):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1", ttl=0) == 503
+        assert await site.submit("a1", ttl=0) == 503
         assert not node.ledger.owed
         assert site.platform.notices == [] and node.counters["faults"] == 0
     site.run(scene)
@@ -701,7 +701,7 @@
         watches = [first for first, _, _ in site.platform.got]
         assert watches[0] == "GET /catalog/members?index=1&wait=10000 HTTP/1.1" and "index=2" in watches[1]
         assert ("list", "entries cannot be read entries=2") in site.lines
-        await site.hand_in("a1")
+        await site.submit("a1")
         await site.until(lambda: other.got)
         assert not site.far.got and list(node.owner.entries) == ["s-2"]
     site.run(scene)
@@ -727,7 +727,7 @@
         site.platform.answer = lambda first, *rest: answer
         node = await site.start()
         await site.until(lambda: node.owner.at.me.list_failures == 1)
-        assert await site.hand_in("a1") == 202
+        assert await site.submit("a1") == 202
         await site.until(lambda: site.far.got)
         node.owner.subscribe(True)
         await site.until(lambda: node.owner.at.me.list_failures == 2)
@@ -793,7 +793,7 @@
         await site.until(lambda: node.owner.ready)
         node.owner.ready = False
         assert (await site.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 503
-        assert await site.hand_in("a1") == 503
+        assert await site.submit("a1") == 503
     site.run(scene)
 
 
@@ -804,7 +804,7 @@
         await slow.send_all(b"POST /api HTTP/1.1\r\nHo")
         await gone.send_all(b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhal")
         await gone.aclose()
-        assert await site.hand_in("a1") == 202
+        assert await site.submit("a1") == 202
         with trio.fail_after(3):
             assert (await slow.receive_some()).startswith(b"HTTP/1.1 408")
             assert await mute.receive_some() == b""
@@ -820,7 +820,7 @@
         for stream in flood:
             await stream.send_all(b"POST /api HTTP/1.1\r\nHo")
         with trio.fail_after(1):
-            assert await site.hand_in("a1") == 202
+            assert await site.submit("a1") == 202
             assert [await stream.receive_some() for stream in flood[:30]] == [b""] * 30
         assert await kept.receive_some() == b"" and node.clients.open <= 16
     site.run(scene)
@@ -842,9 +842,9 @@
 def test_an_id_that_comes_again_once_it_is_over_is_not_run_again(site):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1", "order", ttl=300) == 202
+        assert await site.submit("a1", "order", ttl=300) == 202
         await site.until(lambda: site.far.got and not node.ledger.owed)
-        assert await site.hand_in("a1", "order") == 202
+        assert await site.submit("a1", "order") == 202
         assert node.counters["taken_on"] == 1 and len(site.far.got) == 1
         await site.until(lambda: not node.owner.taken)
     site.run(scene)
@@ -857,9 +857,9 @@
         await site.start()
         idle = [await site.client() for _ in range(12)]
         await trio.sleep(0.05)
-        assert await site.hand_in("a1") in (202, 503)
-        assert await site.hand_in("a2") in (202, 503)
-        assert await site.hand_in("a3", stream=idle[-1]) in (202, 503)
+        assert await site.submit("a1") in (202, 503)
+        assert await site.submit("a2") in (202, 503)
+        assert await site.submit("a3", stream=idle[-1]) in (202, 503)
         assert await idle[0].receive_some() == b""
     site.run(scene)
 
@@ -867,7 +867,7 @@
 def test_the_same_request_once_more_on_a_new_connection_is_one_notification(site):
     async def scene(site):
         node = await site.start()
-        assert [await site.hand_in("a1"), await site.hand_in("a1")] == [202, 202]
+        assert [await site.submit("a1"), await site.submit("a1")] == [202, 202]
         assert node.counters["taken_on"] == 1
     site.run(scene, silent)
 
@@ -876,7 +876,7 @@
     async def scene(site):
         node, stream = await site.start(), await site.client()
         node.clients.draining = True
-        assert await site.hand_in("a1", dest=8, stream=stream) == 202
+        assert await site.submit("a1", dest=8, stream=stream) == 202
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         stream.socket.close()
         await site.until(lambda: not node.clients.open)
@@ -888,7 +888,7 @@
 def test_a_client_that_left_unheard_is_owed_nothing(site):
     async def scene(site):
         node = await site.start()
-        await site.hand_in("a1", dest=8)
+        await site.submit("a1", dest=8)
         await node.owner.tell(node.owner.unheard, "a1")
         await site.until(lambda: not node.ledger.owed)
         assert not node.owner.held and not node.owner.at.me.notifications
@@ -902,7 +902,7 @@
         node, stream = await site.start(), await site.client()
         site.nursery.start_soon(node.drain)
         await trio.sleep(0.5)
-        assert await site.hand_in("a1", stream=stream) == 202
+        assert await site.submit("a1", stream=stream) == 202
         await site.until(lambda: site.far.got)
         node.clients.drain()
         assert await stream.receive_some() == b""
@@ -930,7 +930,7 @@
 def test_a_killed_program_has_kept_what_it_took_on(site):
     async def scene(site):
         process = await program(site)
-        assert await site.hand_in("a1", dest=8, ttl=9000) == 202
+        assert await site.submit("a1", dest=8, ttl=9000) == 202
         process.kill()
         assert await process.wait() == -signal.SIGKILL and list(owed(site)) == ["a1"]
     site.run(scene)
@@ -943,11 +943,11 @@
         process.terminate()
         begun = trio.current_time()
         await trio.sleep(0.2)
-        assert await site.hand_in("a1", "order") == 202  # new connections still come
+        assert await site.submit("a1", "order") == 202  # new connections still come
         await site.until(lambda: site.far.got)
         await trio.sleep_until(begun + 2.8)
-        assert await site.hand_in("a2", "order", stream) == 202  # on a connection that was kept
-        assert await site.hand_in("a3", "news", stream) == 202
+        assert await site.submit("a2", "order", stream) == 202  # on a connection that was kept
+        assert await site.submit("a3", "news", stream) == 202
         await site.until(lambda: len(site.far.got) == 2)
         assert await process.wait() == 0
         assert [headers["x-trace-id"] for _, headers, _ in site.far.got] == ["a1", "a3"]
@@ -986,7 +986,7 @@
 def test_sighup_under_way_ends_nothing(site):
     async def scene(site):
         process = await program(site)
-        assert await site.hand_in("a1", "order", ttl=600) == 202
+        assert await site.submit("a1", "order", ttl=600) == 202
         old, site.platform = site.platform, await Platform().open(site.nursery)
         site.config()
         for _ in range(3):
@@ -1034,7 +1034,7 @@
     async def scene(site):
         node = await site.start()
         await node.owner.tell(lambda: 1 // 0)
-        assert await site.hand_in("a1") == 202
+        assert await site.submit("a1") == 202
         assert node.counters["faults"] == 1 and any(code == "fault" for code, _ in site.lines)
     site.run(scene)
 
@@ -1044,9 +1044,9 @@
         node = await site.start()
         await site.until(lambda: node.owner.ready)
         whole, node.owner.at.notification = node.owner.at.notification, None
-        assert await site.hand_in("a1") == 503
+        assert await site.submit("a1") == 503
         node.owner.at.notification = whole
-        assert await site.hand_in("a2") == 202 and "a1" not in node.ledger.owed
+        assert await site.submit("a2") == 202 and "a1" not in node.ledger.owed
     site.run(scene)
 
 
@@ -1067,7 +1067,7 @@
         node = await site.start()
         await site.until(lambda: node.owner.ready)
         node.owner.at.turn = None
-        assert await site.hand_in("a1", ttl=100) == 202
+        assert await site.submit("a1", ttl=100) == 202
         await site.until(lambda: site.platform.notices)
         assert site.platform.notices == [{"message": "a1", "outcome": "given_up"}]
         assert not node.owner.held and not node.owner.at.me.notifications
@@ -1090,14 +1090,14 @@
 def test_an_id_that_is_over_does_not_run_again_after_a_restart(site):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1", "order", ttl=9000) == 202
+        assert await site.submit("a1", "order", ttl=9000) == 202
         await site.until(lambda: node.counters["pushes_delivered"] and not node.ledger.owed)
         for compacts in (False, True):
             site.kill()
             node = await site.start()
             if compacts:
                 node.ledger.compact()
-            assert await site.hand_in("a1", "order", ttl=9000) == 202
+            assert await site.submit("a1", "order", ttl=9000) == 202
         await trio.sleep(0.05)
         assert len(site.far.got) == 1 and not node.ledger.owed
     site.run(scene)
@@ -1186,7 +1186,7 @@
 def test_the_same_id_once_more_and_unheard_takes_back_nothing(site):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1", dest=8, ttl=9000) == 202
+        assert await site.submit("a1", dest=8, ttl=9000) == 202
         stream = await site.client()
         node.owner.carry_out = lambda: None  # as if the round stood still
         await stream.send_all(handed("X-Trace-Id: a1", "X-Addressing: dest=8", "X-Expires-In-Ms: 9000"))
@@ -1216,8 +1216,8 @@
             heard = b""
             while b"start" not in heard:
                 heard += await process.stderr.receive_some()
-            assert await site.hand_in("a1", body=b"x" * 400) in (500, 503)
-            assert await site.hand_in("a2", body=b"x" * 400) == 503 and process.returncode is None
+            assert await site.submit("a1", body=b"x" * 400) in (500, 503)
+            assert await site.submit("a2", body=b"x" * 400) == 503 and process.returncode is None
             process.terminate()
             while part := await process.stderr.receive_some():
                 heard += part
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -154,8 +154,8 @@
         node = await site.start()
         begun = trio.current_time()
         back = begun + 3.5
-        assert await site.hand_in("a1", "order", ttl=500) == 202
-        assert await site.hand_in("a2", "order", ttl=3500) == 202
+        assert await site.submit("a1", "order", ttl=500) == 202
+        assert await site.submit("a2", "order", ttl=3500) == 202
         assert await heard(seen, "a1", "a2") - begun < 3.8
         while node.ledger.owed:
             await trio.sleep(0.01)
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -63,7 +63,7 @@
         stream.socket._sock.send(ASKS[:-2])
         while line.waiting() is None:  # loopback: it is there at once
             pass
-        node.clients.shed()
+        node.clients.evict()
         assert await idle.receive_some() == b""
         await stream.send_all(ASKS[-2:])
         assert await heard(stream) == 202
@@ -79,9 +79,9 @@
         stream = await site.client()
         await site.until(lambda: len(node.clients.waiting) == 4)
         line = of(node, stream)
-        node.clients.shed()
+        node.clients.evict()
         assert line in node.clients.waiting and len(node.clients.waiting) == 3
-        assert await site.hand_in("a1", stream=stream) == 202
+        assert await site.submit("a1", stream=stream) == 202
     site.run(scene)
 
 
@@ -91,15 +91,15 @@
     async def scene(site):
         node, stream = await site.start(), await site.client()
         await site.until(lambda: node.clients.waiting)
-        node.clients.shed()
+        node.clients.evict()
         await trio.testing.wait_all_tasks_blocked()
-        assert await site.hand_in("a1", stream=stream) == 202
+        assert await site.submit("a1", stream=stream) == 202
     site.run(scene)
 
 
 # ---- who gets a descriptor
 
-async def hand_in(site, name, dest=7, ttl=9000, body=b"hello"):
+async def submit(site, name, dest=7, ttl=9000, body=b"hello"):
     """Asks as soon as it is connected, whatever else this thread has to do."""
     sock = socket.create_connection(site.address)
     sock.sendall(handed(f"X-Trace-Id: {name}", f"X-Addressing: dest={dest}", f"X-Expires-In-Ms: {ttl}",
@@ -150,14 +150,14 @@
             ledger = site.folder / "state" / "ledger"
             first = ledger.stat().st_ino
             for number in range(24):  # three eighths of the disk may be owed
-                assert await hand_in(site, f"b{number}", body=b"x" * 60_000) == 202
+                assert await submit(site, f"b{number}", body=b"x" * 60_000) == 202
                 await site.until(lambda least=number - 5: len(site.far.got) > least)
             await site.until(lambda: len(site.far.got) >= 24 and ledger.stat().st_ino != first)
-            assert await hand_in(site, "c1", dest=8, ttl=300) == 202
-            assert await hand_in(site, "c2", dest=9) == 503  # no list named it yet
+            assert await submit(site, "c1", dest=8, ttl=300) == 202
+            assert await submit(site, "c2", dest=9) == 503  # no list named it yet
             up.append(True)
             await site.until(lambda: "c1" in notices)
-            while await hand_in(site, "c3", dest=9) != 202:
+            while await submit(site, "c3", dest=9) != 202:
                 await trio.sleep(0.05)
             await site.until(lambda: site.other.got)
             assert files(process) <= SOCKETS
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -383,7 +383,7 @@
         assert "its memory has room for 4" in refused("[holding]\nmost_held = 5\n" + PLAIN, 4 * 1500)
         assert "folder room for 10" in refused(PLAIN, disk=5120)
         assert "sockets for 99" in refused("[holding]\nslots = 100\n" + PLAIN)
-        assert await site.hand_in("a1") == 202 and await site.hand_in("a2") == 202
+        assert await site.submit("a1") == 202 and await site.submit("a2") == 202
         assert "it holds 2" in refused("[holding]\nmost_held = 1\n" + PLAIN)
     site.run(scene, lambda *message: "late")
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -33,7 +33,7 @@
     """Taken on for a destination none of whose endpoints may be used, and killed so."""
     node, stream = await site.start(), await site.client()
     for name in names:
-        assert await site.hand_in(name, topic, stream, dest=8, ttl=20_000) == 202
+        assert await site.submit(name, topic, stream, dest=8, ttl=20_000) == 202
     assert not sent(site) and len(node.ledger.owed) == len(names)
     site.kill()
 
@@ -55,7 +55,7 @@
         site.wire = with_permissions(most_held=10)
         node = await site.start()
         await site.until(lambda: node.owner.ready)
-        assert await site.hand_in("b0", "order") == 503  # places are taken: the new one waits its turn
+        assert await site.submit("b0", "order") == 503  # places are taken: the new one waits its turn
         assert not site.platform.notices and len(node.owner.at.me.notifications) == 10
         await opened(site, node)
         await site.until(lambda: not node.ledger.owed)
@@ -71,7 +71,7 @@
         node = await site.start()
         await site.until(lambda: node.owner.ready)
         for name in ("b0", "b1", "b2"):
-            assert await site.hand_in(name, "pay", dest=8) == 202  # worth twice as much, and fresh
+            assert await site.submit(name, "pay", dest=8) == 202  # worth twice as much, and fresh
         await opened(site, node)
         await site.until(lambda: not node.ledger.owed)
         assert sorted(list(dict.fromkeys(sent(site)))[:3]) == ["a0", "a1", "a2"]
@@ -196,7 +196,7 @@
     before = len(sent(site))
     await site.start()
     if not before:
-        assert await site.hand_in(name, "pay") == 202
+        assert await site.submit(name, "pay") == 202
     await site.until(lambda: len(sent(site)) > before)
     first = min(sent_at for _, sent_at in owed(site)[name].ran.values())
     site.kill()
@@ -309,8 +309,8 @@
         site.world = replace(site.world, files=steps, clock=clock)
         node, begun[:] = await site.start(), [clock.now()]
         for name in answers:
-            assert await site.hand_in(name, "order", ttl=9000) == 202
-        assert await site.hand_in("e1", "news", dest=8, ttl=9000) == 202
+            assert await site.submit(name, "order", ttl=9000) == 202
+        assert await site.submit("e1", "news", dest=8, ttl=9000) == 202
         await site.until(lambda: len(sent(site)) == 4 and list(node.ledger.owed) == ["d1", "e1"])
         node.ledger.compact()
         site.kill()
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -484,11 +484,11 @@
         part.planner.plan = lambda shards, now: (
             Split(shards[0], 30_000, 0.0) if len(shards) == 1 and len(node.ledger.owed) > 10 else None)
         for n in range(20):
-            assert await site.hand_in(f"a{n}") == 202
+            assert await site.submit(f"a{n}") == 202
         await site.until(lambda: len(node.ledger.shards) == 2)
         assert part.growth.keys() == {*node.ledger.shards}
         assert all(one.sampled for one in part.growth.values())
-        assert await site.hand_in("b") == 202
+        assert await site.submit("b") == 202
         assert part.told()[0].startswith("0-30000 ledger.") and part.told()[-2].startswith("last split")
         assert part.gauges()["shards"] == 2 and any("split done" in text for _, text in site.lines)
         assert len(held(node.ledger.files, node.config.state)) == 2
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -69,7 +69,7 @@
 def test_a_new_process_keeps_to_its_list_with_what_it_owes(site):
     async def scene(site):
         node = await site.start()
-        assert await site.hand_in("a1") == 202
+        assert await site.submit("a1") == 202
         await site.until(lambda: node.counters["pushes_throttled"])
         site.kill()
         site.told["known"] = {"revision": 2, "complete": True,
@@ -158,7 +158,7 @@
     async def scene(site):
         site.world = replace(site.world, network=Late())
         node = await site.start()
-        assert await site.hand_in("a1", "order") == 202
+        assert await site.submit("a1", "order") == 202
         await site.until(lambda: node.counters["pushes_delivered"] + node.counters["pushes_unreachable"])
         assert node.counters[f"pushes_{ending}"] == 1
     site.run(scene)
@@ -224,7 +224,7 @@
 
     async def scene(site):
         process = await program(site)
-        assert await site.hand_in("a1") == 202
+        assert await site.submit("a1") == 202
         await site.until(lambda: site.far.got)
         process.send_signal(signal.SIGHUP)
         process.terminate()
@@ -246,7 +246,7 @@
     async def scene(site):
         with trio.fail_after(4):
             process = await program(site)
-            assert await site.hand_in("a1") == 202
+            assert await site.submit("a1") == 202
             process.terminate()
             assert await process.wait() == 0
     site.run(scene)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -75,7 +75,7 @@
         old = await first(site)
         waiting = [await site.client() for _ in range(3)]
         for number, topic, stream in zip("abc", ("order", "news", "pay"), waiting, strict=True):
-            assert await site.hand_in(number, topic, stream=stream) == 202
+            assert await site.submit(number, topic, stream=stream) == 202
         await site.until(lambda: len(site.far.got) == 3)
         new = await replace(site)
         await site.until(lambda: old.replaced)
@@ -95,14 +95,14 @@
     async def scene(site):
         await first(site)
         kept, half, fresh = [await site.client() for _ in range(3)]
-        assert await site.hand_in("a1", stream=kept) == 202
+        assert await site.submit("a1", stream=kept) == 202
         text = (b"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: a2\r\nX-Qos: news\r\n"
                 b"X-Expires-In-Ms: 5000\r\nX-Addressing: dest=7\r\nContent-Length: 5\r\n\r\nhello")
         await half.send_all(text[:60])
         await trio.sleep(0.05)
         new = await replace(site)
         assert (await site.ask(text[60:], half))[0] == 202
-        assert [await site.hand_in("a3", stream=kept), await site.hand_in("a4", stream=fresh)] == [202, 202]
+        assert [await site.submit("a3", stream=kept), await site.submit("a4", stream=fresh)] == [202, 202]
         await site.until(lambda: not new.ledger.owed)
         assert {headers["x-trace-id"] for _, headers, _ in site.far.got} == {"a1", "a2", "a3", "a4"}
     site.run(scene)
@@ -111,7 +111,7 @@
 def test_told_waits_and_what_is_set_aside_are_kept(site):
     async def scene(site):
         old = await first(site)
-        await site.hand_in("a1")
+        await site.submit("a1")
         await site.until(lambda: old.counters["pushes_throttled"])
         endpoint = old.owner.at.me.endpoints["s-1"]
         endpoint.down, endpoint.run = True, 5
@@ -127,13 +127,13 @@
     async def scene(site):
         await first(site)
         stream = await site.client()
-        assert await site.hand_in("a1", "order", stream=stream) == 202
+        assert await site.submit("a1", "order", stream=stream) == 202
         await site.until(lambda: site.far.got)
         site.wire = site.wire | {"tick_ns": 6_000_000}
         new = await replace(site)
         await site.until(lambda: site.platform.notices)  # it may have run
         assert new.counters["svc.results.order.aborted"] == 1
-        assert await site.hand_in("a2", stream=stream) == 202
+        assert await site.submit("a2", stream=stream) == 202
     site.run(scene, lambda *message: None)
 
 
@@ -142,7 +142,7 @@
         await first(site)
         stream = await site.client()
         for number in "abc":
-            assert await site.hand_in(number, stream=stream) == 202
+            assert await site.submit(number, stream=stream) == 202
             await replace(site)
         await site.until(lambda: not site.node.ledger.owed)
         assert len(site.far.got) == 3 and site.far.connections == 1
@@ -157,7 +157,7 @@
 
     async def scene(site):
         old, stream = await first(site), await site.client()
-        assert await site.hand_in("a1", "order", stream=stream) == 202
+        assert await site.submit("a1", "order", stream=stream) == 202
         await site.until(lambda: site.far.got)
         end = await hello(site)
         heard, files = await end.hear(whole=True)
@@ -173,11 +173,11 @@
         await site.until(lambda: any("serving on" in text for _, text in site.lines))
         await site.until(lambda: old.owner.ready)
         site.far.go.set()
-        assert await site.hand_in("a2", stream=stream) == 202
+        assert await site.submit("a2", stream=stream) == 202
         await site.until(lambda: not old.ledger.owed)
         assert [headers["x-trace-id"] for _, headers, _ in site.far.got] == ["a1", "a2"]
         await replace(site)  # and the next attempt works
-        assert await site.hand_in("a3", stream=stream) == 202
+        assert await site.submit("a3", stream=stream) == 202
     site.run(scene, late)
 
 
@@ -185,11 +185,11 @@
     async def scene(site):
         old = await first(site)
         await replace(site)
-        assert await site.hand_in("a1", dest=8) == 202
+        assert await site.submit("a1", dest=8) == 202
         gone(site)
         await site.until(lambda: not old.replaced and old.owner.ready and "a1" in old.owner.held)
         site.address = old.listener.address
-        assert await site.hand_in("a2") == 202
+        assert await site.submit("a2") == 202
     site.run(scene)
 
 
@@ -205,7 +205,7 @@
                 stranger.sendall(noise)
                 stranger.shutdown(socket.SHUT_WR)
                 await trio.to_thread.run_sync(stranger.recv, 1)
-        assert not old.owner.frozen and await site.hand_in("a1") == 202
+        assert not old.owner.frozen and await site.submit("a1") == 202
     site.run(scene)
 
 
@@ -235,7 +235,7 @@
                     await end.sock.send(b"f")
             end.close()
         await site.until(lambda: not old.succession.callers)
-        assert not old.owner.frozen and await site.hand_in("a1") == 202
+        assert not old.owner.frozen and await site.submit("a1") == 202
     site.run(scene)
 
 
@@ -268,7 +268,7 @@
 def test_a_new_process_that_cannot_load_asks_once_and_keeps_nothing(site, monkeypatch, fails):
     async def scene(site):
         old, stream = await first(site), await site.client()
-        assert await site.hand_in("a1", stream=stream) == 202
+        assert await site.submit("a1", stream=stream) == 202
         await site.until(lambda: not old.ledger.owed)
         if fails == "to load":
             def make(offer):
@@ -284,7 +284,7 @@
         with pytest.raises(DiskFailing if fails == "to load" else succession.OtherForm):
             await succession.begin(make, site.config(), site.world)
         await site.until(lambda: any("serving on" in text for _, text in site.lines) and old.owner.ready)
-        assert await site.hand_in("a2", stream=stream) == 202
+        assert await site.submit("a2", stream=stream) == 202
         await site.until(lambda: not old.ledger.owed)
         assert sum("takes over" in text for _, text in site.lines) == 1
         assert sum("code=hand-over-failed" in text for _, text in site.lines) == 1
@@ -305,9 +305,9 @@
     async def scene(site):
         await first(site)
         stream = await site.client()
-        assert await site.hand_in("a1", "order", dest=8, stream=stream) == 202
+        assert await site.submit("a1", "order", dest=8, stream=stream) == 202
         new = await replace(site)
-        assert await site.hand_in("a2", stream=stream) == 202
+        assert await site.submit("a2", stream=stream) == 202
         assert "a1" in new.owner.held and any("begins from the ledger" in text for _, text in site.lines)
     site.run(scene)
 
@@ -315,13 +315,13 @@
 def test_while_the_disk_fails_nothing_goes_over_and_then_all_does(site):
     async def scene(site):
         old, stream = await first(site), await site.client()
-        assert await site.hand_in("a1", dest=8, stream=stream) == 202
+        assert await site.submit("a1", dest=8, stream=stream) == 202
         whole = old.ledger.flush
 
         def fails():
             raise OSError(28, "no space left on device")
         old.ledger.flush = fails
-        assert await site.hand_in("a2", dest=8) == 503
+        assert await site.submit("a2", dest=8) == 503
         new = []
 
         async def take_over():
@@ -331,7 +331,7 @@
         assert not new and not old.replaced
         old.ledger.flush = whole
         await site.until(lambda: new)
-        assert list(new[0].owner.held) == ["a1"] and await site.hand_in("a3", dest=8, stream=stream) == 202
+        assert list(new[0].owner.held) == ["a1"] and await site.submit("a3", dest=8, stream=stream) == 202
     site.run(scene)
 
 
@@ -352,7 +352,7 @@
         new = await replace(site)
         old.reload(site.reread)  # while it stands by
         new.reload(site.reread)
-        assert await site.hand_in("a1") == 202
+        assert await site.submit("a1") == 202
     site.run(scene)
 
 
@@ -371,7 +371,7 @@
         gone(site)
         await site.until(lambda: len(tries) == 3 and not old.replaced and old.owner.ready)
         site.address = old.listener.address
-        assert await site.hand_in("a1") == 202
+        assert await site.submit("a1") == 202
     site.run(scene)
 
 
@@ -380,7 +380,7 @@
         (site.folder / "state").mkdir()
         (site.folder / "state" / channel.FILE).mkdir()
         await first(site)
-        assert await site.hand_in("a1") == 202
+        assert await site.submit("a1") == 202
         assert sum("nobody can take over here" in text for _, text in site.lines) == 1
     site.run(scene)
 
