Emulator: a told wait binds once no cut holds the answer that tells it

Traced: s-1 turned c125 and c143r away at 5.135 s, told 1.6 s, while the path from it to n1 was cut (cut_out since 4.903); n1 never got an answer (reset, reset at the end), and called s-2 of the same destination over a path that is whole. The check was wrong, not the dispatcher: it counted the wait from its writing, though nobody could know of it. Now a wait whose answer a cut holds counts, with the end it had, from the moment in which the answer is read; every other one as before.

--- a/juniperlanding/emulator/network.py
+++ b/juniperlanding/emulator/network.py
@@ -246,6 +246,10 @@
             await self.outward.space.wait()
         return not self.dropped
 
+    def held(self):
+        """Whether a cut holds what is sent now."""
+        return self.fabric.silent(self.outward.source, self.outward.target)
+
     def dead_silent(self):
         return self.owner in self.fabric.vanished
 
--- a/juniperlanding/emulator/parties.py
+++ b/juniperlanding/emulator/parties.py
@@ -156,6 +156,11 @@
             for one in ids:
                 self.watch.delivered(one, self)
 
+    async def wait_heard(self, sock, dispatcher, sent, until):
+        """A wait runs from when its answer is written, and binds as soon as no cut holds that any more."""
+        if await sock.heard(sent, sent) and until > elapsed():
+            self.watch.told_wait(dispatcher, self, until - elapsed())
+
     async def call(self, sock, wire, first, headers, body):
         several = first.split()[1].endswith(":batch")
         ids = [item["id"] for item in json.loads(body)] if several else [headers["x-trace-id"]]
@@ -186,7 +191,8 @@
             wait = [f"Retry-After: {reply.wait / SEC:.3f}"] if reply.wait else []
             if reply.ending == TURNED_AWAY:
                 answer = http(429 if reply.wait else 503, b"", *wait)
-                if reply.wait:
+                held, until = sock.held(), elapsed() + reply.wait
+                if reply.wait and not held:
                     self.watch.told_wait(dispatcher, self, reply.wait)
             elif several:
                 states = [{"id": one, "state": STATES.get(reply.ending, "fault")} for one in ids]
@@ -194,6 +200,8 @@
             else:
                 answer = http(200 if reply.ending == DELIVERED else 500)
             await wire.send(answer)
+            if reply.ending == TURNED_AWAY and reply.wait and held:
+                self.lasting.start_soon(self.wait_heard, sock, dispatcher, len(answer), until)
             self.watch.call_over(call)
             enough = len(answer) if several else FIRST_LINE  # the first line is true for one message
             if reply.ending == DELIVERED:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -5,23 +5,25 @@
 import subprocess
 import sys
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 import trio
 
 from juniperlanding.emulator import clock, mutants, scenario, swarm, world
 from juniperlanding.emulator.chance import stream
-from juniperlanding.emulator.clock import HostClock
+from juniperlanding.emulator.clock import HostClock, elapsed
 from juniperlanding.emulator.decisions import Decisions
 from juniperlanding.emulator.disk import Disk, Killed, Mount
 from juniperlanding.emulator.invariants import Watch
 from juniperlanding.emulator.model import Capacity, server
 from juniperlanding.emulator.network import Fabric
+from juniperlanding.emulator.parties import Endpoint
 from juniperlanding.ground.file import FileError
 from juniperlanding.ground.seams import Files
 from juniperlanding.ground.units import Duration
 from juniperlanding.net import door
-from juniperlanding.standins.temper import MS, SEC, TEMPERS
+from juniperlanding.standins.temper import MS, SEC, TEMPERS, TURNED_AWAY, Reply
 
 SHORT = scenario.completed(scenario.Scenario(length=Duration(6 * SEC)))
 
@@ -206,6 +208,44 @@
     assert result.breach is None, result.breach
 
 
+@pytest.mark.parametrize("cut, told_at", [(False, 1.0), (True, 3.0)])
+def test_a_wait_binds_once_no_cut_holds_the_answer_that_tells_it(cut, told_at):
+    """A dispatcher that the answer has not reached cannot heed it; one that it has reached must."""
+    begun, told = [], []
+
+    class Watch:
+        def call(self, *call):
+            return call
+
+        def call_over(self, call):
+            pass
+
+        def told_wait(self, dispatcher, endpoint, wait):
+            told.append((dispatcher, round((elapsed() - begun[0]) / SEC, 1), round(wait / SEC, 1)))
+
+    async def scene(fabric, a, b):
+        model = SimpleNamespace(spoils=0, reply=lambda now, size: Reply(TURNED_AWAY, SEC, 5 * SEC),
+                                there=lambda now, since: True)
+        far = Endpoint(1, 1, "m1", "a", model, fabric, Watch(), None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(far.run)
+            await trio.sleep(0.1)
+            sock = await a.connect(far.address)
+            begun.append(elapsed())
+            await sock.sendmsg([b"POST /v1/messages HTTP/1.1\r\nX-Trace-Id: c1\r\nContent-Length: 0\r\n\r\n"])
+            await trio.sleep(0.5)
+            fabric.path(far.name, "a").cut = int(cut)
+            await trio.sleep(2.5)
+            fabric.path(far.name, "a").cut = 0
+            fabric.heal()
+            assert b"Retry-After" in await sock.recv(999)
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+
+    emulated(scene)
+    assert told == [("a", told_at, 6.0 - told_at)]
+
+
 @pytest.mark.parametrize("seed", [0, 4, 10, 15, 48, 70, 98, 241, 242, 258, 272, 351])
 def test_seeds_that_once_broke_a_rule(seed):
     longer = scenario.without(SHORT, length=Duration(12 * SEC))
