What is past its time ends as given up, while the disk fails and after a restart alike

Traced: the disk refuses every write from 3.566 s until n1 ends (SIGTERM at 3.58); c142, whose three pushes met no connection, is handed back as its TTL ends, and its notice goes out unwritten, since past its TTL it can run no more; the next process finds push 2 on file without the word that it never ran, and gives it up. Change: a notice that goes out unwritten says given_up, and so does a restart for whatever it finds past its TTL; handing back has no use by then.

--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -146,6 +146,9 @@
         self.held[owed.id] = None
         if owed.id in self.at.me.notifications:
             return  # handed on with all that the module knows of it
+        if owed.ttl_at <= self.at.now:
+            # Threat: the process before could tell its end and not write it, and this one tells another.
+            return self.expired(owed.id)
         first = min(owed.ran.values(), key=lambda ran: ran[1], default=(0, 0))
         present, self.at.me.settings = self.at.me.settings, self.terms_of(owed)
         try:
@@ -329,7 +332,11 @@
         left = {ntf_id: self.ledger.owed[ntf_id].ttl_at - self.at.now for ntf_id, *_ in due
                 if ntf_id in self.ledger.owed}
         self.notices_due = [notice for notice in due if left.get(notice[0], 0) > 0]
-        return [notice for notice in due if left.get(notice[0], 1) <= 0]
+        late = [ntf_id for ntf_id, *_ in due if left.get(ntf_id, 1) <= 0]
+        for ntf_id in late:
+            # Threat: we end before this can be written, and the next process gives up what we handed back.
+            self.ledger.write("o", ntf_id, protocol.GIVEN_UP, 0)
+        return [(ntf_id, protocol.GIVEN_UP, 0) for ntf_id in late]
 
     # ---- events
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -572,6 +572,22 @@
     site.run(scene, silent)
 
 
+def test_what_ends_past_its_ttl_on_a_disk_that_fails_ends_alike_after_a_restart(site):
+    async def scene(site):
+        node = await site.start()
+        assert await site.submit("a1", dest=8, ttl=600) == 202  # waits for an endpoint that drains
+        node.ledger.added = broken
+        assert await site.submit("a2") == 503
+        await site.until(lambda: site.platform.notices)
+        assert node.owner.stuck
+        site.kill()
+        node = await site.start()
+        await site.until(lambda: not node.ledger.owed and not node.ledger.pending)
+        ends = [(notice["message"], notice["outcome"]) for notice in site.platform.notices]
+        assert len(ends) == 2 and set(ends) == {("a1", "given_up")}
+    site.run(scene)
+
+
 def test_a_delivery_heard_in_time_counts_however_late_its_round_comes(site):
     async def scene(site):
         node = await site.start()
