A proposal waits in its check for its process's licence to be renewed

Ruled out: a port of another process, a lost licence after the restart, two who lead, a hung request.

Change: the check goes on for its own 2 s at most until the licence is renewed by half, as it does for members that do not answer; then it is refused as before. What closes the number still needs the fresh licence.

Tests, both seen to fail without the change: a stop of 0.3 s forced at the last word of the check is decided; one whose grants are held back is refused, nothing is closed, and its next proposal is decided.

The scene's three processes run on a clock on which passes what the scene waits for and what it computes, not what the machine takes from the whole process: a stall is now forced where a test is about it, and elsewhere it is not a verdict. Real sockets, threads and files stay; no bound was widened.

--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -205,7 +205,8 @@
             refusals = [f"{name}: {why}" for name, why in sorted(change.said.items()) if why]
             if refusals:
                 return self.end("refused", "; ".join(refusals)[:1000])
-            if change.said.keys() >= change.asked or now >= change.step_at + home.tuning.check_within:
+            said = change.said.keys() >= change.asked and self.hears(change, now)
+            if said or now >= change.step_at + home.tuning.check_within:
                 self.close(change, now)
         elif change.step == "close":
             if len(self.promised(change)) >= home.majority:
@@ -225,12 +226,15 @@
         change.step, change.step_at, change.again_at = step, now, now
         self.home.tell("step", number=change.number, step=step, since=now - change.since)
 
-    def close(self, change, now):
+    def hears(self, change, now):
         """Threat: one that is heard and hears nothing would close the number for all; its licence, renewed
-        every sixth, shows it."""
+        every sixth, shows it.  One that stood still has it renewed in a moment, for which the check waits."""
+        holder = self.home.holder
+        return not change.own or holder.unable or holder.rest(now) >= self.home.tuning.shortest // 2
+
+    def close(self, change, now):
         home = self.home
-        holder = home.holder
-        if change.own and not holder.unable and holder.rest(now) < home.tuning.shortest // 2:
+        if not self.hears(change, now):
             other = home.other(now)
             return self.end("refused", f"{other.by} leads a change to number {other.number}" if other
                             else "too few voters answer here")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,14 @@
 """One dispatcher with a host that keeps what it was asked for."""
 
 import json
+import time
 
 import pytest
 import trio
 from known_red import pytest_collection_modifyitems, pytest_configure, pytest_terminal_summary  # noqa: F401
 
 from juniperlanding.choice import SEC, Dispatcher
-from juniperlanding.ground.seams import system
+from juniperlanding.ground.seams import Clock, World, system
 from juniperlanding.net.config import read
 from juniperlanding.net.node import Node
 from juniperlanding.standins.peers import Far, Platform, http, member, read_message
@@ -98,6 +99,84 @@
     "safety": {"must_ask_in_ns": 10 * SEC, "start_capacity": 0.2, "warm_within_ns": 10 * SEC}}
 
 
+class Even(trio.abc.Clock, trio.abc.Instrument):
+    """A clock on which passes what a scene waits for and what it computes; one for its tasks and its parties.
+
+    Threat: the machine is busy, and takes the processor from the whole process, or keeps it waiting for the
+    disk, for longer than a licence or a TTL lasts; then it is the machine that the verdict is about."""
+
+    def __init__(self):
+        self.seen, self.ran, self.allowed, self.passed, self.held = 0.0, 0.0, 0.0, 0.0, 0
+        self.origin = time.time_ns()
+        self.look()
+        self.passed = 0.0
+
+    def look(self):
+        """Count what passed since the last look: processor time of this thread, and what it meant to wait."""
+        seen, ran = time.perf_counter(), time.thread_time()
+        if not self.held:
+            self.passed += min(seen - self.seen, ran - self.ran + self.allowed)
+        self.seen, self.ran, self.allowed = seen, ran, 0.0
+        return self.passed
+
+    def stand_still(self, seconds):
+        """So much passes at once, as for a process that its machine stops."""
+        self.passed = self.look() + seconds
+
+    def before_io_wait(self, timeout):
+        self.look()
+        self.allowed = timeout
+
+    def after_io_wait(self, timeout):
+        self.look()
+
+    def start_clock(self):
+        self.look()
+
+    def current_time(self):
+        return self.look()
+
+    def deadline_to_sleep_time(self, deadline):
+        return deadline - self.look()
+
+    def run(self, main):
+        trio.run(main, clock=self, instruments=[self])
+
+    def world(self, network, files):
+        """A `World` whose clock this is, and whose disk takes no time beside the flow."""
+        return World(Read(self), network, Quick(self, files))
+
+
+class Read(Clock):
+    def __init__(self, even):
+        self.even = even
+
+    def now(self):
+        return self.even.origin + self.steady()
+
+    def steady(self):
+        return int(self.even.look() * SEC)
+
+
+class Quick:
+    """Files of which `aside` goes on while no time passes."""
+
+    def __init__(self, even, files):
+        self.even, self.files = even, files
+
+    def __getattr__(self, name):
+        return getattr(self.files, name)
+
+    async def aside(self, what, *fields):
+        self.even.look()
+        self.even.held += 1
+        try:
+            return await self.files.aside(what, *fields)
+        finally:
+            self.even.look()
+            self.even.held -= 1
+
+
 class Site:
     """One dispatcher among stand-ins; `folder` is what lasts from one `start` to the next."""
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,20 +11,21 @@
 
 import pytest
 import trio
-from conftest import Site
+from conftest import Even, Site
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from juniperlanding.accord import document
 from juniperlanding.accord.document import Unfit, read
 from juniperlanding.accord.folder import KEPT, TERMS, Folder
-from juniperlanding.accord.words import Kept, Released
+from juniperlanding.accord.part import CHANNEL
+from juniperlanding.accord.words import Grant, Kept, Released, Says
 from juniperlanding.accord.words import decoded as accord_word
 from juniperlanding.fleet import words
 from juniperlanding.ground.errors import Trouble
 from juniperlanding.ground.file import FileError
 from juniperlanding.ground.file import read as read_file
-from juniperlanding.ground.seams import Files, World
+from juniperlanding.ground.seams import Files
 from juniperlanding.net import config, protocol, succession
 from juniperlanding.net.ledger import Ledger
 from juniperlanding.net.node import Node
@@ -56,7 +57,7 @@
 
 
 class Member(Site):
-    def __init__(self, number, folder, addresses, licence):
+    def __init__(self, number, folder, addresses, licence, even):
         super().__init__(folder)
         folder.mkdir()
         (folder / "policies").mkdir()
@@ -64,7 +65,8 @@
         self.number, self.addresses, self.licence = number, addresses, licence
         self.told = {"name": f"d{number}"}
         self.files = Failing()
-        self.world = World(self.world.clock, self.world.network, self.files)
+        self.even = even
+        self.world = even.world(self.world.network, self.files)
 
     def config(self):
         told = super().config()
@@ -101,7 +103,8 @@
 def three(tmp_path):
     def run(scene, answer=lambda *message: "late", licence=500 * MS, started=3):
         addresses = [free(socket.SOCK_DGRAM) for _ in range(3)]
-        members = [Member(number, tmp_path / f"d{number}", addresses, licence) for number in range(3)]
+        even = Even()
+        members = [Member(number, tmp_path / f"d{number}", addresses, licence, even) for number in range(3)]
 
         async def main():
             with trio.fail_after(25):
@@ -116,7 +119,7 @@
                             await member.ready()
                     await scene(*members)
                     nursery.cancel_scope.cancel()
-        trio.run(main)
+        even.run(main)
         assert not [line for member in members for line in member.lines if line[0] == "fault"]
     return run
 
@@ -192,6 +195,57 @@
     three(scene)
 
 
+def hears(member, passed):
+    """From now on it hears of the others' words on policies those for which `passed(name, word)` is true."""
+    channels = member.node.parts[0].channels
+    heard = channels[CHANNEL]
+
+    def some(name, life, payload, address):
+        if passed(name, accord_word(payload)):
+            heard(name, life, payload, address)
+    channels[CHANNEL] = some
+    return partial(channels.__setitem__, CHANNEL, heard)
+
+
+def test_a_proposal_over_which_its_process_stands_still_is_decided_all_the_same(three):
+    """A stop of more than half a licence, as the last says that it can take it: its licence is as good as new
+    once it was asked for again."""
+    async def scene(a, b, c):
+        left = {"d0", "d2"}
+
+        def last(name, word):
+            if type(word) is Says:
+                left.discard(name)
+                if not left:
+                    b.even.stand_still(0.3)
+            return True
+        hears(b, last)
+        b.policy.propose(b.write(TOPICS % "1s"))
+        await b.until(lambda: not b.policy.lines()[2].startswith("last=-"))
+        assert b.policy.lines()[2] == "last=1 outcome=decided by=d1 why=-" and not left
+        for member in (a, b, c):
+            await member.in_force(1)
+    three(scene)
+
+
+def test_one_that_is_heard_and_has_no_licence_again_is_refused_and_closes_nothing(three):
+    async def scene(a, b, c):
+        mend = hears(b, lambda name, word: type(word) is not Grant)
+        name = b.write(TOPICS % "1s")
+        await b.until(lambda: b.policy.accord.rest(b.policy.steady()) < 200 * MS)
+        b.policy.propose(name)
+        await b.until(lambda: not b.policy.lines()[2].startswith("last=-"))
+        assert b.policy.lines()[2] == "last=1 outcome=refused by=d1 why=too few voters answer here"
+        mend()
+        for member in (a, b, c):
+            assert not any(text.startswith("closed") for _, text in member.lines)
+            await member.in_force(0)
+        b.policy.propose(name)
+        for member in (a, b, c):
+            await member.in_force(1)
+    three(scene)
+
+
 def test_sighup_proposes_a_file_that_has_changed_and_no_other(three):
     async def scene(a, b, c):
         (a.folder / "policy.toml").write_text(TOPICS % "1s")
