Rigs and the policy's scenes: a port that was given away is passed over by others

Cause: a port was taken by bind and let go again, and whom it is for binds it up to a second later, or again after a kill. Rigs of workers that started together drew from ranges 131 apart; the policy's scenes took theirs from those that the system gives to any client. A member without its address waits for good.

Change: one way for both, past the system's own ports; the same port of the other kind stays bound and tells other rigs that it is given away.

--- a/juniperlanding/processes/ramp.py
+++ b/juniperlanding/processes/ramp.py
@@ -4,6 +4,7 @@
 the calls in the worst window after the return, what the settings allow there (N), and N + 2 sqrt(N) + 2."""
 
 import os
+import socket
 import subprocess
 import sys
 import time
@@ -78,7 +79,7 @@
             for rank in range(COUNT):
                 place = folder / f"{seed}-{rank}"
                 (place / "state").mkdir(parents=True)
-                port = free(1)
+                port = free(socket.SOCK_STREAM)
                 (place / "serve.toml").write_text(file_of(place, platform, port, rank, seed))
                 with open(place / "log", "ab") as log:
                     processes.append((port, await trio.lowlevel.open_process(
--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from pathlib import Path
 from random import Random
 
@@ -28,11 +29,16 @@
 SITES = ("east", "west", "north")
 
 
-PORTS = iter([])
+PORTS, CLAIMS, MOST_CLAIMS = iter([]), deque(), 300
+OTHER = {socket.SOCK_STREAM: socket.SOCK_DGRAM, socket.SOCK_DGRAM: socket.SOCK_STREAM}
 
 
 def free(kind):
-    """A port that nobody has, of those that the system gives to no client."""
+    """A port that nobody has, of those that the system gives to no client, and that no other rig gives away.
+
+    Threat: whom it is for binds it later, or lets it go between two lives, and another run on this machine
+    takes it meanwhile.  So the same port of the other kind is bound from now on, and tells others that this
+    one is given away; the oldest are let go when there are more than any one rig has."""
     global PORTS
     while True:
         port = next(PORTS, 0)
@@ -40,12 +46,18 @@
             first = 11000 + os.getpid() * 131 % 19000
             PORTS = iter(range(first, first + 1500))
             continue
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
+        claim = socket.socket(socket.AF_INET, OTHER[kind])
+        try:
+            claim.bind(("127.0.0.1", port))
+            with socket.socket(socket.AF_INET, kind) as sock:
                 sock.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
+        except OSError:
+            claim.close()
+            continue
+        CLAIMS.append(claim)
+        if len(CLAIMS) > MOST_CLAIMS:
+            CLAIMS.popleft().close()
+        return port
 
 
 class Process:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,7 +17,7 @@
 from juniperlanding.fleet import members, words
 from juniperlanding.fleet.members import SEC, Tuning, View
 from juniperlanding.fleet.words import ALIVE, DEAD, SUSPECT, Message, Noise, Record
-from juniperlanding.processes import verdict
+from juniperlanding.processes import rig, verdict
 from juniperlanding.processes.rig import Rig
 
 KEY = b"k" * 32
@@ -249,6 +249,21 @@
 # ---- real processes
 
 
+def test_a_port_that_one_rig_gave_away_is_passed_over_by_another(monkeypatch):
+    """Another process of the machine begins where this one began, and nobody has bound any yet."""
+    kinds = [socket.SOCK_STREAM, socket.SOCK_DGRAM] * 3
+    monkeypatch.setattr(rig, "PORTS", iter([]))
+    ours = [rig.free(kind) for kind in kinds]
+    text = (f"import socket, os; os.getpid = lambda: {os.getpid()}\n"
+            "from juniperlanding.processes.rig import free\n"
+            f"print(*(free(socket.SocketKind(kind)) for kind in {list(map(int, kinds))}))")
+    theirs = subprocess.run([sys.executable, "-c", text], check=True, capture_output=True, text=True).stdout
+    assert len({*ours, *map(int, theirs.split())}) == 2 * len(kinds)
+    for kind, port in zip(kinds, ours, strict=True):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.bind(("127.0.0.1", port))  # still there for whom it was given to
+
+
 def processes(tmp_path, count, scene, rate=20.0, seed="1"):
     """Play a scene on real processes; every notification has one final answer."""
     rig = Rig(count, tmp_path, seed, rate)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -29,6 +29,7 @@
 from juniperlanding.net import config, protocol, succession
 from juniperlanding.net.ledger import Ledger
 from juniperlanding.net.node import Node
+from juniperlanding.processes.rig import free
 from juniperlanding.standins.peers import Far, Platform
 
 MS, SEC = 1_000_000, 1_000_000_000
@@ -38,13 +39,6 @@
 PLAIN = TOPICS % "2s"
 
 
-
-def free(kind):
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
 class Failing(Files):
     """A disk on which the file named by `full` cannot be written."""
 
@@ -102,7 +96,7 @@
 @pytest.fixture
 def three(tmp_path):
     def run(scene, answer=lambda *message: "late", licence=500 * MS, started=3):
-        addresses = [free(socket.SOCK_DGRAM) for _ in range(3)]
+        addresses = [("127.0.0.1", free(socket.SOCK_DGRAM)) for _ in range(3)]
         even = Even()
         members = [Member(number, tmp_path / f"d{number}", addresses, licence, even) for number in range(3)]
 
