A word of its own on a kept connection is not read as the answer to the next call

An idle connection on which something lies was not used again (`quiet`), but what came between that look and the call's last byte, held back for 5 ms, was read as the call's answer: "HTTP/1.1 200" in it counted as delivered though the endpoint had not the whole call yet, a 408 of farewell as an error, half a line as a reset: a once-only notification was given up though nothing had run. Now the last byte does not leave: nothing has run, nobody is blamed, the call goes over another connection, as where a kept one breaks. A fresh connection is as before: an endpoint may say there that it takes no more.

Test: test_standing_bytes.py, test_what_comes_on_a_kept_connection_before_the_last_byte_is_no_answer, ten cases, all seen to fail on the line.py before (reset, error, or counted as delivered).

With it, no mend: test_a_yes_is_at_its_client_before_the_endpoint_has_the_whole_call ("Messages are taken on in order to be delivered"): at the seam, as a call's last byte is handed to the system, its client's 202 lies there; 200 in one round, in pieces, over new connections and kept ones.

--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -91,13 +91,15 @@
     async def send_in_two(self, *events):
         """The same, but the last byte waits for a moment in which the other side may break off.
 
-        Threat: a kept connection that the other side gave up breaks at the first bytes; as long as the last
-        one has not left, nothing has run."""
+        Threats: a kept connection that the other side gave up breaks at the first bytes, or carries some of
+        its own (half a line, a word of farewell) that would be read as the answer; as long as the last one
+        has not left, nothing has run."""
         *parts, last = self.parts(events)
         await self.write([*parts, last[:-1]])
         with trio.move_on_after(HOLD):
             await self.sock.readable()
-        if self.waiting() == b"":
+        came = self.waiting()
+        if came == b"" or came and self.used_at:
             raise trio.BrokenResourceError("broke within the request")
         await self.write([last[-1:]])
 
--- /dev/null
+++ b/tests/test_standing_bytes.py
@@ -0,0 +1,141 @@
+"""Bytes that come in the very moment in which a connection is closed, shut or used again, and many requests at
+once: docs/standing.md, "The standing trial, sentence by sentence".
+
+Every crossing is forced: a hook at the seam lets the other side act before the one side goes on."""
+
+import signal
+import socket
+from contextlib import suppress
+from dataclasses import replace
+from functools import partial
+
+import pytest
+import trio
+from conftest import WIRE
+from test_endings_drain import end_by, heard
+from test_net import endpoints, handed, program, send
+from test_standing import with_wait
+
+from juniperlanding.ground import seams
+from juniperlanding.net import clients as ends
+from juniperlanding.net.line import Line
+from juniperlanding.standins.peers import Far, http, read_message
+
+PIECES = 7  # bytes in each
+
+
+def there(sock, wanted):
+    """Whether so much lies unread at a client's end, for certain: loopback has it as soon as it was sent."""
+    sock.settimeout(0)
+    try:
+        return sock.recv(4096, socket.MSG_PEEK).startswith(wanted)
+    except BlockingIOError:
+        return False
+
+
+# ---- 202 leaves before the delivery
+
+class Watched(seams.Network):
+    """Looks, in the moment in which a call's last byte is handed to the system, whether `heard(id)`."""
+
+    def __init__(self, far, heard):
+        self.far, self.heard, self.late = far, heard, []
+
+    async def connect(self, address):
+        sock = await super().connect(address)
+        sendmsg, sent = sock.sendmsg, bytearray()
+
+        async def watched(parts):
+            sent.extend(b"".join(parts))
+            head, end, body = bytes(sent).partition(b"\r\n\r\n")
+            fields = dict(one.split(b": ", 1) for one in head.split(b"\r\n")[1:] if end)
+            if end and len(body) == int(fields[b"Content-Length"]):
+                sent.clear()
+                name = fields[b"X-Trace-Id"].decode()
+                self.late += [] if self.heard(name) else [name]
+            return await sendmsg(parts)
+        if address == self.far.address:
+            sock.sendmsg = watched
+        return sock
+
+
+@pytest.mark.parametrize("many, pieces", [(1, False), (1, True), (200, False), (200, True)])
+def test_a_yes_is_at_its_client_before_the_endpoint_has_the_whole_call(site, many, pieces):
+    """Of all that one round takes on, however quick the endpoint."""
+    site.limits = {"disk_mb": 3, "sockets": 1000}
+    site.wire = WIRE | {"permissions": WIRE["permissions"] | {"most_held": 500},
+                        "family_info": WIRE["family_info"] | {"batch_by_kind": [1, 1], "workers": 300}}
+    socks = {}
+
+    async def scene(site):
+        network = Watched(site.far, lambda name: there(socks[name], b"HTTP/1.1 202"))
+        site.world = replace(site.world, network=network)
+        node = await site.start()
+        await site.until(lambda: node.owner.ready)
+        carry_out = node.owner.carry_out
+        for name in ("new", "kept"):  # the endpoint's connections
+            node.owner.carry_out = lambda: None  # as if the round stood still
+            for number in range(many):
+                hand_in(f"{name}{number}")
+            await site.until(lambda: len(node.owner.answers) == many)
+            node.owner.carry_out = carry_out
+            await node.owner.tell(len, "")
+            await site.until(lambda: not node.ledger.owed)
+        assert not network.late and len(site.far.got) == 2 * many > site.far.connections
+        for sock in socks.values():
+            sock.close()
+
+    def hand_in(name):
+        sock = socks[name] = socket.create_connection(site.address)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        text = handed(f"X-Trace-Id: {name}", "X-Expires-In-Ms: 9000", "Content-Length: 5", body=b"hello")
+        size = PIECES if pieces else len(text)
+        for at in range(0, len(text), size):
+            sock.send(text[at:at + size])
+    site.run(scene)
+
+
+# ---- half a line from an endpoint, on a connection that is used again
+
+WORDS = [b"HTTP/1.1 4", b"HTTP/1.1 200 x\r\n", b"\r\n", b"\x93",
+         b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"]
+
+
+@pytest.mark.parametrize("then", ["waits", "ends"])
+@pytest.mark.parametrize("word", WORDS)
+def test_what_comes_on_a_kept_connection_before_the_last_byte_is_no_answer(site, monkeypatch, word, then):
+    """An endpoint says something of its own just as the connection is used again: nothing has run, nobody is
+    blamed, and the call goes over another one."""
+    outcomes, streams, armed, readable = [], [], [], seams.Socket.readable
+
+    async def elsewhere(stream):
+        streams.append(stream)
+        buffer = bytearray()
+        with suppress(trio.BrokenResourceError):
+            while message := await read_message(stream, buffer):
+                site.far.got.append((len(streams), message))
+                await stream.send_all(http(200))
+
+    async def crossed(sock):
+        if armed:
+            raw = armed.pop().socket._sock
+            raw.send(word)
+            if then == "ends":
+                raw.shutdown(socket.SHUT_WR)
+            while sock.peek() is None:  # loopback: it is there at once
+                pass
+        await readable(sock)
+    monkeypatch.setattr(seams.Socket, "readable", crossed)
+
+    async def scene(site):
+        listener, = await site.nursery.start(partial(trio.serve_tcp, elsewhere, 0, host="127.0.0.1"))
+        calls = await endpoints(site, outcomes)
+        calls.book["s-1"] = listener.socket.getsockname()
+        calls.start(site.nursery, "s-1", [send("a")])
+        await site.until(lambda: not calls.out)
+        armed.extend(streams)
+        calls.start(site.nursery, "s-1", [send("b")])
+        await site.until(lambda: not calls.out)
+        assert [told[2] for told in outcomes] == ["delivered", "delivered"]
+        assert [at for at, _ in site.far.got] == [1, 2] and not armed  # the first never got the whole of it
+    site.run(scene)
