A client cut off within a request hears 503, and a byte behind the last one resets nothing

Two paths of `Clients` did one or the other: - A request that its client made the last one (`Connection: close`, HTTP/1.0) was answered and the connection closed at once. A byte behind it, such as the line end that old clients send after a body, turned that close into a reset, which takes the 202 with it (SO_ERROR 104 seen). Now its sending is ended and it is listened to, as after all other last answers. - Half a request whose connection has to give way (a crowd, the end of a drain) saw the end of our sending and no answer. Now it hears 503, which is a refusal; the rest of it is read and not sent on, as before.

Tests: test_standing_bytes.py, test_a_byte_behind_the_last_request_does_not_take_its_answer_away (both cases) and test_who_is_cut_off_within_a_request_is_told_to_come_again (all six) fail on the clients.py before. In test_a_flood_of_half_requests_gives_way_and_delays_nobody each of the flood that has to go was to see an end with no answer; now each has to hear 503 first, then the end.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -199,10 +199,13 @@
         if scope.cancelled_caught and self.frozen:
             return "carried"
         if scope.cancelled_caught and gave_way:
-            if not line.waiting():
-                return "closed_by_us"
-            # Threat: the rest is there by now, and a close over it would look as if we had it.
-            return await self.respond(line, 503, reason="too_late")
+            if line.waiting():
+                # Threat: the rest is there by now, and a close over it would look as if we had it.
+                return await self.respond(line, 503, reason="too_late")
+            # Threat: who writes in pieces sees an end with no answer, and its request counts as lost.
+            with trio.move_on_after(protocol.PATIENCE):
+                await self.say(line, 503, last=True)
+            return "closed_by_us"
         if body is None or reason == "malformed":
             return await self.respond(line, status, reason=reason)
         if protocol.ambiguous(request.headers) or line.more():
@@ -210,15 +213,19 @@
             return await self.respond(line, 400, reason="ambiguous")
         return await self.answer(line, request, body)
 
-    async def respond(self, line, status, headers=(), payload=b"", reason="closed"):
-        last = reason != "closed" or self.draining or self.crowded()
+    async def say(self, line, status, headers=(), payload=b"", last=False):
         headers = [*headers, ("Content-Length", str(len(payload)))]
         self.counters[f"answers_{status}"] += 1
+        await line.send(h11.Response(status_code=status, headers=headers + [("Connection", "close")] * last),
+                        h11.Data(data=payload), h11.EndOfMessage())
+
+    async def respond(self, line, status, headers=(), payload=b"", reason="closed"):
+        last = reason != "closed" or self.draining or self.crowded()
         with trio.move_on_after(protocol.REQUEST_WITHIN) as scope:
-            await line.send(h11.Response(status_code=status,
-                                         headers=headers + [("Connection", "close")] * last),
-                            h11.Data(data=payload), h11.EndOfMessage())
-            if last:
+            await self.say(line, status, headers, payload, last)
+            if last or not line.reusable():
+                # Threat: a byte that comes behind the last request turns our close into a reset, which takes
+                # the answer with it; also where the client was to end it (HTTP/1.0, `Connection: close`).
                 self.leaving.add(line)
                 await line.finish()
         if scope.cancelled_caught:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -837,7 +837,8 @@
             await stream.send_all(b"POST /api HTTP/1.1\r\nHo")
         with trio.fail_after(1):
             assert await site.submit("a1") == 202
-            assert [await stream.receive_some() for stream in flood[:30]] == [b""] * 30
+            for stream in flood[:30]:  # who was about to go on is told to come again, and nothing more
+                assert (await site.ask(b"", stream))[0] == 503 and await stream.receive_some() == b""
         assert await kept.receive_some() == b"" and node.clients.open <= 16
     site.run(scene)
 
--- a/tests/test_standing_bytes.py
+++ b/tests/test_standing_bytes.py
@@ -139,3 +139,53 @@
         assert [told[2] for told in outcomes] == ["delivered", "delivered"]
         assert [at for at, _ in site.far.got] == [1, 2] and not armed  # the first never got the whole of it
     site.run(scene)
+
+
+# ---- a byte behind a client's last request
+
+@pytest.mark.parametrize("last", ["Connection: close", "HTTP/1.0"])
+def test_a_byte_behind_the_last_request_does_not_take_its_answer_away(site, monkeypatch, last):
+    """Old clients send a line end behind a body; a close over it would be a reset."""
+    whole, behind = ends.Clients.respond, []
+
+    async def respond(clients, line, *fields, **named):
+        behind.pop().send(b"\r\n")  # its request was read, and nothing stood behind it
+        while line.sock.peek() is None:  # loopback: it is there at once
+            pass
+        return await whole(clients, line, *fields, **named)
+    monkeypatch.setattr(ends.Clients, "respond", respond)
+
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        behind.append(stream.socket._sock)
+        text = handed(last) if ":" in last else handed().replace(b"HTTP/1.1", last.encode())
+        await stream.send_all(text)
+        await site.until(lambda: node.counters["answers_202"])
+        while len(node.clients.leaving) < 1 and node.clients.open:  # it has ended its sending, or closed
+            await trio.sleep(0.001)
+        assert not stream.socket._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)  # a reset took it away
+        assert await heard(stream) == 202 and await stream.receive_some() == b""
+    site.run(scene)
+
+
+# ---- half a request as its connection has to go
+
+@pytest.mark.parametrize("how", ["evicted", "drained"])
+@pytest.mark.parametrize("came", [1, 40, -2])
+def test_who_is_cut_off_within_a_request_is_told_to_come_again(site, monkeypatch, how, came):
+    """An end with no answer counts as a loss where one in 200 sees it; 503 is a refusal."""
+    monkeypatch.setattr(ends, "REST_WITHIN", 0.0)
+    monkeypatch.setattr(ends, "LAST_REST_WITHIN", 0.0)
+
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        text = handed("X-Trace-Id: a2", "Content-Length: 5", body=b"hello")
+        await stream.send_all(text[:came])
+        await site.until(lambda: any(line.raw for line in node.clients.waiting))
+        end_by(node, how)
+        assert await heard(stream) == 503
+        await stream.send_all(text[came:])  # it is read, and not sent on
+        assert await stream.receive_some() == b""
+        assert not stream.socket._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        assert not node.counters["handed_in"]
+    site.run(scene)
