A second refusal in a row counts two where a dispatcher's part of a cold endpoint is small

Need: 200 dispatchers at 12 calls/s against an endpoint that refuses for 15 s passed the bound of a cold endpoint, N + 2 root N + 2, by up to 13 calls, most of them by dispatchers that had been told. Cause, by labelling each call of the worst window (the first 2 s): 16 to 18 of 26 to 36 came from dispatchers after their second refusal, which pause 10 s (0.1 s x 10 x 10) each. About 7 a second meet the outage for the first time, so about 7 a second come back after 10 s, twice what the endpoint bears cold. Nothing of the warming itself was over; restarts and throttling were not at fault. Change: such a refusal counts two, so that the next pause is a full turn of all dispatchers. One refusal alone (an endpoint with no free connection) still pauses a second, silence as before.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -26,15 +26,13 @@
 SILENCE = 500 * MS  # a push that fails later than this met silence
 USUAL_SPAN, SHARE_SPAN = 30 * SEC, 10 * SEC  # over which usual deliveries are counted; a tenant's share
 RAMP_SHARE, SOONER = 0.8, 3  # of what the rule allows; few outcomes: back for one part in so many of it
-STALE = 4  # one part in so many of the idle time that broke a connection is what the next may have
-REST, MOST_REST = 250 * MS, 2 * SEC
+STALE, REST, MOST_REST = 4, 250 * MS, 2 * SEC  # one part in so many of an idle time that broke is safe
 MOST_LIST_PAUSE, MOST_ASK_PAUSE = 500 * MS, 2 * SEC  # until a list is asked for again: pushed; else
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
 MOST_SHARES = 1.3  # even shares of a known limit that one dispatcher's pace starts at and grows to
 SPARE, NEARLY_ALL = 0.25, 0.8  # of a limit that any one may use, since it mostly stands idle; that is left
 BURST, FIRST_PACE = 0.5, 2.0  # seconds of the pace that go at once; calls a second where no limit is known
-BATCH_WEIGHT = 0.15  # of each further notification in a call, in calls
-ENOUGH = 2  # calls out at an endpoint to take the next in rank
+BATCH_WEIGHT, ENOUGH = 0.15, 2  # each further one of a call, in calls; calls out to take the next in rank
 PLACES, SHED_AT = 8, 0.9  # one part in so many of the traffic is worth an idle connection; of held
 PASS, KEEP, END = "pass", "keep", "end"
 SILENT = ("timeout", "reset", "cancelled")
@@ -308,9 +306,11 @@
     def strike(self, endpoint, why, since):
         endpoint.trouble += (1 - endpoint.trouble) * TROUBLE_STEP
         surely = why == "unreachable"  # no lost call: the endpoint itself is not there
-        # Threat: what took its time to fail is silent, not full, and has many waiting for it to come back.
+        # Threats: what took its time to fail is silent, not full, and has many waiting for it to come back;
+        # many with a small part each come twice in an outage of seconds, so a second refusal counts two.
         full = surely and self.at.now - since < SILENCE
-        endpoint.run += (1 if full else 2 + surely) + 2 * bool(endpoint.excused)  # the break was its own
+        weight = 1 + (endpoint.run > 0 and self.few(endpoint)) if full else 2 + surely
+        endpoint.run += weight + 2 * bool(endpoint.excused)  # the break was its own
         endpoint.excused = 0
         if full:
             self.me.scarce.add(endpoint.kind)
