A second refusal counts two only where a full turn of all is longer than its pause

Need: with 20 to 30 dispatchers the pause after two refusals (10 s) is cut to a full turn anyway, so counting two there gained nothing for the cold endpoint and made the return a sure one, with its whole ramp.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -309,9 +309,9 @@
         # Threats: what took its time to fail is silent, not full, and has many waiting for it to come back;
         # many with a small part each come twice in an outage of seconds, so a second refusal counts two.
         full = surely and self.at.now - since < SILENCE
-        weight = 1 + (endpoint.run > 0 and self.few(endpoint)) if full else 2 + surely
-        endpoint.run += weight + 2 * bool(endpoint.excused)  # the break was its own
-        endpoint.excused = 0
+        twice = endpoint.run and self.few(endpoint) and self.full_turn(endpoint) > SPACING * DOUBT_GROWTH ** 2
+        endpoint.run += (1 + bool(twice) if full else 2 + surely) + 2 * bool(endpoint.excused)
+        endpoint.excused = 0  # the break was its own
         if full:
             self.me.scarce.add(endpoint.kind)
             endpoint.full_at = self.at.now
