--- a/tests/test_standing_bytes.py
+++ b/tests/test_standing_bytes.py
@@ -1,9 +1,8 @@
-"""Bytes that come in the very moment in which a connection is closed, shut or used again, and many requests at
-once: docs/standing.md, "The standing trial, sentence by sentence".
+"""Bytes that come in the very moment in which a connection is closed, shut or used again, and many requests
+at once: docs/standing.md, "The standing trial, sentence by sentence".
 
 Every crossing is forced: a hook at the seam lets the other side act before the one side goes on."""
 
-import signal
 import socket
 from contextlib import suppress
 from dataclasses import replace
@@ -13,13 +12,11 @@
 import trio
 from conftest import WIRE
 from test_endings_drain import end_by, heard
-from test_net import endpoints, handed, program, send
-from test_standing import with_wait
+from test_net import endpoints, handed, send
 
 from juniperlanding.ground import seams
 from juniperlanding.net import clients as ends
-from juniperlanding.net.line import Line
-from juniperlanding.standins.peers import Far, http, read_message
+from juniperlanding.standins.peers import http, read_message
 
 PIECES = 7  # bytes in each
 
