The end of a drain outlasts clients that come without pause, say nothing or read nothing

The task that accepts gets its place in a step that cannot be cancelled, goes on, and waits on the listener that `last_words` closed one step after cancelling it: the process falls over with its last round untaken, the ledger not closed, and answers under way cut off. `last_words` looked for as long as anybody came; with one every 5 ms it was cut off at 0.1 s with its listener open, its last answers unsent, and neither the last round nor the calling back of what still connects done (which a restart gives up unsent, if it is once-only). So too with one client that said nothing, or that read nothing. Now nobody is accepted after 0.03 s, no answer is waited for after 0.07 s, and the rest of the 0.1 s is the ledger's.

Tests, each seen to fail on the text before: test_endings_drain.py, test_the_process_ends_well_as_a_place_is_got_just_as_nobody_is_accepted_any_more (the crossing held by a hook), test_no_client_keeps_what_ends_meanwhile_from_the_ledger (three cases). Beside them, no mend: test_many_requests_in_one_write_are_refused_and_none_is_sent_on, test_of_requests_that_wait_for_no_answer_those_with_a_yes_are_sent_on_and_no_other.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -28,10 +28,23 @@
         self.places = trio.Semaphore(most_open + ROOM)
         # Once frozen, whoever is between answers is carried over to the process that takes over.
         self.frozen, self.carried, self.leaving, self.accepting = False, [], set(), trio.CancelScope()
+        self.accepts_nobody = trio.Event()
 
     async def listen(self, listener, nursery):
-        with self.accepting:
-            await self.accept(listener, nursery)
+        try:
+            with self.accepting:
+                await self.accept(listener, nursery)
+        finally:
+            self.accepts_nobody.set()
+
+    async def close(self, listener):
+        """Nobody is accepted any more, and who comes is refused.
+
+        Threat: the task that accepts just got a place, goes on after one step more, and waits on a closed
+        number: a crash."""
+        self.accepting.cancel()
+        await self.accepts_nobody.wait()
+        listener.close()
 
     def inherit(self, nursery, lines):
         """Go on with another process's clients, (line, seconds left for its request) each; no more than there
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -20,6 +20,7 @@
 
 OTHER_FILES = 20  # descriptors for everything but the connections bounded here: 16 are in use, a few to spare
 LAST_WORDS = 0.1  # seconds at the end in which nothing is taken on and the last answers leave
+LAST_COME, LAST_ANSWERED = 0.03, 0.07  # of these, until nobody is accepted, and until no answer is waited for
 LAST_LOOK = 0.005  # seconds between looks at whether they have
 AGAIN = 0.25  # seconds until a ledger that could not be read is tried again
 REREAD, MOST_REREAD = 0.25, 2.0  # seconds until a configuration that could not be read is tried again
@@ -262,23 +263,31 @@
             await self.last_words()
 
     async def last_words(self):
-        """Threats: a connection stands in the backlog and is reset with its request; a yes is in the ledger,
-        and its client's connection ends unanswered; what ended just now is told, but not written down."""
-        came = -1
-        while came != self.clients.came:
+        """The last answers, and then the last round.
+
+        Threats: what ended just now is told, but not written down; one client that says nothing, or reads
+        nothing, is waited for until we are cut off."""
+        with trio.move_on_after(LAST_ANSWERED):
+            await self.last_answers()
+        if self.replaced or self.owner.frozen:
+            return
+        await self.owner.tell(self.owner.park)
+        await self.owner.parked.wait()
+        await self.owner.endpoints.withdraw()
+
+    async def last_answers(self):
+        """Threats: a connection stands in the backlog and is reset with its request; they come without end; a
+        yes is in the ledger, and its client's connection ends unanswered."""
+        came, closes_at = -1, trio.current_time() + LAST_COME
+        while came != self.clients.came and trio.current_time() < closes_at:
             came = self.clients.came
             await trio.sleep(LAST_LOOK)
         if self.replaced or self.owner.frozen:
             return
-        self.clients.accepting.cancel()
-        await trio.lowlevel.checkpoint()  # threat: its task still waits on a closed number
-        self.listener.close()
+        await self.clients.close(self.listener)
         while self.clients.busy() or self.clients.waiting:
             self.clients.drain()
             await trio.sleep(LAST_LOOK)
-        await self.owner.tell(self.owner.park)
-        await self.owner.parked.wait()
-        await self.owner.endpoints.withdraw()
 
     def close(self):
         """The end; whether all that is owed could be written down."""
--- a/tests/test_endings_drain.py
+++ b/tests/test_endings_drain.py
@@ -3,12 +3,15 @@
 Every crossing is forced: a hook at the seam lets the other side act before the one side goes on."""
 
 import socket
+from contextlib import suppress
 
+import h11
 import pytest
 import trio
 import trio.testing
 from test_net import handed, owed
 
+from juniperlanding.ground.seams import Listener
 from juniperlanding.net import clients as ends
 from juniperlanding.net import protocol
 from juniperlanding.net.clients import Clients
@@ -222,6 +225,84 @@
     site.run(scene)
 
 
+def test_the_process_ends_well_as_a_place_is_got_just_as_nobody_is_accepted_any_more(site, monkeypatch):
+    soon(monkeypatch)
+
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.owner.ready)
+        refuse, acquire, crossed = node.clients.refuse, node.clients.places.acquire, []
+
+        async def acquires():
+            await acquire()
+            with trio.CancelScope(shield=True):  # the last step of `acquire` cannot be cancelled either
+                await site.until(lambda: node.clients.accepting.cancel_called)
+                for _ in range(9):
+                    await trio.lowlevel.checkpoint()
+            crossed.append(True)
+
+        def refuses():
+            refuse()
+            node.clients.places.acquire = acquires
+            socket.create_connection(site.address).close()
+        node.clients.refuse = refuses
+        assert await stop(site) and crossed
+    site.run(scene)
+
+
+@pytest.mark.parametrize("how", ["come without end", "say nothing", "read nothing"])
+def test_no_client_keeps_what_ends_meanwhile_from_the_ledger(site, monkeypatch, how):
+    """The last round is taken, and what connects is called back, whatever clients do; who was accepted with a
+    request has its answer."""
+    soon(monkeypatch)
+    monkeypatch.setattr("juniperlanding.net.node.LAST_WORDS", 1.0)  # they would be waited for for 2.5 s
+    monkeypatch.setattr(ends, "LAST_REST_WITHIN", 60.0)
+    socks, accepted, withdrawn, send, accept = [], [], [], Line.send, Listener.accept
+    asks = b"" if how == "say nothing" else handed("X-Trace-Id: a1")
+
+    def come():
+        with suppress(ConnectionRefusedError):
+            socks.append(socket.create_connection(site.address))
+            socks[-1].sendall(asks)
+
+    async def accepts(listener):
+        sock, peer = await accept(listener)
+        accepted.append(peer)
+        if how == "come without end":
+            come()
+        return sock, peer
+    monkeypatch.setattr(Listener, "accept", accepts)
+
+    async def unread(line, *events):
+        if how == "read nothing" and line.http.our_role is h11.SERVER:
+            await trio.sleep_forever()
+        await send(line, *events)
+    monkeypatch.setattr(Line, "send", unread)
+
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.owner.ready)
+        refuse, withdraw = node.clients.refuse, node.owner.endpoints.withdraw
+
+        async def withdraws():
+            await withdraw()
+            withdrawn.append(node.owner.parked.is_set())
+
+        def refuses():
+            refuse()
+            come()
+        node.clients.refuse, node.owner.endpoints.withdraw = refuses, withdraws
+        assert await stop(site)
+        assert withdrawn == [True] and accepted
+        if how == "come without end":
+            for sock in socks:
+                sock.setblocking(False)
+                if sock.getsockname() in accepted:  # who stood in the backlog at the end is reset
+                    stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+                    assert await heard(stream) == 503
+    site.run(scene)
+
+
 def test_an_outcome_that_no_round_has_taken_counts_at_the_end(site, monkeypatch):
     soon(monkeypatch)
 
--- a/tests/test_standing_bytes.py
+++ b/tests/test_standing_bytes.py
@@ -1,8 +1,9 @@
-"""Bytes that come in the very moment in which a connection is closed, shut or used again, and many requests at
-once: docs/standing.md, "The standing trial, sentence by sentence".
+"""Bytes that come in the very moment in which a connection is closed, shut or used again, and many requests
+at once: docs/standing.md, "The standing trial, sentence by sentence".
 
 Every crossing is forced: a hook at the seam lets the other side act before the one side goes on."""
 
+import json
 import signal
 import socket
 from contextlib import suppress
@@ -13,13 +14,11 @@
 import trio
 from conftest import WIRE
 from test_endings_drain import end_by, heard
-from test_net import endpoints, handed, program, send
-from test_standing import with_wait
+from test_net import endpoints, handed, owed, program, send
 
 from juniperlanding.ground import seams
 from juniperlanding.net import clients as ends
-from juniperlanding.net.line import Line
-from juniperlanding.standins.peers import Far, http, read_message
+from juniperlanding.standins.peers import http, read_message
 
 PIECES = 7  # bytes in each
 
@@ -189,3 +188,102 @@
         assert not stream.socket._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         assert not node.counters["handed_in"]
     site.run(scene)
+
+
+# ---- many requests at once; by the protocol a client sends one at a time
+
+BAD = handed("X-Trace-Id: ")
+
+
+def each(numbers):
+    return each_of(f"a{number}" for number in numbers)
+
+
+def each_of(names):
+    return [handed(f"X-Trace-Id: {name}") for name in names]
+
+
+async def end(stream):
+    """The status of each answer until the connection's end, which is no reset."""
+    buffer, answers = bytearray(), []
+    while message := await read_message(stream, buffer):
+        answers.append(int(message[0].split()[1]))
+    assert not buffer and not stream.socket._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return answers
+
+
+@pytest.mark.parametrize("texts", [
+    each(range(200)), [*each(range(100)), BAD, b"nonsense\r\n\r\n", *each(range(100, 200))],
+    [*each([0]), each([1])[0][:40]], [*each([0]), b"\r\n"]])
+@pytest.mark.parametrize("how", ["one write", "ends its sending"])
+def test_many_requests_in_one_write_are_refused_and_none_is_sent_on(site, texts, how):
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        await stream.send_all(b"".join(texts))
+        if how == "ends its sending":
+            await stream.send_eof()
+        assert await end(stream) == [400]
+        await site.until(lambda: not node.clients.open)
+        assert not node.counters["handed_in"] and not site.far.got
+    site.run(scene)
+
+
+@pytest.mark.parametrize("then, answers", [
+    ("end", [202, 202]), ("nonsense", [202, 202, 400]), ("drain", [202, 202]), ("200 more", [202, 202, 400])])
+def test_of_requests_that_wait_for_no_answer_those_with_a_yes_are_sent_on_and_no_other(site, then, answers):
+    """In pieces, each whole one with nothing behind it yet; then what is told."""
+    async def scene(site):
+        node, stream = await site.start(), await site.client()
+        for number, text in enumerate(each(range(2))):
+            await stream.send_all(text[:40])
+            await site.until(lambda: any(line.raw for line in node.clients.waiting))
+            await stream.send_all(text[40:])
+            await site.until(lambda number=number: node.counters["answers_202"] > number)
+        await site.until(lambda: node.clients.waiting)
+        if then == "end":
+            await stream.send_eof()
+        elif then == "drain":
+            node.clients.drain()
+            await site.until(lambda: node.clients.leaving)
+        if then != "end":
+            more = b"nonsense\r\n\r\n" if then == "nonsense" else b"".join(each(range(2, 202)))
+            with suppress(trio.BrokenResourceError):
+                await stream.send_all(more)
+        assert await end(stream) == answers
+        await site.until(lambda: len(site.far.got) == 2 and not node.ledger.owed)
+        assert [headers["x-trace-id"] for _, headers, _ in site.far.got] == ["a0", "a1"]
+        assert node.counters["handed_in"] == 2
+    site.run(scene)
+
+
+def test_after_sigterm_what_many_requests_at_once_got_is_what_was_sent_on(site):
+    """A real process; one client writes 200 in one go, another one by one, each time over a new one,
+    without pause, until nobody listens."""
+    yes, answers, last = [], [], []
+
+    async def client(name, many):
+        with suppress(OSError, trio.BrokenResourceError):
+            for number in range(10_000):
+                async with await site.client() as stream:
+                    names = [f"{name}{number}-{at}" for at in range(many)]
+                    await stream.send_all(b"".join(each_of(names)))
+                    message = await read_message(stream, bytearray())
+                    answers.append(message and int(message[0].split()[1]))
+                    yes.extend(names[:1] if answers[-1] == 202 else [])
+        last.append(trio.current_time())
+
+    async def scene(site):
+        process = await program(site)
+        async with trio.open_nursery() as clients:
+            clients.start_soon(client, "a", 200)
+            clients.start_soon(client, "b", 1)
+            await site.until(lambda: 400 in answers and len(yes) > 5)
+            process.send_signal(signal.SIGTERM)
+            begun = trio.current_time()
+        assert await process.wait() == 0
+        assert set(answers) <= {202, 400, 503} and min(last) - begun > 3.4
+        sent = [one for first, headers, body in site.far.got for one in (
+            [part["id"] for part in json.loads(body)] if "batch" in first else [headers["x-trace-id"]])]
+        ended = {notice["message"] for notice in site.platform.notices}
+        assert set(sent) | set(owed(site)) <= set(yes) <= set(sent) | set(owed(site)) | ended
+    site.run(scene)
