--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -17,7 +17,7 @@
 
 from juniperlanding.choice import SEC
 from juniperlanding.ground.seams import Network
-from juniperlanding.standins.peers import http, member
+from juniperlanding.standins.peers import Far, http, member
 
 HALF = b"HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\n{\"revision\""
 
@@ -147,6 +147,29 @@
     site.run(scene)
 
 
+@pytest.mark.parametrize("restart", [False, True])
+@pytest.mark.parametrize("kind", ["news", "order", "pay"])
+def test_a_destination_that_hangs_takes_no_place_from_the_others(site, kind, restart):
+    """All places held for it, before a restart too: what comes for another one is taken on and delivered."""
+    async def scene(site):
+        site.other = await Far().open(site.nursery)
+        site.told["known"] = {"revision": 1, "complete": True, "members": [
+            member(1, site.far.address), member(2, site.other.address, cell=9)]}
+        node = await site.start()
+        for number in range(60):  # of 50 places
+            await site.submit(f"a{number}", kind, ttl=9000)
+        least = 0.8 * node.owner.at.me.settings["most_held"]
+        assert len(node.owner.held) > least
+        if restart:
+            site.kill()
+            node = await site.start()
+            await site.until(lambda: len(node.owner.held) > least)
+        for number in range(60):
+            assert await site.submit(f"b{number}", dest=9) == 202
+        await site.until(lambda: len(site.other.got) == 60)
+    site.run(scene, lambda *message: None)
+
+
 @pytest.mark.parametrize("late, ending", [(0.8, "delivered"), (1.2, "unreachable")])
 def test_a_connection_that_comes_up_late_is_waited_for(site, late, ending):
     class Late(Network):
