A damaged ledger byte is mended, and a lost record makes nothing run twice

Weighed: (a) ids that can be read in the damaged line: the damage may be in the id, or make another of it; (b) the kind that its start shows: contiguous damage over an end of line hides a `p` behind another's start; (c) all that was taken on before and is not known to have run may have run: safe, but one byte of a `t` then costs every untried one its call, against "costs that record alone". So: one damaged byte, the usual case, is found by the checksum (the difference run back byte by byte, until it is what one byte does; linear in the line, at most 1 MiB of lines) and costs nothing, not even its record, also where it is in the checksum, ends a record or makes an end in the midst of one. What cannot be mended falls under (c), through rewrites too; for a collapsible one its window is over. The last line, half written at a kill, casts no doubt: the write comes before the bytes. Another version's record, whole by its checksum, costs itself alone as before.

--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -31,6 +31,11 @@
 OVER = 16  # of the disk, one part in so many may hold ids that are over
 REMEMBERED = 64  # bytes beside its id that one which is over takes until its TTL
 MORE = 512  # bytes beside its first record that one notification's pushes and end will add
+DOUBT = -1, (0, 1)  # a push that a lost record may have told of: at an unknown place, and longest ago
+MOST_MENDED = 1 << 20  # bytes of damaged lines that are looked at byte by byte
+ERRORS = {crc32(bytes([error])) ^ crc32(b"\0"): error for error in range(256)}  # what each does to a checksum
+BAD = ValueError, TypeError, KeyError, IndexError  # what reading a damaged or a foreign record raises
+TOPS = {after >> 24: (error, after) for after, error in ERRORS.items()}
 
 
 class Unreadable(Trouble, OSError):
@@ -104,6 +109,29 @@
             yield parse(raw[start:end]), end - start
 
 
+def ended(raw):
+    """Whether a line is one whole record."""
+    with suppress(ValueError):
+        return parse(raw) is not None
+    return False
+
+
+def mended(raw):
+    """The record of a line in which one byte is damaged; ValueError where it is more.
+
+    The difference of the checksums is run back byte by byte, until it is what one byte alone does."""
+    told, text = raw[:8], raw[9:]
+    if sum(map(int.__ne__, told, b"%08x" % crc32(text))) <= 1:
+        return json.loads(text)  # the damaged byte is the checksum's, or stands behind it
+    gone = int(told, 16) ^ crc32(text)
+    for at in reversed(range(len(text))):
+        if error := ERRORS.get(gone):
+            return json.loads(text[:at] + bytes([text[at] ^ error]) + text[at + 1:])
+        error, after = TOPS[gone >> 24]
+        gone = (gone ^ after) << 8 | error
+    raise ValueError("more than a byte")
+
+
 class Books:
     """What is owed, as the records read so far have it."""
 
@@ -120,19 +148,50 @@
             return self
         except OSError as error:
             raise Unreadable(error.errno, error.strerror or str(error), str(path)) from None
-        lines = content.split(b"\n")
-        for at, raw in enumerate(lines, 1):
+        lines, spent = content.split(b"\n"), 0
+        left = iter(enumerate(lines, 1))
+        for at, raw in left:
             try:
                 if raw:
                     self.apply(parse(raw), len(raw))
-            except (ValueError, TypeError, KeyError, IndexError):
+            except BAD:
+                last = at == len(lines)
                 self.skipped += 1  # threats: killed within a write; another version's record
-                self.damaged += at < len(lines)
-                for record in between(raw):
-                    with suppress(ValueError, TypeError, KeyError, IndexError):
+                self.damaged += not last
+                spent += len(raw)
+                found = list(between(raw[:-1] if last and not ended(raw) and ended(raw[:-1]) else raw))
+                lost = sum(size + 1 for _, size in found) - 1 < len(raw)
+                if lost and not last and spent <= MOST_MENDED:
+                    # Threat: the damaged byte became an end of line, and stands before or behind this part.
+                    if self.mend(raw) or self.mend(b"\n" + raw):
+                        continue
+                    if at + 1 < len(lines) and self.mend(b"\n".join(lines[at - 1:at + 1])):
+                        next(left)
+                        continue
+                for record in found:
+                    with suppress(*BAD):
                         self.apply(*record)
+                if lost and not last:
+                    self.doubt()
         return self
 
+    def mend(self, raw):
+        """Whether a damaged line could be read after all."""
+        with suppress(*BAD):
+            self.apply(mended(raw), len(raw))
+            return True
+        return False
+
+    def doubt(self):
+        """Threat: what is lost told of a push, or that its client was refused; a once-only one would look
+        untried and run twice, a collapsible one run past its window.  So what was taken on before may have
+        run, unless it is known to.  Not so for the last line, that a kill met half written: what it was to
+        tell of has not left."""
+        number, unknown = DOUBT
+        for owed in self.owed.values():
+            if not owed.ran:
+                owed.ran[number], owed.left = unknown, True
+
     def add(self, owed, size):
         """Threat: counted as more than it takes, what is owed fills the ledger while half of it is free."""
         owed.size = size + MORE
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -14,6 +14,7 @@
 from test_upgrade import replace as replaced
 
 from juniperlanding.choice import SEC
+from juniperlanding.net import ledger as ledgers
 from juniperlanding.net import protocol
 from juniperlanding.net.ledger import Books, Ledger, line
 from juniperlanding.standins.peers import http, member
@@ -424,6 +425,88 @@
         site.run(later)
 
 
+SENT_AT = 1_796_184_205_223_287_354
+TAKEN = [["t", "a0", "order", 7, 5 * SEC, "", ""], ["t", "a1", "order", 7, 5 * SEC, "", ""]]
+AFTER = [["t", "a2", "order", 7, 5 * SEC, "", ""]]
+
+
+@pytest.mark.parametrize("record", [["p", "a1", 0, 1, SENT_AT], ["x", "a1"], ["n", "a1", 0],
+                                    ["o", "a1", "given_up", 0], ["e", "a1"], ["k", "a1", "key"]])
+@pytest.mark.parametrize("damage", [10, 0, 34, 48, 120, 255])
+def test_one_damaged_byte_costs_nothing(tmp_path, damage, record):
+    """Wherever it is, also as the end of a record, or where it makes an end."""
+    whole = b"".join(map(line, [*TAKEN, record, *AFTER]))
+    (tmp_path / "ledger").write_bytes(whole)
+    wanted = Books().load(tmp_path / "ledger")
+    for at in range(len(whole)):
+        if whole[at] != damage:
+            (tmp_path / "ledger").write_bytes(whole[:at] + bytes([damage]) + whole[at + 1:])
+            found = Books().load(tmp_path / "ledger")
+            assert (found.owed.keys(), found.over) == (wanted.owed.keys(), wanted.over), at
+            for name, one in wanted.owed.items():
+                one.size = found.owed[name].size  # of what was read, with the damage
+                assert found.owed[name] == one, at
+
+
+def spoilt(record):
+    return line(record)[:11] + b"????" + line(record)[15:]
+
+
+@pytest.mark.parametrize("topic", ["order", "pay", "news"])
+@pytest.mark.parametrize("what", ["p", "x"])
+def test_a_record_that_is_lost_makes_nothing_run_twice(site, what, topic):
+    """More of it is damaged than can be mended: which one was pushed, or taken back, nobody knows; so what
+    was taken on before may have run, and what came since, or is known to have run, is as it was."""
+    async def scene(site):
+        site.config()
+        now = CLOCK.now()
+        taken = [["t", name, topic, 7, now + 9 * SEC, name, ""] for name in ("a0", "a1", "a2")]
+        lost = ["p", "a1", 0, 0, now - SEC] if what == "p" else ["x", "a1"]
+        lines = [line(taken[0]), line(taken[1]), spoilt(lost), line(taken[2])]
+        (site.folder / "state" / "ledger").write_bytes(b"".join(lines))
+        for _ in range(2):  # what is in doubt stays so through a rewrite
+            Ledger(site.folder / "state", 1 << 20).close()
+        node = await site.start()
+        assert not node.ledger.damaged
+        await site.until(lambda: node.owner.ready and not node.ledger.owed)
+        doubted = [] if topic == "news" else ["a0", "a1"]
+        assert sorted(sent(site)) == sorted({"a0", "a1", "a2"} - set(doubted))
+        assert sorted(one["message"] for one in site.platform.notices) == doubted
+        assert {one["outcome"] for one in site.platform.notices} <= {"given_up"}
+    site.run(scene)
+
+
+def test_a_lost_record_leaves_what_is_known_as_it_is(tmp_path):
+    known = ["p", "a0", 2, 1, SENT_AT]
+    (tmp_path / "ledger").write_bytes(b"".join(map(line, [*TAKEN, known])) + spoilt(["p", "a1", 0, 0, 5])
+                                      + b"".join(map(line, AFTER)))
+    found = Books().load(tmp_path / "ledger")
+    assert found.damaged == 1 and found.owed["a0"].ran == {2: (1, SENT_AT)} and not found.owed["a2"].ran
+    assert min(at for _, at in found.owed["a1"].ran.values()) == 1 and not found.owed["a1"].pushes
+
+
+@pytest.mark.parametrize("left", [1, 9, 30])
+def test_the_record_half_written_at_a_kill_leaves_the_others_untried(tmp_path, left):
+    """What it was to tell of has not left: the write comes first."""
+    torn = line(["p", "a1", 0, 1, SENT_AT])[:-left]
+    (tmp_path / "ledger").write_bytes(b"".join(map(line, TAKEN)) + torn)
+    found = Books().load(tmp_path / "ledger").owed
+    assert not found["a0"].ran and bool(found["a1"].ran) == (left == 1)
+
+
+def test_a_file_that_is_damaged_throughout_is_read_in_time(tmp_path, monkeypatch):
+    """Byte by byte for so much of it alone."""
+    tried, whole = [], ledgers.mended
+
+    def mended(raw):
+        tried.append(len(raw))
+        return whole(raw)
+    monkeypatch.setattr(ledgers, "mended", mended)
+    (tmp_path / "ledger").write_bytes(b"".join(map(line, TAKEN)) + (b"x" * 1000 + b"\n") * 2000)
+    assert Books().load(tmp_path / "ledger").damaged == 2000
+    assert sum(tried) < 6 * ledgers.MOST_MENDED  # each line alone, with an end before it, and with the next
+
+
 @pytest.mark.parametrize("damage", [b"\n", b"x", b"0"])
 def test_a_damaged_byte_costs_its_record_alone(tmp_path, damage):
     """Also where it is the one that ends a record."""
