--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -7,13 +7,14 @@
 import pytest
 import trio
 import trio.testing
-from conftest import COLLAPSIBLE, REPEATABLE, WIRE, Bed
+from conftest import COLLAPSIBLE, ONCE_ONLY, ORDERED, REPEATABLE, WIRE, Bed
 from test_endings_endpoint import Held
 from test_net import CLOCK, owed, silent
 from test_upgrade import first as first_process
 from test_upgrade import replace as replaced
 
 from juniperlanding.choice import SEC
+from juniperlanding.net import ledger as ledgers
 from juniperlanding.net import protocol
 from juniperlanding.net.ledger import Books, Ledger, line
 from juniperlanding.standins.peers import http, member
@@ -97,6 +98,61 @@
     assert bed.host.all("throttled")[-1] == [untried, 0]  # it has had its call
 
 
+def places_taken(bed):
+    for _ in range(40):
+        bed.take(COLLAPSIBLE)
+
+
+def slow(bed):
+    bed.deliver(4, after=15.0)  # a forecast of 15 s, over half of the TTL
+
+
+def drained(bed):
+    bed.at.listed("changes", [(10, 1, 0, 50.0, 0, "draining")])
+
+
+def told_to_wait(bed):
+    one = bed.take()
+    bed.turn()
+    bed.end(one, "throttled", wait=60 * SEC)
+
+
+def down(bed):
+    for _ in range(8):
+        one = bed.take()
+        bed.turn(4)
+        if [one, 10] in [asked[:2] for asked in bed.pushed]:
+            bed.end(one, "timeout", 0)
+    assert bed.endpoint().down
+
+
+def ends_soon(bed):
+    bed.at.stopping(bed.at.now + SEC // 2)
+
+
+def of_many(bed):
+    bed.at.me.dispatchers = 200  # its part of a cold endpoint's budget is less than a call in the time
+    restored(bed, ttl=60, pushes=1, unsent=False)  # and one that failed before the restart
+
+
+@pytest.mark.parametrize("topic", [REPEATABLE, COLLAPSIBLE, ONCE_ONLY, ORDERED])
+@pytest.mark.parametrize("meets", [places_taken, slow, drained, told_to_wait, down, ends_soon, of_many])
+def test_no_untried_one_is_given_up_while_half_of_its_time_is_left(meets, topic):
+    """Whatever it meets, it is called or held; here calls end as a throttled one does, at most one each."""
+    bed = Bed(most_held=50, dispatchers=2)
+    meets(bed)
+    known = {told[0] for told in bed.host.all("throttled") + bed.host.all("expired")}
+    names = {restored(bed, topic, key="k" * (topic == ORDERED)) for _ in range(30)}
+    begun, called = bed.at.now, set()
+    while bed.at.now < begun + 10 * SEC:
+        bed.turn(0.05)
+        for ntf_id, number in list(bed.at.me.pushes):
+            called.add(ntf_id)
+            bed.end(ntf_id, "throttled", 0, number=number)
+    ended = {told[0] for told in bed.host.all("throttled") + bed.host.all("expired")} - known
+    assert not (ended & names) - called
+
+
 @pytest.mark.parametrize("ending, kept", [("moot", True), ("unreachable", True), ("throttled", False)])
 def test_a_push_that_nobody_saw_is_no_try(ending, kept):
     bed = Bed(most_held=100)
@@ -322,6 +378,26 @@
     site.run(scene)
 
 
+def test_calls_that_were_called_back_use_up_no_try(site):
+    async def scene(site):
+        with socket.socket() as nobody:
+            nobody.bind(("127.0.0.1", 0))
+            site.world = replace(site.world, network=Held(site.far))
+            node = await site.start()
+            calls, network = node.owner.endpoints, site.world.network
+            assert await site.submit("a", "order", ttl=9000) == 202
+            for times in range(1, 4):
+                await site.until(lambda: network.began == times and calls.out)  # noqa: B023
+                if times == 3:
+                    calls.book["s-1"] = nobody.getsockname()
+                calls.recall({"s-1"})
+            await site.until(lambda: node.counters["pushes_unreachable"] and owed(site)["a"].pushes)
+            assert node.owner.at.me.notifications["a"].pushes == 4 and node.counters["pushes_moot"] == 3
+            assert owed(site)["a"].pushes == 1 and not owed(site)["a"].left
+            site.kill()
+    site.run(scene)
+
+
 def test_what_never_left_stays_so_through_a_rewrite_and_what_left_does_too(tmp_path):
     records = [["t", name, "news", 7, 5 * SEC, "", ""] for name in "abcde"] + [
         ["n", "a", 2],  # met nobody
@@ -424,6 +500,88 @@
         site.run(later)
 
 
+SENT_AT = 1_796_184_205_223_287_354
+TAKEN = [["t", "a0", "order", 7, 5 * SEC, "", ""], ["t", "a1", "order", 7, 5 * SEC, "", ""]]
+AFTER = [["t", "a2", "order", 7, 5 * SEC, "", ""]]
+
+
+@pytest.mark.parametrize("record", [["p", "a1", 0, 1, SENT_AT], ["x", "a1"], ["n", "a1", 0],
+                                    ["o", "a1", "given_up", 0], ["e", "a1"], ["k", "a1", "key"]])
+@pytest.mark.parametrize("damage", [10, 0, 34, 48, 120, 255])
+def test_one_damaged_byte_costs_nothing(tmp_path, damage, record):
+    """Wherever it is, also as the end of a record, or where it makes an end."""
+    whole = b"".join(map(line, [*TAKEN, record, *AFTER]))
+    (tmp_path / "ledger").write_bytes(whole)
+    wanted = Books().load(tmp_path / "ledger")
+    for at in range(len(whole)):
+        if whole[at] != damage:
+            (tmp_path / "ledger").write_bytes(whole[:at] + bytes([damage]) + whole[at + 1:])
+            found = Books().load(tmp_path / "ledger")
+            assert (found.owed.keys(), found.over) == (wanted.owed.keys(), wanted.over), at
+            for name, one in wanted.owed.items():
+                one.size = found.owed[name].size  # of what was read, with the damage
+                assert found.owed[name] == one, at
+
+
+def spoilt(record):
+    return line(record)[:11] + b"????" + line(record)[15:]
+
+
+@pytest.mark.parametrize("topic", ["order", "pay", "news"])
+@pytest.mark.parametrize("what", ["p", "x"])
+def test_a_record_that_is_lost_makes_nothing_run_twice(site, what, topic):
+    """More of it is damaged than can be mended: which one was pushed, or taken back, nobody knows; so what
+    was taken on before may have run, and what came since, or is known to have run, is as it was."""
+    async def scene(site):
+        site.config()
+        now = CLOCK.now()
+        taken = [["t", name, topic, 7, now + 9 * SEC, name, ""] for name in ("a0", "a1", "a2")]
+        lost = ["p", "a1", 0, 0, now - SEC] if what == "p" else ["x", "a1"]
+        lines = [line(taken[0]), line(taken[1]), spoilt(lost), line(taken[2])]
+        (site.folder / "state" / "ledger").write_bytes(b"".join(lines))
+        for _ in range(2):  # what is in doubt stays so through a rewrite
+            Ledger(site.folder / "state", 1 << 20).close()
+        node = await site.start()
+        assert not node.ledger.damaged
+        await site.until(lambda: node.owner.ready and not node.ledger.owed)
+        doubted = [] if topic == "news" else ["a0", "a1"]
+        assert sorted(sent(site)) == sorted({"a0", "a1", "a2"} - set(doubted))
+        assert sorted(one["message"] for one in site.platform.notices) == doubted
+        assert {one["outcome"] for one in site.platform.notices} <= {"given_up"}
+    site.run(scene)
+
+
+def test_a_lost_record_leaves_what_is_known_as_it_is(tmp_path):
+    known = ["p", "a0", 2, 1, SENT_AT]
+    (tmp_path / "ledger").write_bytes(b"".join(map(line, [*TAKEN, known])) + spoilt(["p", "a1", 0, 0, 5])
+                                      + b"".join(map(line, AFTER)))
+    found = Books().load(tmp_path / "ledger")
+    assert found.damaged == 1 and found.owed["a0"].ran == {2: (1, SENT_AT)} and not found.owed["a2"].ran
+    assert min(at for _, at in found.owed["a1"].ran.values()) == 1 and not found.owed["a1"].pushes
+
+
+@pytest.mark.parametrize("left", [1, 9, 30])
+def test_the_record_half_written_at_a_kill_leaves_the_others_untried(tmp_path, left):
+    """What it was to tell of has not left: the write comes first."""
+    torn = line(["p", "a1", 0, 1, SENT_AT])[:-left]
+    (tmp_path / "ledger").write_bytes(b"".join(map(line, TAKEN)) + torn)
+    found = Books().load(tmp_path / "ledger").owed
+    assert not found["a0"].ran and bool(found["a1"].ran) == (left == 1)
+
+
+def test_a_file_that_is_damaged_throughout_is_read_in_time(tmp_path, monkeypatch):
+    """Byte by byte for so much of it alone."""
+    tried, whole = [], ledgers.mended
+
+    def mended(raw):
+        tried.append(len(raw))
+        return whole(raw)
+    monkeypatch.setattr(ledgers, "mended", mended)
+    (tmp_path / "ledger").write_bytes(b"".join(map(line, TAKEN)) + (b"x" * 1000 + b"\n") * 2000)
+    assert Books().load(tmp_path / "ledger").damaged == 2000
+    assert sum(tried) < 6 * ledgers.MOST_MENDED  # each line alone, with an end before it, and with the next
+
+
 @pytest.mark.parametrize("damage", [b"\n", b"x", b"0"])
 def test_a_damaged_byte_costs_its_record_alone(tmp_path, damage):
     """Also where it is the one that ends a record."""
