The long pause after a second refusal only where all would come back in it as too many

Change: the full turn only where dispatchers x that time over the usual pause is over LARGE, the same bound as for a return that is taken as sooner.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -11,7 +11,6 @@
 from juniperlanding.state import Call, Destination, Endpoint, Instance, Notification, Push, Route
 
 MS, SEC = 1_000_000, 1_000_000_000
-
 FACTOR, MOST_DOUBLINGS = 2, 4  # of the root of the MSE, in the time-out; of that while nothing is delivered
 START_TIMEOUT, LEAST_TIMEOUT = 45 * SEC, 1 * SEC
 SAMPLES, SPAN, SMOOTHING = 3, 10, 0.2  # deliveries until a forecast counts; what the predictors look at
@@ -26,7 +25,7 @@
 SILENCE = 500 * MS  # a push that fails later than this met silence
 USUAL_SPAN, SHARE_SPAN = 30 * SEC, 10 * SEC  # over which usual deliveries are counted; a tenant's share
 RAMP_SHARE, SOONER = 0.8, 3  # of what the rule allows; few outcomes: back for one part in so many of it
-LARGE = 8  # calls that all may make in the time of a fall; up to here chance (2 x root + 2) covers SOONER
+LARGE = 8  # calls that all may make in the time of a fall; up to here chance (2 x root + 2) covers them
 STALE, REST, MOST_REST = 4, 250 * MS, 2 * SEC  # one part in so many of an idle time that broke is safe
 MOST_LIST_PAUSE, MOST_ASK_PAUSE = 500 * MS, 2 * SEC  # until a list is asked for again: pushed; else
 SLOWER, FASTER, SLOW_GAP, CALM = 0.7, 0.1, 500 * MS, 5 * SEC
@@ -319,8 +318,10 @@
             return self.aside(endpoint)
         self.me.loss += (1 - self.me.loss) * LOSS_STEP * (not surely)
         # Threat: many with a small part each meet an outage of seconds once and come back in it as one.
-        pause = self.full_turn if full and endpoint.run > 1 and self.few(endpoint) else self.pause
-        endpoint.trial_at = self.at.now + int(pause(endpoint) * (0.5 + self.at.chance(endpoint.id)))
+        pause, fall = self.pause(endpoint), self.me.settings.get("fall_within", 0)
+        if full and endpoint.run > 1 and self.few(endpoint) and self.me.dispatchers * fall / pause > LARGE:
+            pause = self.full_turn(endpoint)
+        endpoint.trial_at = self.at.now + int(pause * (0.5 + self.at.chance(endpoint.id)))
         self.at.wake_at(endpoint.trial_at)
         if endpoint.trouble > 1 - (1 - TROUBLE_STEP) ** (self.unlikely(surely) - 0.5):
             endpoint.down, endpoint.back_at = True, 0
@@ -366,8 +367,7 @@
         return known(route) * min(1, MOST_SHARES * max(1 / self.me.dispatchers, SPARE))
 
     def filled(self, route):
-        now = self.at.now
-        share, most = known(route) / self.me.dispatchers, self.most(route)
+        now, share, most = self.at.now, known(route) / self.me.dispatchers, self.most(route)
         if not route.pace:
             route.pace, route.filled_at = most or FIRST_PACE, now
         gone = max(0, now - max(route.filled_at, route.wait_until)) / SEC  # nothing gathers while it rests
