Interim answers without end keep 64 KiB and end their call, as fast as they come

Of seven forms (interim answers, a first line, a head, chunks, a chunk's head, a trailer, a body), each as fast as it goes and a little at a time, one was held in time (1 s) and not in bytes: `Line.head` kept all interim answers, 755 KB in the second that an endpoint had at a load of 40, and went over them at each piece.

With it, no mend: clients that send 200 requests at once and go, or reset, in test_many_requests_in_one_write_are_refused_and_none_is_sent_on.

--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -3,7 +3,7 @@
 import h11
 import trio
 
-from juniperlanding.net.protocol import MOST_HEAD, may_begin_an_answer
+from juniperlanding.net.protocol import MOST_BODY, MOST_HEAD, may_begin_an_answer
 
 CHUNK = 16 << 10
 ANSWER_WITHIN = 1.0  # seconds from an answer's first byte until its head has come, and then its body
@@ -38,6 +38,8 @@
             self.head += data
             if not may_begin_an_answer(self.head):
                 raise h11.RemoteProtocolError("noise")
+            if len(self.head) > MOST_BODY:  # threat: interim answers without end, as fast as they go
+                raise h11.RemoteProtocolError("too long")
         self.http.receive_data(data)
         return bool(data)
 
--- a/tests/test_standing_bytes.py
+++ b/tests/test_standing_bytes.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import socket
+import struct
 from contextlib import suppress
 from dataclasses import replace
 from functools import partial
@@ -16,8 +17,10 @@
 from test_endings_drain import end_by, heard
 from test_net import endpoints, handed, owed, program, send
 
+from juniperlanding.choice import SEC
 from juniperlanding.ground import seams
 from juniperlanding.net import clients as ends
+from juniperlanding.net.line import CHUNK, Line
 from juniperlanding.standins.peers import http, read_message
 
 PIECES = 7  # bytes in each
@@ -140,6 +143,50 @@
     site.run(scene)
 
 
+# ---- answers that never end
+
+HEAD = b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "interim": (b"", b"HTTP/1.1 103 x\r\n\r\n"), "line": (b"HTTP/1.1 503 ", b"x"),
+    "head": (b"HTTP/1.1 503 x\r\n", b"X: y\r\n"), "chunks": (HEAD, b"1\r\nx\r\n"),
+    "trailer": (HEAD + b"0\r\n", b"X: y\r\n"), "chunk's head": (HEAD, b"0"),
+    "body": (b"HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n", b"x")}
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.1])
+@pytest.mark.parametrize("what", ENDLESS)
+def test_an_answer_that_never_ends_is_given_up_and_its_connection_with_it(site, monkeypatch, what, pause):
+    """As fast as it goes, and a little at a time; long before the call's time-out, and 64 KiB are kept."""
+    outcomes, gone, (first, more), kept, receive = [], [], ENDLESS[what], [], Line.receive
+
+    async def receives(line):
+        try:
+            return await receive(line)
+        finally:
+            kept.append(len(line.head))
+    monkeypatch.setattr(Line, "receive", receives)
+
+    async def elsewhere(stream):
+        await read_message(stream, bytearray())
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(first)
+            while True:
+                await stream.send_all(more if pause else more * (4000 // len(more)))
+                await trio.sleep(pause)
+        gone.append(True)
+
+    async def scene(site):
+        listener, = await site.nursery.start(partial(trio.serve_tcp, elsewhere, 0, host="127.0.0.1"))
+        calls = await endpoints(site, outcomes)
+        calls.book["s-1"] = listener.socket.getsockname()
+        calls.start(site.nursery, "s-1", [send("a", 9 * SEC)])
+        with trio.fail_after(3):
+            await site.until(lambda: not calls.out and gone)
+        assert [told[2] for told in outcomes] == ["reset"] and not calls.idle and calls.places.value == 8
+        assert max(kept) < (64 << 10) + CHUNK
+    site.run(scene)
+
+
 # ---- a byte behind a client's last request
 
 CHUNKED = handed("Connection: close").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
@@ -230,16 +277,23 @@
 @pytest.mark.parametrize("texts", [
     each(range(200)), [*each(range(100)), BAD, b"nonsense\r\n\r\n", *each(range(100, 200))],
     [*each([0]), each([1])[0][:40]], [*each([0]), b"\r\n"]])
-@pytest.mark.parametrize("how", ["one write", "ends its sending"])
+@pytest.mark.parametrize("how", ["stays", "ends its sending", "goes", "resets"])
 def test_many_requests_in_one_write_are_refused_and_none_is_sent_on(site, texts, how):
     async def scene(site):
         node, stream = await site.start(), await site.client()
+        await site.until(lambda: node.owner.ready)
         await stream.send_all(b"".join(texts))
         if how == "ends its sending":
             await stream.send_eof()
-        assert await end(stream) == [400]
-        await site.until(lambda: not node.clients.open)
-        assert not node.counters["handed_in"] and not site.far.got
+        elif how == "resets":
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if how in ("goes", "resets"):
+            await stream.aclose()
+        else:
+            assert await end(stream) == [400]
+        await site.until(lambda: node.clients.came == 1 and not node.clients.open)
+        assert not node.counters["handed_in"] and not node.counters["taken_on"] and not site.far.got
+        assert node.clients.places.value == node.clients.most_open + ends.ROOM - 1  # for who comes next
     site.run(scene)
 
 
