At the end of a drain the listener closes also where the answers' time ran out before

Need: on a loaded machine (36 on 8 cores) the last answers could use up their 0.07 s before the listener was closed; then clients were accepted on while the last round was taken. It is closed in any case now.

--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -271,6 +271,7 @@
             await self.last_answers()
         if self.replaced or self.owner.frozen:
             return
+        await self.clients.close(self.listener)  # threat: on a loaded machine it had no time for that above
         await self.owner.tell(self.owner.park)
         await self.owner.parked.wait()
         await self.owner.endpoints.withdraw()
