Settings as others may write them: figures with a point, calls of none, null, no connect time

Need: the settings of other customers, fed to a real node on loopback (tests/test_other_customers.py). Cause, by the log lines of each case: a figure such as 2e9 ended rounds (TypeError in `send` and `Timeout.out`: a fraction shifted or counted with); 0 messages in a call ended them at each throttling reply (ZeroDivisionError in `Rate.back`), null there ended each push, and all was given up with no call; a connect time of 0 made every endpoint unreachable; null for it, or for a whole section, ended the start with a TypeError. Change: what is whole is read as a whole number, a call carries one at least, null is as not told, also for limits and in `check`, and a connect time of nothing is the second that stands where none is told.

--- a/juniperlanding/ground/effective.py
+++ b/juniperlanding/ground/effective.py
@@ -32,11 +32,11 @@
     """key path -> (value, origin) of all that the platform tells; OSError or ValueError for its file."""
     found = {}
     if path := environ.get("EDGE_CONFIG"):
-        told = json.loads(files.read(path))
+        told = {name: value for name, value in json.loads(files.read(path)).items() if value is not None}
         origin = f"EDGE_CONFIG {path}"
         found = {key: (told[name], origin) for key, name in FROM_FILE.items() if told.get(name) is not None}
         for key, (name, unit) in LIMITS.items():
-            if name in told.get("limits", {}):
+            if told.get("limits", {}).get(name) is not None:
                 found[key] = int(told["limits"][name] * unit), origin
         wire = told.get("settings", {})
         settings = in_our_words(wire)
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -88,6 +88,7 @@
         told = json.loads(files.read(need(environ.get("EDGE_CONFIG"), "EDGE_CONFIG"), MOST_FILE))
         if not isinstance(told, dict):
             raise PlatformRefused("the platform's file is no JSON object")
+    told = without_nulls(told)
     wire = told.get("settings", {})
     settings = in_our_words(wire)
     if operators and not wire.get("request_classes"):
@@ -105,13 +106,20 @@
         management=protocol.address(management) if management else None,
         state=environ.get("EDGE_STATE") or need(ours.state, "EDGE_STATE" if not operators else "state"),
         seed=str(told.get("seed", ours.seed)),
-        limits=ours.limits | told.get("limits", {}), known=told.get("known") or ours.known, settings=settings,
+        limits=ours.limits | without_nulls(told.get("limits", {})),
+        known=told.get("known") or ours.known, settings=settings,
         kinds=wire.get("models") or ours.kinds, zones=wire.get("areas") or ours.zones,
-        connect_within=wire.get("permissions", {}).get("connect_timeout_ns", ours.connect_within),
+        # Threat: a time of nothing, in which no connection ever comes up.
+        connect_within=(wire.get("permissions") or {}).get("connect_timeout_ns") or ours.connect_within,
         report=report, log=ours.log, fleet=ours.fleet, policy=ours.policy, shards=ours.shards,
         sites=ours.sites)
 
 
+def without_nulls(told):
+    """What is told as null is not told."""
+    return {name: value for name, value in told.items() if value is not None}
+
+
 def need(value, name):
     if not value:
         raise Untold(name)
--- a/juniperlanding/settings.py
+++ b/juniperlanding/settings.py
@@ -25,6 +25,14 @@
 REPORTED = {"x0": "limit_left", "x1": "limit"}
 
 
+def whole(value):
+    """Threat: 1e9 is a number of nanoseconds too, and a fraction where the program counts or shifts ends a
+    round."""
+    if isinstance(value, list):
+        return [whole(one) for one in value]
+    return int(value) if isinstance(value, float) and value.is_integer() else value
+
+
 def in_our_words(wire):
     settings = {}
     for path, name in NAMES.items():
@@ -32,7 +40,9 @@
         for part in path.split("."):
             value = value.get(part) if isinstance(value, dict) else None
         if value is not None:
-            settings[name] = value
+            settings[name] = whole(value)
+    if sizes := settings.get("batch_by_kind"):
+        settings["batch_by_kind"] = [max(size or 1, 1) for size in sizes]  # none or 0: one in a call
     # How many a second of each tenant's count in full, over all dispatchers.
     shares = {entry.get("name"): entry.get("allowance_per_s") for entry in wire.get("tenants") or []}
     if shares:
@@ -40,7 +50,7 @@
     fades = (wire.get("family_info") or {}).get("fades")
     topics = settings["topic_types"] = []
     for entry in wire.get("request_classes") or []:
-        topic = {name: entry[key] for key, name in TOPIC_NAMES.items() if entry.get(key) is not None}
+        topic = {name: whole(entry[key]) for key, name in TOPIC_NAMES.items() if entry.get(key) is not None}
         topics.append(topic | {"kind": KINDS.get(topic.get("kind")), "fades": fades})
     return settings
 
--- /dev/null
+++ b/tests/test_other_customers.py
@@ -0,0 +1,160 @@
+"""Settings unlike those of any deployment we know: whatever they say, what is taken on gets one end, what can
+be delivered is, and what may not run twice does not."""
+
+import json
+from collections import Counter
+
+import pytest
+from conftest import SEC, WIRE, Site
+
+from juniperlanding.net import protocol
+from juniperlanding.net.config import read
+from juniperlanding.standins.peers import Far, http, member
+
+CLASSES = WIRE["request_classes"]
+EFFECTS = {"news": "safe", "order": "unsafe", "pay": "keyed"}
+WELL, REST = 7, {9: "reset", 10: None, 11: http(503), 12: http(429, b"", "Retry-After: 0.2")}
+SOON = 800  # milliseconds: the TTL of what nobody delivers
+
+
+def classes(**told):
+    return {"request_classes": [one | told for one in CLASSES]}
+
+
+def changed(section, **told):
+    return {section: WIRE[section] | told}
+
+
+SECTIONS = ("permissions", "safety", "family_info", "report", "models", "areas", "tenants", "n_instances",
+            "tick_ns")
+CASES = {
+    "deadlines of half a second": classes(aim_ns=SEC // 10, deadline_ns=SEC // 2),
+    "deadlines of ten minutes": classes(aim_ns=60 * SEC, deadline_ns=600 * SEC),
+    "windows of 1 s": classes(repeat_window_ns=SEC),
+    "windows of nothing": classes(repeat_window_ns=0),
+    "objectives beyond the deadline": classes(aim_ns=100 * SEC),
+    "objectives of nothing, by halves": classes(aim_ns=0) | changed("family_info", fades="halves"),
+    "no benefit": classes(worth=0, late_worth=0),
+    "neither objective, deadline nor benefit": classes(aim_ns=None, deadline_ns=None, worth=None),
+    "figures with a point": classes(aim_ns=2e9, deadline_ns=20e9, repeat_window_ns=6e9)
+    | changed("family_info", workers=20.0, batch_by_kind=[1.0, 5.0])
+    | changed("permissions", most_held=50.0, max_attempts=6.0, conn_idle_ns=1e10, connect_timeout_ns=1e9)
+    | changed("safety", warm_within_ns=1e10, must_ask_in_ns=1e10) | {"tick_ns": 5e6},
+    "calls of none": changed("family_info", batch_by_kind=[0, 0]),
+    "calls of nothing told": changed("family_info", batch_by_kind=[None, None]),
+    "calls of 50, told of one kind alone": changed("family_info", batch_by_kind=[50], routes_apart=[]),
+    "routes apart": changed("family_info", routes_apart=[True, True]),
+    "one push": changed("permissions", max_attempts=1),
+    "ten places": changed("permissions", most_held=10),
+    "one slot": changed("family_info", workers=1),
+    "connections close at once": changed("permissions", conn_idle_ns=1),
+    "connections close in 1 s": changed("permissions", conn_idle_ns=SEC),
+    "a close of nothing": changed("permissions", conn_idle_ns=0),
+    "connections come up in 0.2 s": changed("permissions", connect_timeout_ns=SEC // 5),
+    "connections come up in no time": changed("permissions", connect_timeout_ns=0),
+    "nobody tells how connections come up": changed("permissions", connect_timeout_ns=None),
+    "no call is called off": changed("permissions", cancel=False),
+    "a thousand dispatchers": {"n_instances": 1000, "rank": 999},
+    "no rule has a figure": changed("safety", start_capacity=0, warm_within_ns=0, overload_factor=0,
+                                    fall_ns=0, must_ask_in_ns=0),
+    "forty tenants, most without a share": {"over_share_worth": 0, "tenants": [
+        {"name": f"t{n}", "share": 0.025, "allowance_per_s": 0.01 if n else 0} for n in range(40)]},
+    "limits of one call a second": {"weight_kind": "nominal"},
+    "scales that say nothing": {"weight_kind": "off"},
+    "every section empty": {name: {} for name in ("permissions", "safety", "family_info", "report")},
+    "every section null": dict.fromkeys(SECTIONS),
+}
+
+
+async def peers(site):
+    """An endpoint for each way in which calls fare, at a destination of its own."""
+    places = {WELL: site.far}
+    for cell, answer in REST.items():
+        places[cell] = await Far(lambda *message, answer=answer: answer).open(site.nursery)
+    members = [member(cell, far.address, cell=cell) | {"size": 1.0} for cell, far in places.items()]
+    site.told = {"known": {"revision": 1, "complete": True, "members": members}}
+    return places
+
+
+def well(first, headers, body):
+    if first.split()[1] != protocol.MANY:
+        return http(200)
+    ends = [{"id": one["id"], "state": "accepted"} for one in json.loads(body)]
+    return http(200, json.dumps(ends).encode())
+
+
+def ids(far):
+    """How often each notification came, alone or with others.  A port may have visitors of another's."""
+    calls = [(first.split()[1], headers, body) for first, headers, body in far.got]
+    many = [one["id"] for where, _, body in calls if where == protocol.MANY for one in json.loads(body)]
+    return Counter(many + [headers["x-trace-id"] for where, headers, _ in calls if where == protocol.ONE])
+
+
+@pytest.mark.parametrize("settings", CASES.values(), ids=CASES)
+def test_each_gets_one_end_whatever_the_settings_say(site, settings):
+    """What the module doesn't end in time is ended for it, and counted as a fault."""
+    site.wire = WIRE | settings
+    effects = {one["name"]: one["effect"] if one.get("group") in ("all", None) else None
+               for one in site.wire["request_classes"]}
+
+    async def scene(site):
+        places = await peers(site)
+        node = await site.start()
+        taken = {}
+        for cell in places:
+            for topic in EFFECTS:
+                number = f"{topic}-{cell}"
+                ttl, more = 5000 if cell == WELL else SOON, f"X-Customer: t{cell}\r\n"
+                status = await site.submit(number, topic, ttl=ttl, dest=cell, more=more)
+                if status == 202 or cell == WELL:  # else no place is left, or its time is up
+                    assert status == 202
+                    taken[number] = topic, cell
+                if cell == WELL:
+                    await site.until(lambda number=number: number not in node.ledger.owed)
+        await site.until(lambda: not node.ledger.owed)
+        assert not node.counters["faults"] and "fault" not in [event for event, _ in site.lines]
+        notices = Counter(notice["message"] for notice in site.platform.notices)
+        for number, (topic, cell) in taken.items():
+            runs = ids(places[cell])[number]
+            if cell == WELL:
+                assert (runs, notices[number]) == (1, 0)
+            else:
+                assert notices[number] == 1
+            if cell in (9, 10) and effects[topic] not in ("safe", "keyed"):
+                assert runs <= 1
+        assert {cell for _, cell in taken.values()} - {WELL}
+
+    site.run(scene, well)
+
+
+@pytest.mark.parametrize("most, held, calls", [(1, 12, 12), (3, 12, 4), (50, 49, 1), (50, 60, 2)])
+def test_a_call_carries_as_many_as_the_settings_say(site, most, held, calls):
+    """The first is out over the only slot while the others come."""
+    site.wire = WIRE | {"family_info": {"workers": 1, "batch_by_kind": [most, 1]}} | changed(
+        "permissions", most_held=100, cancel=False)
+
+    async def scene(site):
+        node = await site.start()
+        stream = await site.client()
+        assert await site.submit("first", stream=stream, ttl=60_000) == 202
+        await site.until(lambda: site.far.got)
+        for number in range(held):
+            assert await site.submit(f"n{number}", stream=stream, ttl=60_000) == 202
+        site.far.go.set()
+        await site.until(lambda: not node.ledger.owed)
+        assert ids(site.far) == Counter(["first", *(f"n{number}" for number in range(held))])
+        assert len(site.far.got) == 1 + calls and not site.platform.notices
+
+    site.run(scene, lambda *message: "late" if message[1].get("x-trace-id") == "first" else well(*message))
+
+
+def test_what_the_platform_s_file_tells_as_null_is_not_told(tmp_path):
+    site = Site(tmp_path)
+    site.far = site.platform = type("", (), {"address": ("127.0.0.1", 1)})
+    site.told = {"seed": None, "name": None, "limits": {"disk_mb": None, "memory_mb": None, "sockets": None}}
+    told = site.config()
+    assert (told.disk, told.memory, told.sockets) == (64_000_000, 512_000_000, 1024)
+    site.told = {"limits": None, "settings": None, "known": None}
+    told = site.config()
+    assert told.connect_within == SEC and told.settings == {"topic_types": []}
+    assert read(site.environ, site.world.files).name == "n0"
