What nobody says may run twice is once-only: effects and groups never heard of

An effect that is unknown or not told became a kind of None: never sent again once it may have run, but taken as what affords a trial at an endpoint that is set aside, and cut off by a planned restart, as a once-only one is not. A keyed type whose group we don't know went again to any endpoint of its destination, though only some of them may drop the repeat. Change: both are once-only. A cell is a destination on this wire, so a group "cell" stays collapsible.

--- a/juniperlanding/settings.py
+++ b/juniperlanding/settings.py
@@ -21,7 +21,8 @@
     "name": "name", "aim_ns": "objective", "deadline_ns": "ttl", "effect": "kind", "group": "group",
     "repeat_window_ns": "window", "worth": "benefit", "late_worth": "late_share", "fifo_by_key": "ordered",
 }
-KINDS = {"safe": "repeatable", "keyed": "collapsible", "unsafe": "once-only"}
+KINDS = {"safe": "repeatable", "keyed": "collapsible"}
+GROUPS = ("all", "zone", "cell", None)  # a cell is a destination here, so all of its endpoints
 REPORTED = {"x0": "limit_left", "x1": "limit"}
 
 
@@ -33,6 +34,11 @@
     return int(value) if isinstance(value, float) and value.is_integer() else value
 
 
+def kind(entry):
+    """Threat: an effect or a group that we have not heard of, and something runs twice."""
+    return KINDS.get(entry.get("effect"), "once-only") if entry.get("group") in GROUPS else "once-only"
+
+
 def in_our_words(wire):
     settings = {}
     for path, name in NAMES.items():
@@ -51,7 +57,7 @@
     topics = settings["topic_types"] = []
     for entry in wire.get("request_classes") or []:
         topic = {name: whole(entry[key]) for key, name in TOPIC_NAMES.items() if entry.get(key) is not None}
-        topics.append(topic | {"kind": KINDS.get(topic.get("kind")), "fades": fades})
+        topics.append(topic | {"kind": kind(entry), "fades": fades})
     return settings
 
 
--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -9,6 +9,7 @@
 
 from juniperlanding.net import protocol
 from juniperlanding.net.config import read
+from juniperlanding.settings import in_our_words
 from juniperlanding.standins.peers import Far, http, member
 
 CLASSES = WIRE["request_classes"]
@@ -63,6 +64,9 @@
     "scales that say nothing": {"weight_kind": "off"},
     "every section empty": {name: {} for name in ("permissions", "safety", "family_info", "report")},
     "every section null": dict.fromkeys(SECTIONS),
+    "effects never heard of": classes(effect="perhaps"),
+    "no effect told": classes(effect=None),
+    "groups never heard of": classes(group="hall"),
 }
 
 
@@ -148,6 +152,13 @@
     site.run(scene, lambda *message: "late" if message[1].get("x-trace-id") == "first" else well(*message))
 
 
+@pytest.mark.parametrize("settings", [
+    {"effect": "perhaps"}, {"effect": None}, {}, {"effect": "keyed", "group": "hall"}])
+def test_what_nobody_says_may_run_twice_is_once_only(settings):
+    told = in_our_words({"request_classes": [{"name": "odd", **settings}]})
+    assert told["topic_types"][0]["kind"] == "once-only"
+
+
 def test_what_the_platform_s_file_tells_as_null_is_not_told(tmp_path):
     site = Site(tmp_path)
     site.far = site.platform = type("", (), {"address": ("127.0.0.1", 1)})
