Topic types and tenants go by their names in UTF-8, as the settings have them

Cause: a header's bytes were read as Latin-1 and compared with names that come from JSON, so a name with letters beyond ASCII, sent in UTF-8, was unknown: 400 for each notification of that type, and no share for that tenant. Change: UTF-8 first, Latin-1 for what is not UTF-8. Ids and keys are opaque and stay as they are. Tests: eight names, among them Japanese and Russian ones, separators and 300 characters; three fail without it (seen to).

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -244,11 +244,11 @@
     async def submit(self, line, headers, body, target=b""):
         self.counters["handed_in"] += 1
         try:
-            ntf_id, topic = protocol.name(headers[protocol.ID]), headers[protocol.TOPIC].decode("latin-1")
+            ntf_id, topic = protocol.name(headers[protocol.ID]), protocol.text(headers[protocol.TOPIC])
             ttl_at = self.now() + protocol.left(headers[protocol.TTL])
             destination = protocol.destination(headers[protocol.WHERE])
             key = protocol.name(headers[protocol.KEY]) if protocol.KEY in headers else ""
-            keys = protocol.turn(target), headers.get(protocol.TENANT, b"").decode("latin-1")
+            keys = protocol.turn(target), protocol.text(headers.get(protocol.TENANT, b""))
         except (KeyError, ValueError):
             return await self.respond(line, 400)
         if topic not in self.owner.topics:
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -68,6 +68,14 @@
     return value.decode("latin-1")
 
 
+def text(value):
+    """A topic type or a tenant as the settings name it, in UTF-8; threat: a client that writes Latin-1."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def ambiguous(headers):
     """Threats: two lengths that may hide another request; two ids or TTLs, of which either may be meant."""
     once = [word for word, _ in headers if word in ONCE]
--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -6,6 +6,7 @@
 
 import pytest
 from conftest import SEC, WIRE, Site
+from test_net import handed
 
 from juniperlanding.net import protocol
 from juniperlanding.net.config import read
@@ -152,6 +153,26 @@
     site.run(scene, lambda *message: "late" if message[1].get("x-trace-id") == "first" else well(*message))
 
 
+@pytest.mark.parametrize("name, written", [
+    ("commande-payée", "utf-8"), ("commande-payée", "latin-1"), ("注文", "utf-8"), ("заказ срочный", "utf-8"),
+    ("a:b|c,d;e=f{g}", "utf-8"), ("x" * 300, "utf-8"), ("None", "utf-8"), ("0", "utf-8")])
+def test_topic_types_and_tenants_go_by_any_name(site, name, written):
+    site.wire = WIRE | {"request_classes": [CLASSES[0] | {"name": name}], "over_share_worth": 0.5,
+                        "tenants": [{"name": name, "share": 1, "allowance_per_s": 5}]}
+
+    async def scene(site):
+        node = await site.start()
+        text = handed("X-Trace-Id: a1", "X-Qos: {0}", "X-Expires-In-Ms: 5000", "X-Customer: {0}")
+        assert (await site.ask(text.replace(b"{0}", name.encode(written))))[0] == 202
+        await site.until(lambda: not node.ledger.owed)
+        assert ids(site.far) == {"a1": 1} and not site.platform.notices
+        assert set(node.owner.at.me.tenants) == {name}
+        status, _ = await site.ask(b"GET /_counters HTTP/1.1\r\nHost: api\r\n\r\n")
+        assert status == 200 and f"svc.results.{name}.succeeded 1\n" in site.payload.decode()
+
+    site.run(scene)
+
+
 @pytest.mark.parametrize("settings", [
     {"effect": "perhaps"}, {"effect": None}, {}, {"effect": "keyed", "group": "hall"}])
 def test_what_nobody_says_may_run_twice_is_once_only(settings):
