A group never heard of makes once-only what drops repeats by it, and nothing else

Need: with a class that may run twice anywhere became once-only if it named a group that nobody knows, though no rule asks for a group there. Change: only classes that drop repeats by a key look at it. The new test fails on the text before.

--- a/juniperlanding/settings.py
+++ b/juniperlanding/settings.py
@@ -35,8 +35,9 @@
 
 
 def kind(entry):
-    """Threat: an effect or a group that we have not heard of, and something runs twice."""
-    return KINDS.get(entry.get("effect"), "once-only") if entry.get("group") in GROUPS else "once-only"
+    """Threat: an effect that we have not heard of, or a group of which we cannot tell who drops repeats."""
+    unknown = entry.get("effect") == "keyed" and entry.get("group") not in GROUPS
+    return "once-only" if unknown else KINDS.get(entry.get("effect"), "once-only")
 
 
 def in_our_words(wire):
