Emulator: a restart's excuse holds from the first instant in which the process is ready

What is due while a dispatcher is down is excused until 1.5 s after it is ready, but `ready` is the process's own word, and `ready_at` is noted by a task that looks every 5 ms: in between the excuse was counted from the start of the process before.

Ruled out: the program.

Change: the excuse is counted from `ready_at` once that is of this process (`seen_ready`), and before that the dispatcher counts as down still. The 1.5 s after it stay as they are; the note is due within 5 ms of any start, since the task begins with the process.

--- a/juniperlanding/emulator/invariants.py
+++ b/juniperlanding/emulator/invariants.py
@@ -240,7 +240,8 @@
         until = max(dispatcher.ready_at + RESTARTED, self.platform_silent_until)
         if dispatcher.set_back and dispatcher.starts > 1:
             until += dispatcher.set_back + 4 * SEC
-        return until if dispatcher.alive and dispatcher.ready else 1 << 62
+        # Threat to the rig alone: a look at it between its being ready and `ready_at` telling so.
+        return until if dispatcher.alive and dispatcher.seen_ready else 1 << 62
 
     # ---- between events
 
--- a/juniperlanding/emulator/process.py
+++ b/juniperlanding/emulator/process.py
@@ -57,6 +57,7 @@
         self.node, self.scope, self.starts, self.ended = None, None, 0, None
         self.mount, self.reach, self.draining = None, None, False
         self.ready_at = self.last_ready = 0
+        self.seen_ready = False  # whether `ready_at` is this process's already, and not the one's before
         self.over, self.set_back = True, 0  # set_back: how far its clock was set back since it began, in ns
         self.slots = told["settings"]["family_info"]["workers"]
 
@@ -86,7 +87,7 @@
 
         `ended` is set then; what it left behind, as tasks or as faults, is told to the watch."""
         self.ended, self.draining, self.scope, self.node, self.over = trio.Event(), False, None, None, False
-        self.mount, self.reach = Mount(self.disk, self.died), Reach(self.host)
+        self.mount, self.reach, self.seen_ready = Mount(self.disk, self.died), Reach(self.host), False
         world = World(self.clock.process_clock(), self.reach, self.mount)
         try:
             told = config.read(self.environ, Mount(self.disk))
@@ -121,6 +122,7 @@
         while not self.node.owner.ready:
             await trio.sleep(0.005)
         self.ready_at = max(self.ready_at, elapsed())  # an excuse may outlast a restart
+        self.seen_ready = True
         while True:
             self.last_ready = elapsed()
             await trio.sleep(0.05)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -22,7 +22,7 @@
 from juniperlanding.ground.file import FileError
 from juniperlanding.ground.seams import Files
 from juniperlanding.ground.units import Duration
-from juniperlanding.net import door
+from juniperlanding.net import door, node, owner
 from juniperlanding.standins.temper import MS, SEC, TEMPERS, TURNED_AWAY, Reply
 
 SHORT = scenario.completed(scenario.Scenario(length=Duration(6 * SEC)))
@@ -285,6 +285,7 @@
 class Owner:
     clock = HostClock()
     name, slots, starts, alive, ready, ready_at, set_back = "n0", 2, 1, True, True, 0, 0
+    seen_ready = True
 
     def remembers(self, ntf_id):
         return True
@@ -315,6 +316,37 @@
         assert (watch.breach and watch.breach.rule) == rule
 
 
+def test_the_excuse_of_a_restart_begins_with_the_process_and_ends_as_told(monkeypatch):
+    worlds, owing = [], []
+
+    class Kept(world.World):
+        def build(self):
+            worlds.append(self)
+            super().build()
+
+    class Looked(owner.Owner):
+        def begin(self, *told):
+            super().begin(*told)
+            watch, now = worlds[0].watch, elapsed()
+            one = next(one for one in worlds[0].dispatchers if one.node and one.node.owner is self)
+            owing.append([i for i, r in watch.open.items() if watch.owners[i] is one and now > r.due])
+            assert one.ready and not (one.starts > 1 and one.ready_at >= now)
+            watch.probe([])  # before anything could tell that it is ready
+
+    monkeypatch.setattr(world, "World", Kept)
+    monkeypatch.setattr(node, "Owner", Looked)
+    result = play(fault("cut", at=0.5, lasts=5), fault("kill", at=5))
+    assert result.restarts == 3 and len(owing) == 6 and sum(map(len, owing)) > 3
+    assert result.breach is None
+
+    for seen, at_s, rule in ((False, 9, None), (True, 5.4, None), (True, 5.6, "final answer")):
+        watch, at = watched()
+        watch.owners["a"].ready_at, watch.owners["a"].seen_ready = 4 * SEC, seen
+        at[0] = int(at_s * SEC)
+        watch.probe([])
+        assert (watch.breach and watch.breach.rule) == rule, (seen, at_s)
+
+
 # ---- the decisions depth
 
 
