Names: the semaphores of connections are connection limits, not places

One name in net/clients.py, net/endpoints.py and their tests; `place_for` is `admits`. What the module calls places is how many notifications it may hold, which is another thing. Nothing else changes.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -25,7 +25,7 @@
         self.open, self.waiting, self.draining = 0, {}, False  # waiting: the scope of each wait for a request
         self.came = 0  # connections accepted
         self.turned_away, self.closing = {}, False  # turned away: the scope in which it is still listened to
-        self.places = trio.Semaphore(most_open + ROOM)
+        self.connection_limit = trio.Semaphore(most_open + ROOM)
         # Once frozen, whoever is between answers is carried over to the process that takes over.
         self.frozen, self.carried, self.leaving, self.accepting = False, [], set(), trio.CancelScope()
         self.accepts_nobody = trio.Event()
@@ -52,7 +52,7 @@
         for line, within in lines:
             try:
                 peer = line.sock.peer()
-                self.places.acquire_nowait()
+                self.connection_limit.acquire_nowait()
             except (OSError, trio.WouldBlock):
                 line.close()
                 continue
@@ -72,19 +72,19 @@
     async def accept(self, listener, nursery):
         said = None
         while True:
-            if not self.places.value and self.turned_away:
+            if not self.connection_limit.value and self.turned_away:
                 next(iter(self.turned_away.values())).cancel()  # it is owed nothing, and the next one waits
             # Threat: a connection that is accepted and then closed unanswered loses its request.
-            await self.places.acquire()
+            await self.connection_limit.acquire()
             try:
                 sock, peer = await listener.accept()
                 self.came += 1
                 said = None
             except trio.Cancelled:
-                self.places.release()
+                self.connection_limit.release()
                 raise
             except OSError as error:
-                self.places.release()
+                self.connection_limit.release()
                 if said != (said := described(error)):
                     self.log("accept", why=said, **system(error).fields)
                 await trio.sleep(0.05)  # threat: out of descriptors, which passes
@@ -144,7 +144,7 @@
             if reason in TURNED_AWAY:
                 with trio.CancelScope() as self.turned_away[line]:
                     self.leaving.add(line)
-                    if self.places.statistics().tasks_waiting and not any(
+                    if self.connection_limit.statistics().tasks_waiting and not any(
                             scope.cancel_called for scope in self.turned_away.values()):
                         self.turned_away[line].cancel()  # as in `accept`, which waits by now
                     await line.finish()
@@ -160,7 +160,7 @@
                 self.turned_away.pop(line, None)
                 self.leaving.discard(line)
                 self.open -= 1
-                self.places.release()
+                self.connection_limit.release()
                 line.close()
                 self.log("conn", client=f"{peer[0]}:{peer[1]}", end=reason, requests=served)
 
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -51,7 +51,8 @@
     def __init__(self, config, world, most_open, told, counters, log, on_file=lambda sends: True):
         self.on_file = on_file  # whether it is written that these pushes may have run
         self.now, self.network = world.clock.now, world.network
-        self.places, self.told, self.counters, self.log = trio.Semaphore(most_open), told, counters, log
+        self.connection_limit = trio.Semaphore(most_open)
+        self.told, self.counters, self.log = told, counters, log
         self.connect_within = config.connect_within / SEC
         closes = config.settings.get("idle_closes", 0)
         self.fresh = closes - closes // TRAVEL_SHARE or 1 << 62  # a request still travels to the endpoint
@@ -73,17 +74,17 @@
         """Go on with another process's calls, (call, line) each, and its idle connections, (endpoint, line)
         each."""
         for call, line in calls:
-            if self.place_for(line):
+            if self.admits(line):
                 call.line, call.tried, call.written = line, True, True
                 self.go_on(nursery, call)
         for endpoint, line in idle:
-            if self.place_for(line):
+            if self.admits(line):
                 self.idle.setdefault(endpoint, []).append(line)
 
-    def place_for(self, line):
+    def admits(self, line):
         """Whether a connection that came from another process fits; else it is closed."""
         try:
-            self.places.acquire_nowait()
+            self.connection_limit.acquire_nowait()
         except trio.WouldBlock:
             line.close()
             return False
@@ -256,15 +257,16 @@
             if self.now() - line.used_at < self.fresh and line.quiet():
                 return line
             self.drop(endpoint, line, "stale")
-        if not self.places.value:
+        if not self.connection_limit.value:
             self.evict()
-        await self.places.acquire()  # threat: a call that finds no socket here is no fault of the endpoint's
+        # Threat: a call that finds no socket here is no fault of the endpoint's.
+        await self.connection_limit.acquire()
         call.tried = True
         try:
             with trio.fail_after(self.connect_within):
                 line = await connect(self.network, self.book[endpoint])
         except BaseException:
-            self.places.release()
+            self.connection_limit.release()
             raise
         self.counters["connections_opened"] += 1
         return line
@@ -347,7 +349,7 @@
 
     def drop(self, endpoint, line, reason):
         line.close()
-        self.places.release()
+        self.connection_limit.release()
         self.log("conn", endpoint=endpoint, end=reason)
 
     def close_idle(self, endpoint):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -137,7 +137,7 @@
         await site.until(lambda: call.line.sock.peek() is None)  # all of it was read
         await trio.testing.wait_all_tasks_blocked()
         time_is_up(call)
-        await site.until(lambda: len(outcomes) == many and calls.places.value == 8)
+        await site.until(lambda: len(outcomes) == many and calls.connection_limit.value == 8)
         assert {told[2] for told in outcomes} == {ending} and not calls.out
     site.run(scene)
 
@@ -193,7 +193,7 @@
                 time_is_up(call)
         for act in (calls.network.go.set, off) if first == "up" else (off, calls.network.go.set):
             act()
-        await site.until(lambda: len(outcomes) == many and calls.places.value == 8)
+        await site.until(lambda: len(outcomes) == many and calls.connection_limit.value == 8)
         await trio.testing.wait_all_tasks_blocked()
         assert {told[2] for told in outcomes} == {"unreachable" if how == "time-out" else "moot"}
         assert not got(site.far) and not calls.out
@@ -220,7 +220,7 @@
             return look(line)
         monkeypatch.setattr(Line, "waiting", waiting)
         calls.start(site.nursery, "s-1", [send("a", 8 * SEC)])
-        await site.until(lambda: outcomes and calls.places.value == 8)
+        await site.until(lambda: outcomes and calls.connection_limit.value == 8)
         await trio.testing.wait_all_tasks_blocked()
         assert outcomes[0][2] == ("unreachable" if how == "time-out" else "moot")
         assert not got(site.far)
@@ -400,9 +400,10 @@
 def test_a_call_that_waits_for_a_place_as_the_process_is_killed_is_made_by_the_next(site, topic):
     async def scene(site):
         node = await site.start()
-        places, node.owner.endpoints.places = node.owner.endpoints.places, trio.Semaphore(0)
-        assert await site.submit("a", topic, ttl=9000) == 202 and places
-        await site.until(lambda: node.owner.endpoints.out)
+        calls = node.owner.endpoints
+        calls.connection_limit = trio.Semaphore(0)
+        assert await site.submit("a", topic, ttl=9000) == 202
+        await site.until(lambda: calls.out)
         await trio.testing.wait_all_tasks_blocked()
         await killed(site)
         assert untried(site, "a")
@@ -566,7 +567,7 @@
             return look(line)
         monkeypatch.setattr(Line, "waiting", waiting)
         calls.start(site.nursery, "s-1", [send("a", 8 * SEC)])
-        await site.until(lambda: outcomes and calls.places.value == 8)
+        await site.until(lambda: outcomes and calls.connection_limit.value == 8)
         assert not asked and not got(site.far)
     site.run(scene)
 
--- a/tests/test_endings_drain.py
+++ b/tests/test_endings_drain.py
@@ -232,7 +232,8 @@
     async def scene(site):
         node = await site.start()
         await site.until(lambda: node.owner.ready)
-        refuse, acquire, close = node.clients.refuse, node.clients.places.acquire, node.clients.close
+        limit, refuse, close = node.clients.connection_limit, node.clients.refuse, node.clients.close
+        acquire = limit.acquire
         got, crossed = [], []
 
         async def closes(listener):
@@ -250,7 +251,7 @@
 
         def refuses():
             refuse()
-            node.clients.places.acquire = acquires
+            node.clients.connection_limit.acquire = acquires
             socket.create_connection(site.address).close()
         node.clients.refuse, node.clients.close = refuses, closes
         assert await stop(site) and crossed
--- a/tests/test_endings_endpoint.py
+++ b/tests/test_endings_endpoint.py
@@ -98,7 +98,7 @@
         calls.start(site.nursery, "s-1", [send(name, SEC // 10) for name in "ab"[:sends]])
         await site.until(lambda: len(outcomes) == sends)
         calls.network.go.set()
-        await site.until(lambda: calls.places.value == 8)
+        await site.until(lambda: calls.connection_limit.value == 8)
         assert {told[2] for told in outcomes} <= {"moot", "unreachable"}
         assert not site.far.connections and not calls.out
     site.run(scene, each_accepted)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -131,7 +131,7 @@
         await site.until(lambda: outcomes)
         assert (outcomes[0][2], outcomes[0][5]) == (ending, ending == "delivered" or answer == http(410))
         assert not calls.out
-        await site.until(lambda: 8 - calls.places.value == sum(map(len, calls.idle.values())))
+        await site.until(lambda: 8 - calls.connection_limit.value == sum(map(len, calls.idle.values())))
     site.run(scene, lambda *message: answer)
 
 
@@ -147,7 +147,7 @@
         calls.start(site.nursery, "s-1", [send("a"), send("b")])
         async with site.even.within(0.5):
             await site.until(lambda: len(outcomes) == 2)
-        assert {told[2] for told in outcomes} == {"reset"} and calls.places.value == 8
+        assert {told[2] for told in outcomes} == {"reset"} and calls.connection_limit.value == 8
     site.run(scene, lambda *message: spoilt)
 
 
@@ -159,7 +159,7 @@
         calls.start(site.nursery, "s-1", [send("a", 5 * SEC)])
         await site.until(lambda: outcomes)
         async with site.even.within(2):
-            await site.until(lambda: calls.places.value == 8)
+            await site.until(lambda: calls.connection_limit.value == 8)
         assert [told[2] for told in outcomes] == ["delivered"]
     site.run(scene, lambda *message: b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\nx")
 
@@ -254,7 +254,7 @@
         calls.book["s-1"] = ("127.0.0.1", 1)
         calls.start(site.nursery, "s-1", [send("a")])
         await site.until(lambda: outcomes)
-        assert outcomes[0][2] == "unreachable" and calls.places.value == 8
+        assert outcomes[0][2] == "unreachable" and calls.connection_limit.value == 8
     site.run(scene)
 
 
@@ -347,7 +347,7 @@
         for number in "ab":
             calls.start(site.nursery, "s-1", [send(number)])
             await site.until(lambda: not calls.out)
-            await site.until(lambda: 8 - calls.places.value == len(calls.idle.get("s-1", [])))
+            await site.until(lambda: 8 - calls.connection_limit.value == len(calls.idle.get("s-1", [])))
             for idle in calls.idle.get("s-1", []):
                 idle.used_at -= 9.6 * SEC
         assert [told[2] for told in outcomes] == ["delivered"] * 2 and site.far.connections == 2
@@ -364,9 +364,9 @@
         for number, endpoint in (("a", "s-1"), ("b", "s-2")):
             calls.start(site.nursery, endpoint, [send(number)])
             await site.until(lambda: not calls.out)
-        assert [told[2] for told in outcomes] == ["delivered"] * 2 and calls.places.value == 0
+        assert [told[2] for told in outcomes] == ["delivered"] * 2 and calls.connection_limit.value == 0
         calls.close_idle("s-2")
-        assert calls.places.value == 1
+        assert calls.connection_limit.value == 1
     site.run(scene)
 
 
--- a/tests/test_standing_bytes.py
+++ b/tests/test_standing_bytes.py
@@ -182,7 +182,8 @@
         calls.start(site.nursery, "s-1", [send("a", 9 * SEC)])
         with trio.fail_after(3):
             await site.until(lambda: not calls.out and gone)
-        assert [told[2] for told in outcomes] == ["reset"] and not calls.idle and calls.places.value == 8
+        assert [told[2] for told in outcomes] == ["reset"]
+        assert not calls.idle and calls.connection_limit.value == 8
         assert max(kept) < (64 << 10) + CHUNK
     site.run(scene)
 
@@ -293,7 +294,8 @@
             assert await end(stream) == [400]
         await site.until(lambda: node.clients.came == 1 and not node.clients.open)
         assert not node.counters["handed_in"] and not node.counters["taken_on"] and not site.far.got
-        assert node.clients.places.value == node.clients.most_open + ends.ROOM - 1  # for who comes next
+        limit = node.clients.most_open + ends.ROOM
+        assert node.clients.connection_limit.value == limit - 1  # for who comes next
     site.run(scene)
 
 
