Who comes between the last look at the backlog and the listener's close is answered

Cause: the task that accepts had its last look, the process lost the processor, and the listener's close resets who stands in its backlog. Now the backlog is taken once more after that task has ended, right before the close. The forced test fails without it.

--- a/juniperlanding/emulator/network.py
+++ b/juniperlanding/emulator/network.py
@@ -307,6 +307,10 @@
             await trio.lowlevel.checkpoint()
             return sock, peer
 
+    def waiting(self):
+        if self.coming and self.coming[0][0] <= elapsed():
+            return self.coming.popleft()[1:]
+
     def close(self):
         if self.fabric.listeners.get(self.address) is self:
             del self.fabric.listeners[self.address]
--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -10,6 +10,7 @@
 import stat
 import struct
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 
 import trio
@@ -138,6 +139,12 @@
                 continue  # it ended before it was taken
             return Socket(raw), peer
 
+    def waiting(self):
+        """As `accept`, of one that has connected already; None if there is none, or no descriptor for it."""
+        with suppress(OSError):
+            raw, peer = self.raw.accept()
+            return Socket(raw), peer
+
     def close(self):
         self.raw.close()
 
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -31,19 +31,23 @@
         self.accepts_nobody = trio.Event()
 
     async def listen(self, listener, nursery):
+        self.nursery = nursery
         try:
             with self.accepting:
-                await self.accept(listener, nursery)
+                await self.accept(listener)
         finally:
             self.accepts_nobody.set()
 
     async def close(self, listener):
         """Nobody is accepted any more, and who comes is refused.
 
-        Threat: the task that accepts just got a place, goes on after one step more, and waits on a closed
-        number: a crash."""
+        Threats: the task that accepts just got a place, goes on after one step more, and waits on a closed
+        number: a crash; who came since its last look stands in the backlog, and the close resets it."""
         self.accepting.cancel()
         await self.accepts_nobody.wait()
+        while self.connection_limit.value and (come := listener.waiting()):
+            self.connection_limit.acquire_nowait()
+            self.take(*come)
         listener.close()
 
     def inherit(self, nursery, lines):
@@ -69,7 +73,14 @@
     def settled(self):
         return self.frozen and self.open == len(self.carried) + len(self.leaving)
 
-    async def accept(self, listener, nursery):
+    def take(self, sock, peer):
+        self.came += 1
+        self.open += 1
+        if self.crowded():
+            self.evict()
+        self.nursery.start_soon(self.attend, Line(sock, h11.SERVER), peer)
+
+    async def accept(self, listener):
         said = None
         while True:
             if not self.connection_limit.value and self.turned_away:
@@ -77,8 +88,7 @@
             # Threat: a connection that is accepted and then closed unanswered loses its request.
             await self.connection_limit.acquire()
             try:
-                sock, peer = await listener.accept()
-                self.came += 1
+                come = await listener.accept()
                 said = None
             except trio.Cancelled:
                 self.connection_limit.release()
@@ -89,10 +99,7 @@
                     self.log("accept", why=said, **system(error).fields)
                 await trio.sleep(0.05)  # threat: out of descriptors, which passes
                 continue
-            self.open += 1
-            if self.crowded():
-                self.evict()
-            nursery.start_soon(self.attend, Line(sock, h11.SERVER), peer)
+            self.take(*come)
 
     def crowded(self):
         return self.open - len(self.turned_away) > self.most_open
--- a/tests/test_endings_drain.py
+++ b/tests/test_endings_drain.py
@@ -225,6 +225,33 @@
     site.run(scene)
 
 
+def test_who_comes_after_the_last_look_at_the_backlog_is_answered(site, monkeypatch):
+    """In the moment in which the task that accepts has ended, and the listener is still there."""
+    soon(monkeypatch)
+    monkeypatch.setattr("juniperlanding.net.node.LAST_ANSWERED", 4.0)
+    streams = []
+
+    async def scene(site):
+        node = await site.start()
+        ended = node.clients.accepts_nobody
+
+        class Ended:
+            async def wait(self):
+                await ended.wait()
+                if not streams:
+                    sock = socket.create_connection(site.address)
+                    sock.send(handed("X-Trace-Id: a1"))
+                    streams.append(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
+
+            def set(self):
+                ended.set()
+        node.clients.accepts_nobody = Ended()
+        site.nursery.start_soon(stop, site)
+        await site.until(lambda: streams)
+        assert await heard(streams[0]) == 503
+    site.run(scene)
+
+
 def test_the_process_ends_well_as_a_place_is_got_just_as_nobody_is_accepted_any_more(site, monkeypatch):
     soon(monkeypatch)
     monkeypatch.setattr("juniperlanding.net.node.LAST_ANSWERED", 4.0)
