--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -200,25 +200,31 @@
     site.run(scene)
 
 
+def called_off(monkeypatch, calls, how):
+    """A call that ends in the moment in which all but its last byte is out."""
+    look = Line.waiting
+
+    def waiting(line):
+        if calls.out:
+            call, = calls.out.values()
+            if how == "cancel":
+                calls.cancel("a", 0)
+            elif how == "recall":
+                calls.recall({"s-1"})
+            else:
+                call.scope.cancel()
+        return look(line)
+    monkeypatch.setattr(Line, "waiting", waiting)
+
+
 @pytest.mark.parametrize("how", ["cancel", "recall", "time-out"])
 def test_a_call_whose_last_byte_is_held_back_has_not_run_once_it_is_called_off(site, monkeypatch, how):
     """All but the last byte is out: the end comes after the look at the connection, before that byte."""
-    outcomes, look = [], Line.waiting
+    outcomes = []
 
     async def scene(site):
         calls = await endpoints(site, outcomes)
-
-        def waiting(line):
-            if calls.out:
-                call, = calls.out.values()
-                if how == "cancel":
-                    calls.cancel("a", 0)
-                elif how == "recall":
-                    calls.recall({"s-1"})
-                else:
-                    call.scope.cancel()
-            return look(line)
-        monkeypatch.setattr(Line, "waiting", waiting)
+        called_off(monkeypatch, calls, how)
         calls.start(site.nursery, "s-1", [send("a", 8 * SEC)])
         await site.until(lambda: outcomes and calls.connection_limit.value == 8)
         await trio.testing.wait_all_tasks_blocked()
@@ -550,22 +556,12 @@
 
 @pytest.mark.parametrize("how", ["cancel", "recall", "time-out"])
 def test_what_is_called_off_within_its_last_moment_is_not_put_on_file(site, monkeypatch, how):
-    outcomes, look, asked = [], Line.waiting, []
+    outcomes, asked = [], []
 
     async def scene(site):
         calls = await endpoints(site, outcomes)
         calls.on_file = asked.append
-
-        def waiting(line):
-            for call in calls.out.values():
-                if how == "cancel":
-                    calls.cancel("a", 0)
-                elif how == "recall":
-                    calls.recall({"s-1"})
-                else:
-                    call.scope.cancel()
-            return look(line)
-        monkeypatch.setattr(Line, "waiting", waiting)
+        called_off(monkeypatch, calls, how)
         calls.start(site.nursery, "s-1", [send("a", 8 * SEC)])
         await site.until(lambda: outcomes and calls.connection_limit.value == 8)
         assert not asked and not got(site.far)
