--- a/benchmarks/conformance.py
+++ b/benchmarks/conformance.py
@@ -1,6 +1,6 @@
 """Prints, for docs/conformance.md, each sentence of the conformance tables with its rows.
 
-    python benchmarks/conformance.py"""
+python benchmarks/conformance.py"""
 
 import sys
 from pathlib import Path
@@ -9,15 +9,19 @@
 
 from tables import sentences  # noqa: E402
 
-SUBJECTS = {"page": "The design page", "exceptions": "docs/design.md: exceptions, limits and rules",
-            "wire": "docs/sockets.md: calls, clients, names",
-            "handover": "docs/upgrade.md: who owns the folder",
-            "fleet": "docs/fleet.md: what is believed of a member"}
+SUBJECTS = {
+    "page": "The design page",
+    "exceptions": "docs/design.md: exceptions, limits and rules",
+    "wire": "docs/sockets.md: calls, clients, names",
+    "handover": "docs/upgrade.md: who owns the folder",
+    "fleet": "docs/fleet.md: what is believed of a member",
+}
 KINDS = "row", "call", "client", "names"
 
 for subject, title in SUBJECTS.items():
-    told = [(said, [row["name"] for kind in KINDS for row in said.get(kind, [])])
-            for said in sentences(subject)]
+    told = [
+        (said, [row["name"] for kind in KINDS for row in said.get(kind, [])]) for said in sentences(subject)
+    ]
     print(f"## {title}\n\n{sum(len(names) for _, names in told)} rows, `tests/tables/{subject}.toml`.\n")
     print("| sentence | rows |\n| --- | --- |")
     for said, names in told:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -17,9 +17,25 @@
         took, bad = defaultdict(list), []
         for seed in range(1, int(seeds) + 1):
             said = subprocess.run(
-                [sys.executable, "-m", "juniperlanding", "try", "--dispatchers", count, "--trouble", trouble,
-                 "--seed", str(seed), "--rate", "20/s", "--json", "-"],
-                capture_output=True, text=True)
+                [
+                    sys.executable,
+                    "-m",
+                    "juniperlanding",
+                    "try",
+                    "--dispatchers",
+                    count,
+                    "--trouble",
+                    trouble,
+                    "--seed",
+                    str(seed),
+                    "--rate",
+                    "20/s",
+                    "--json",
+                    "-",
+                ],
+                capture_output=True,
+                text=True,
+            )
             try:
                 row = json.loads(said.stdout)
             except ValueError:
@@ -30,8 +46,11 @@
             if not row["well"]:
                 bad.append((seed, row["steps"][-1], row["false_deaths"][:1], row["faults"]))
         for step, all_of_it in took.items():
-            print(f"{count} processes, {trouble}, {step}: median {statistics.median(all_of_it):.1f} s, "
-                  f"worst {max(all_of_it):.1f} s, {len(all_of_it)} plays", flush=True)
+            print(
+                f"{count} processes, {trouble}, {step}: median {statistics.median(all_of_it):.1f} s, "
+                f"worst {max(all_of_it):.1f} s, {len(all_of_it)} plays",
+                flush=True,
+            )
         for one in bad:
             print(f"  not well: seed {one[0]}: {one[1:]}", flush=True)
 
--- a/benchmarks/operation.py
+++ b/benchmarks/operation.py
@@ -175,7 +175,7 @@
                         if len(held) > 3000:
                             held.pop(0).close()
                     await trio.sleep(0.01)
-                    for sock in held[-max(1, rate // 100):]:
+                    for sock in held[-max(1, rate // 100) :]:
                         try:
                             sock.send(b"POST /api HTTP/1.1\r\nHost: x\r\n")
                         except OSError:
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -23,10 +23,29 @@
     for seed in range(int(first), int(last) + 1):
         to = Path(folder) / f"{count}-{trouble}-{seed}.json"
         said = subprocess.run(
-            [sys.executable, "-m", "juniperlanding", "try", "--dispatchers", count, "--trouble", trouble,
-             "--seed", str(seed), "--changes", changes, "--rate", f"{int(count) * 12}/s", "--json", str(to),
-             "--keep", str(to.with_suffix(""))],
-            capture_output=True, text=True)
+            [
+                sys.executable,
+                "-m",
+                "juniperlanding",
+                "try",
+                "--dispatchers",
+                count,
+                "--trouble",
+                trouble,
+                "--seed",
+                str(seed),
+                "--changes",
+                changes,
+                "--rate",
+                f"{int(count) * 12}/s",
+                "--json",
+                str(to),
+                "--keep",
+                str(to.with_suffix("")),
+            ],
+            capture_output=True,
+            text=True,
+        )
         if said.returncode == 0:
             shutil.rmtree(to.with_suffix(""))  # else files and logs of all members stay
         to.with_suffix(".log").write_text(said.stderr)
@@ -45,8 +64,12 @@
             print("BREACH", path.name, breach, shown[:2])
         row = plays.setdefault((told["count"], told["trouble"]), Counter())
         row.update(fate for _, fate in fates)
-        row.update(plays=1, breaches=len(breaches), notifications=told["notifications"],
-                   answers=sum(map(len, told["faults"].values())))
+        row.update(
+            plays=1,
+            breaches=len(breaches),
+            notifications=told["notifications"],
+            answers=sum(map(len, told["faults"].values())),
+        )
         for change in history.changes:
             if change.settled_at > 0:
                 place = change.fault, told["count"]
@@ -54,15 +77,41 @@
         for fault, found in policy_verdict.pauses(history).items():
             spans.setdefault((fault, told["count"]), []).extend(found)
     head = "processes", "trouble", "plays", "changes", *FATES, "breaches", "notifications", "not one answer"
-    rows([head] + [
-        (*place, row["plays"], sum(row[fate] for fate in FATES), *(row[fate] for fate in FATES),
-         row["breaches"], row["notifications"], row["answers"]) for place, row in sorted(plays.items())])
+    rows(
+        [head]
+        + [
+            (
+                *place,
+                row["plays"],
+                sum(row[fate] for fate in FATES),
+                *(row[fate] for fate in FATES),
+                row["breaches"],
+                row["notifications"],
+                row["answers"],
+            )
+            for place, row in sorted(plays.items())
+        ]
+    )
     counts = sorted({count for _, count in took})
     head = [f"{count}: {what}" for count in counts for what in ("changes", "settled s", "pause ms")]
-    rows([("fault", *head)] + [
-        (fault, *(cell for count in counts for cell in (
-            len(took.get((fault, count), [])), spread(took.get((fault, count)), 1e9, 1),
-            spread(spans.get((fault, count)), 1e6, 0)))) for fault in policy.FAULTS])
+    rows(
+        [("fault", *head)]
+        + [
+            (
+                fault,
+                *(
+                    cell
+                    for count in counts
+                    for cell in (
+                        len(took.get((fault, count), [])),
+                        spread(took.get((fault, count)), 1e9, 1),
+                        spread(spans.get((fault, count)), 1e6, 0),
+                    )
+                ),
+            )
+            for fault in policy.FAULTS
+        ]
+    )
 
 
 def rows(lines):
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -26,12 +26,19 @@
 
 SEC = 10**9
 SETTINGS = {
-    "request_classes": [{"name": "news", "effect": "safe", "aim_ns": 2 * SEC, "deadline_ns": 600 * SEC,
-                         "worth": 1}],
-    "models": ["m1"], "areas": ["a"], "weight_kind": "nominal", "n_instances": 30, "tick_ns": 5_000_000,
-    "registry_mode": "push", "family_info": {"workers": 20},
+    "request_classes": [
+        {"name": "news", "effect": "safe", "aim_ns": 2 * SEC, "deadline_ns": 600 * SEC, "worth": 1}
+    ],
+    "models": ["m1"],
+    "areas": ["a"],
+    "weight_kind": "nominal",
+    "n_instances": 30,
+    "tick_ns": 5_000_000,
+    "registry_mode": "push",
+    "family_info": {"workers": 20},
     "permissions": {"most_held": 40_000, "max_attempts": 6},
-    "safety": {"must_ask_in_ns": 10 * SEC, "start_capacity": 0.2, "warm_within_ns": 10 * SEC}}
+    "safety": {"must_ask_in_ns": 10 * SEC, "start_capacity": 0.2, "warm_within_ns": 10 * SEC},
+}
 TTL, BODY, LOOK = 600 * SEC, b"x" * 200, 0.02
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -42,9 +49,15 @@
         (self.folder / "state").mkdir(parents=True)
         self.address = ("127.0.0.1", free(socket.SOCK_STREAM))
         listen = "{}:{}".format(*self.address)
-        told = {"name": name, "listen": listen, "seed": name, "discovery": "{}:{}".format(*discovery),
-                "limits": {"disk_mb": 96, "sockets": 256}, "settings": SETTINGS,
-                "known": {"revision": 1, "complete": True, "members": known}}
+        told = {
+            "name": name,
+            "listen": listen,
+            "seed": name,
+            "discovery": "{}:{}".format(*discovery),
+            "limits": {"disk_mb": 96, "sockets": 256},
+            "settings": SETTINGS,
+            "known": {"revision": 1, "complete": True, "members": known},
+        }
         (self.folder / "config.json").write_text(json.dumps(told))
         until = Clock().now() + TTL
         with open(self.folder / "state" / "ledger", "wb") as ledger:
@@ -53,11 +66,15 @@
                 ledger.writelines(map(line, one.records()))
 
     def start(self):
-        environ = {**os.environ, "EDGE_CONFIG": str(self.folder / "config.json"),
-                   "EDGE_STATE": str(self.folder / "state")}
+        environ = {
+            **os.environ,
+            "EDGE_CONFIG": str(self.folder / "config.json"),
+            "EDGE_STATE": str(self.folder / "state"),
+        }
         with open(self.folder / "log", "ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "juniperlanding", "serve"], env=environ,
-                                            stderr=log)
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "juniperlanding", "serve"], env=environ, stderr=log
+            )
 
     def stop(self):
         self.process.kill()
@@ -84,6 +101,7 @@
 
     async def one(member):
         found[member] = await member.ready()
+
     async with trio.open_nursery() as nursery:
         for each in members:
             nursery.start_soon(one, each)
@@ -107,9 +125,11 @@
                 told = {"revision": 2, "complete": True, "members": known}
                 told = http(200, json.dumps(told).encode())
                 platform.answer = lambda first, *rest: (  # a list to each process, and then a watch waits
-                    http(204) if first.startswith("POST") else lists.pop() if lists else None)
-            members = [Member(folder, f"n{at}", discovery, known, owed[at % len(owed)])
-                       for at in range(count)]
+                    http(204) if first.startswith("POST") else lists.pop() if lists else None
+                )
+            members = [
+                Member(folder, f"n{at}", discovery, known, owed[at % len(owed)]) for at in range(count)
+            ]
             try:
                 lists = [told] * count if how == "up" else []
                 for each in members:
@@ -130,8 +150,11 @@
             nursery.cancel_scope.cancel()
     times = sorted((found[each] - begun, each.owed) for each in members)
     within = sum(took <= 10 for took, _ in times)
-    print(f"{count} processes, discovery {how}, load {before} to {load()}: within 10 s {within}, last "
-          f"{times[-1][0]:.2f} s", flush=True)
+    print(
+        f"{count} processes, discovery {how}, load {before} to {load()}: within 10 s {within}, last "
+        f"{times[-1][0]:.2f} s",
+        flush=True,
+    )
     print("  seconds (owed):", ", ".join(f"{took:.2f} ({one})" for took, one in times), flush=True)
 
 
--- a/benchmarks/shards.py
+++ b/benchmarks/shards.py
@@ -38,8 +38,10 @@
         for (_, how), score in found.items():
             if how == way:
                 total.add(score)
-        print(f"{way}: in time {total.in_time:.3f}, false {total.wrong:.3f}, true {total.true}, "
-              f"late {total.late}")
+        print(
+            f"{way}: in time {total.in_time:.3f}, false {total.wrong:.3f}, true {total.true}, "
+            f"late {total.late}"
+        )
 
 
 class Rig:
@@ -71,7 +73,7 @@
             self.ended += 1
         self.ledger.flush()
         if self.ended > KEPT:
-            for one in self.order[self.ended - KEPT - ROUND:self.ended - KEPT]:
+            for one in self.order[self.ended - KEPT - ROUND : self.ended - KEPT]:
                 self.ledger.forget(one)
 
     def slice(self):
--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -23,16 +23,21 @@
     rows = []
     for number, site in enumerate(town.chance.sample(list(SITES), 3)):
         loss = town.lose(site)
-        rows += [(level, number, name, loss.offered[name.split()[1]][1], e.value, e.least, e.most, seen, even,
-                  now) for name, (e, seen, even, now) in loss.cells.items()]
+        rows += [
+            (level, number, name, loss.offered[name.split()[1]][1], e.value, e.least, e.most, seen, even, now)
+            for name, (e, seen, even, now) in loss.cells.items()
+        ]
     return rows
 
 
 def judged(path):
     with open(path, encoding="utf-8") as file:
         told = json.load(file)
-    return [(loss["level"], number, name, loss["offered"][name.split()[1]][1], *cell)
-            for number, loss in enumerate(told["losses"]) for name, cell in loss["cells"].items()]
+    return [
+        (loss["level"], number, name, loss["offered"][name.split()[1]][1], *cell)
+        for number, loss in enumerate(told["losses"])
+        for name, cell in loss["cells"].items()
+    ]
 
 
 def report(rows, title):
@@ -59,8 +64,10 @@
                 errors[key].append(abs(figure - seen) / seen)
     told = " ".join(f"{key} {median(found):.3f}" if found else f"{key} -" for key, found in errors.items())
     shares = " ".join(f"{median(found):.4f}" for found in whole.values() if found)
-    print(f"  {title:17} error {told} ({len(errors['foretold'])} cells); of load {shares}; "
-          f"small {right}/{small}; band held {held}/{len(rows)}")
+    print(
+        f"  {title:17} error {told} ({len(errors['foretold'])} cells); of load {shares}; "
+        f"small {right}/{small}; band held {held}/{len(rows)}"
+    )
 
 
 def main(how, *rest):
--- a/benchmarks/table_mutants.py
+++ b/benchmarks/table_mutants.py
@@ -54,11 +54,19 @@
         print(f"| {name} | {file} | {row} | {'' if file != CHOICE else 'yes' if alone else 'no'} |")
     found = [(file, bool(table), bool(alone)) for _, file, table, alone in results if table is not None]
     core = [pair for file, *pair in found if file == CHOICE]
-    every, tables, alone, only = (sum(column) for column in (
-        [table for _, table, _ in found], [table for table, _ in core], [alone for _, alone in core],
-        [table and not alone for table, alone in core]))
-    print(f"\n{len(found)} changes, {every} found by the tables.  Of {len(core)} in choice.py {tables} by "
-          f"the tables, {alone} by test_choice.py, {only} by the tables alone.")
+    every, tables, alone, only = (
+        sum(column)
+        for column in (
+            [table for _, table, _ in found],
+            [table for table, _ in core],
+            [alone for _, alone in core],
+            [table and not alone for table, alone in core],
+        )
+    )
+    print(
+        f"\n{len(found)} changes, {every} found by the tables.  Of {len(core)} in choice.py {tables} by "
+        f"the tables, {alone} by test_choice.py, {only} by the tables alone."
+    )
     return int(not all(table for *_, table, _ in results))
 
 
--- a/juniperlanding/accord/accord.py
+++ b/juniperlanding/accord/accord.py
@@ -21,8 +21,13 @@
 __all__ = ["Accord", "Kept", "Refused", "Tuning"]
 MS, SEC = 1_000_000, 1_000_000_000
 MOST_MEMBERS, MOST_EPOCHS = 4096, 4
-STEPS = {words.Check: "check", words.Prepare: "close", words.Leads: "release", words.Release: "release",
-         words.Accept: "accept"}
+STEPS = {
+    words.Check: "check",
+    words.Prepare: "close",
+    words.Leads: "release",
+    words.Release: "release",
+    words.Accept: "accept",
+}
 
 
 @dataclass(frozen=True)
@@ -109,9 +114,18 @@
 
     def state(self, now):
         voter = self.voter
-        return {"number": self.number, "digest": self.digest, "known": self.known[0], "rest": self.rest(now),
-                "voter": bool(voter), "cleared": not voter or voter.cleared, "voters": self.voters,
-                "unable": self.holder.unable, "denied": dict(self.holder.denials), **self.leader.state(now)}
+        return {
+            "number": self.number,
+            "digest": self.digest,
+            "known": self.known[0],
+            "rest": self.rest(now),
+            "voter": bool(voter),
+            "cleared": not voter or voter.cleared,
+            "voters": self.voters,
+            "unable": self.holder.unable,
+            "denied": dict(self.holder.denials),
+            **self.leader.state(now),
+        }
 
     # ---- events
 
@@ -222,8 +236,11 @@
         found = self.others
         if not found or (found.number, found.by) != (message.number, source):
             found = self.others = Rival(message.number, source, now)
-        found.step, found.at, found.digest = step, now, found.digest or (
-            message.digest if step in ("check", "accept") else "")
+        found.step, found.at, found.digest = (
+            step,
+            now,
+            found.digest or (message.digest if step in ("check", "accept") else ""),
+        )
 
     def other(self, now):
         """The change that another leads, if it was heard of lately."""
@@ -265,8 +282,9 @@
             while len(self.checks) > words.MOST_VOTERS:
                 del self.checks[next(iter(self.checks))]
             return self.texts.want(message.digest, source, now)
-        self.say(source, words.Says(message.number, message.digest,
-                                    self.checked(message.digest)[:words.MOST_WHY]))
+        self.say(
+            source, words.Says(message.number, message.digest, self.checked(message.digest)[: words.MOST_WHY])
+        )
 
     # ---- shared by the three
 
@@ -316,8 +334,14 @@
 
     def pinned(self):
         """Documents that must not be let go."""
-        return {"", self.digest, self.known[1], self.kept.digest, self.kept.accepted_digest,
-                self.leader.change.digest if self.leader.change else ""}
+        return {
+            "",
+            self.digest,
+            self.known[1],
+            self.kept.digest,
+            self.kept.accepted_digest,
+            self.leader.change.digest if self.leader.change else "",
+        }
 
     def by_name(self, epochs):
         return dict(zip(self.voters, epochs, strict=False))
--- a/juniperlanding/accord/document.py
+++ b/juniperlanding/accord/document.py
@@ -72,8 +72,9 @@
 
     def settings(self, own):
         """`own`, the process's settings from its file, with what this policy changes."""
-        changed = {SETTINGS[key]: file.plain_value(value) for key, value in self.values.items()
-                   if key in SETTINGS}
+        changed = {
+            SETTINGS[key]: file.plain_value(value) for key, value in self.values.items() if key in SETTINGS
+        }
         return own | changed | {"topic_types": self.topics}
 
 
@@ -94,8 +95,11 @@
         inner = {"": (kind, None, meta)}
         if file.section_of(kind):
             inner = {f".{name}": entry for name, entry in file.fields(kind).items()}
-        found |= {key + name: entry[2].extra["setting"] for name, entry in inner.items()
-                  if entry[2] and "setting" in entry[2].extra}
+        found |= {
+            key + name: entry[2].extra["setting"]
+            for name, entry in inner.items()
+            if entry[2] and "setting" in entry[2].extra
+        }
     return found
 
 
@@ -148,8 +152,11 @@
     reasons = [f"topic type {name} of what it owes is missing" for name in sorted(owed - told.keys())]
     reasons += [f"topic type {name} is missing" for name in sorted(kinds.keys() - told.keys() - owed)]
     reasons += [f"topic type {name} is unknown" for name in sorted(told.keys() - kinds.keys())]
-    reasons += [f"topic type {name} is {kinds[name]}, not {told[name]}"
-                for name in sorted(told.keys() & kinds.keys()) if kinds[name] != told[name]]
+    reasons += [
+        f"topic type {name} is {kinds[name]}, not {told[name]}"
+        for name in sorted(told.keys() & kinds.keys())
+        if kinds[name] != told[name]
+    ]
     settings = policy.settings(own)
     held, slots = settings.get("most_held"), settings.get("slots", 0)
     if held is not None and held < len(owner.held):
--- a/juniperlanding/accord/folder.py
+++ b/juniperlanding/accord/folder.py
@@ -25,7 +25,7 @@
             data = self.files.read(path, MOST_FILE)
         except FileNotFoundError:
             return empty
-        digest, body = data[len(MARK):][:DIGEST], data[len(MARK) + DIGEST:]
+        digest, body = data[len(MARK) :][:DIGEST], data[len(MARK) + DIGEST :]
         try:
             if not data.startswith(MARK) or digest != blake2b(body, digest_size=DIGEST).digest():
                 raise ValueError("torn or foreign")
@@ -43,7 +43,7 @@
         file = self.files.open(path + ".new", fresh=True)
         try:
             while data:
-                data = data[self.files.write(file, data):]
+                data = data[self.files.write(file, data) :]
             self.files.sync(file)
         finally:
             self.files.close(file)
--- a/juniperlanding/accord/holder.py
+++ b/juniperlanding/accord/holder.py
@@ -79,9 +79,13 @@
     def granted(self, source, message, now):
         """Threats: a grant of an older round or life, for another number, or from no voter."""
         home = self.home
-        if (message.life != home.life or message.round not in self.rounds or source not in home.voters
-                or (message.number, message.digest) != (self.number, self.digest)
-                or home.known[0] > self.number):
+        if (
+            message.life != home.life
+            or message.round not in self.rounds
+            or source not in home.voters
+            or (message.number, message.digest) != (self.number, self.digest)
+            or home.known[0] > self.number
+        ):
             return
         asked_at, granted = self.rounds[message.round]
         granted.add(source)
--- a/juniperlanding/accord/leader.py
+++ b/juniperlanding/accord/leader.py
@@ -115,8 +115,9 @@
         rosters = home.roster(in_force), home.roster(digest)
         bound = frozenset().union(*rosters) if all(rosters) else home.members
         asked = frozenset(home.members & bound) - {home.name}
-        self.change = Change(before + 1, digest, True, now, now + home.tuning.give_up, asked=asked,
-                             step_at=now)
+        self.change = Change(
+            before + 1, digest, True, now, now + home.tuning.give_up, asked=asked, step_at=now
+        )
         home.tell("proposal", number=self.change.number, digest=digest, asked=len(asked))
         self.tick(now)
         return before + 1
@@ -142,8 +143,11 @@
         if change.step == "check":
             return [change.step_at + self.home.tuning.check_within]
         if change.step == "release":
-            return [until for pledge in change.pledges.values()
-                    for until in (pledge.blind_until, *pledge.holders.values())]
+            return [
+                until
+                for pledge in change.pledges.values()
+                for until in (pledge.blind_until, *pledge.holders.values())
+            ]
         return []
 
     def tick(self, now):
@@ -236,8 +240,12 @@
         home = self.home
         if not self.hears(change, now):
             other = home.other(now)
-            return self.end("refused", f"{other.by} leads a change to number {other.number}" if other
-                            else "too few voters answer here")
+            return self.end(
+                "refused",
+                f"{other.by} leads a change to number {other.number}"
+                if other
+                else "too few voters answer here",
+            )
         self.step(change, "close", now)
         self.raise_ballot(change, now)
 
@@ -250,8 +258,10 @@
 
     def closed(self, change, now):
         """A majority promised."""
-        accepted, digest = max((change.pledges[name].accepted, change.pledges[name].accepted_digest)
-                               for name in self.promised(change))
+        accepted, digest = max(
+            (change.pledges[name].accepted, change.pledges[name].accepted_digest)
+            for name in self.promised(change)
+        )
         if accepted == NONE:
             return self.step(change, "release", now)
         if change.own:
@@ -260,26 +270,37 @@
         self.step(change, "accept", now)
 
     def promised(self, change):
-        return agreeing({name: (pledge.epoch, pledge.epochs)
-                         for name, pledge in change.pledges.items() if pledge.whole})
+        return agreeing(
+            {name: (pledge.epoch, pledge.epochs) for name, pledge in change.pledges.items() if pledge.whole}
+        )
 
     def outrun(self, change, now):
         """A majority cannot promise any more, or a higher ballot holds on where we have none."""
         others = change.others.values()
-        return (len(others) > len(self.home.voters) - self.home.majority
-                or max(others, default=NONE) > change.ballot
-                and now - change.step_at >= 4 * self.home.tuning.again)
+        return (
+            len(others) > len(self.home.voters) - self.home.majority
+            or max(others, default=NONE) > change.ballot
+            and now - change.step_at >= 4 * self.home.tuning.again
+        )
 
     def waits_for(self, change, now):
-        return {name for pledge in change.pledges.values()
-                for (name, _), until in pledge.holders.items() if until > now}
+        return {
+            name
+            for pledge in change.pledges.values()
+            for (name, _), until in pledge.holders.items()
+            if until > now
+        }
 
     # ---- answers
 
     def says(self, source, message, now):
         change = self.change
-        if change and change.step == "check" and source in change.asked and (
-                message.number, message.digest) == (change.number, change.digest):
+        if (
+            change
+            and change.step == "check"
+            and source in change.asked
+            and (message.number, message.digest) == (change.number, change.digest)
+        ):
             change.said[source] = message.reason
             self.go_on(now)
 
@@ -293,8 +314,8 @@
         pledge = change.pledges.get(source)
         if pledge is None or pledge.epoch < message.epoch:
             pledge = change.pledges[source] = Pledge(
-                message.epoch, {}, message.accepted, message.accepted_digest, message.of,
-                now + message.blind)
+                message.epoch, {}, message.accepted, message.accepted_digest, message.of, now + message.blind
+            )
         if pledge.epoch != message.epoch or message.of != pledge.of or message.piece >= message.of:
             return
         pledge.pieces.add(message.piece)
@@ -334,8 +355,12 @@
 
     def accepted(self, source, message, now):
         change = self.change
-        if (change and message.ballot == change.ballot and change.step == "accept"
-                and source in self.home.voters):
+        if (
+            change
+            and message.ballot == change.ballot
+            and change.step == "accept"
+            and source in self.home.voters
+        ):
             change.heard[source] = now
             if message.epoch >= change.accepted.get(source, (0,))[0]:
                 change.accepted[source] = message.epoch, self.home.by_name(message.epochs)
@@ -357,8 +382,13 @@
             self.yield_at = self.yields = 0
         if change.own:
             self.last = change.number, outcome, self.home.name, why
-        self.home.tell(outcome if change.own else "stopped", number=change.number, digest=change.digest,
-                       step=change.step, why=why)
+        self.home.tell(
+            outcome if change.own else "stopped",
+            number=change.number,
+            digest=change.digest,
+            step=change.step,
+            why=why,
+        )
 
     def stop(self, why, now):
         """Others go on.  What was never to be accepted anywhere is over; of the rest the number will tell."""
@@ -390,8 +420,9 @@
             if mine[0] < number:  # others may have finished it, and changed it since
                 outcome = "unknown" if asked else "lost"
             else:
-                outcome = "decided" if mine[1] == digest else (
-                    "kept" if digest == home.holder.digest else "lost")
+                outcome = (
+                    "decided" if mine[1] == digest else ("kept" if digest == home.holder.digest else "lost")
+                )
             why = "" if outcome == "decided" else f"number {number} is decided"
             self.last = mine[0], outcome, home.name, why
             self.proposed = None
@@ -419,15 +450,25 @@
     def silent(self):
         """Ballot and time of the last word of each leader for whom voters are closed, as they lately said."""
         fresh = 2 * self.home.tuning.takeover
-        return [(heard, ballot) for ballot, heard, told in self.home.holder.closed.values()
-                if self.at - told <= fresh]
+        return [
+            (heard, ballot)
+            for ballot, heard, told in self.home.holder.closed.values()
+            if self.at - told <= fresh
+        ]
 
     def takeover_at(self):
         """When we would lead; None if there is no need.  Threat: all members at once."""
         home, holder, within = self.home, self.home.holder, self.home.tuning.takeover
         roster = home.roster(holder.digest)
-        if (holder.had or holder.number < home.known[0] or self.leaving or not (silent := self.silent())
-                or roster and home.name not in roster and not home.voter):
+        if (
+            holder.had
+            or holder.number < home.known[0]
+            or self.leaving
+            or not (silent := self.silent())
+            or roster
+            and home.name not in roster
+            and not home.voter
+        ):
             return None
         share = crc32(f"{home.name}/{home.seed}/{holder.number}/{self.tries}".encode()) / 2**32
         return max(self.not_before, max(silent)[0] + within + int(share * within * min(1 + self.tries, 4)))
@@ -443,13 +484,28 @@
         change, home = self.change, self.home
         if not change:
             other = home.other(now)
-            return {"step": other.step if other else "-", "proposal": other and other.number,
-                    "proposal_digest": other.digest if other else "", "by": other.by if other else "",
-                    "since": now - other.since if other else 0, "waits": [], "last": self.last}
-        waits = {"check": lambda: change.asked - change.said.keys(),
-                 "close": lambda: set(home.voters) - self.promised(change),
-                 "release": lambda: self.waits_for(change, now) | {
-                     name for name, pledge in change.pledges.items() if pledge.blind_until > now},
-                 "accept": lambda: set(home.voters) - agreeing(change.accepted)}[change.step]()
-        return {"step": change.step, "proposal": change.number, "proposal_digest": change.digest,
-                "by": home.name, "since": now - change.since, "waits": sorted(waits), "last": self.last}
+            return {
+                "step": other.step if other else "-",
+                "proposal": other and other.number,
+                "proposal_digest": other.digest if other else "",
+                "by": other.by if other else "",
+                "since": now - other.since if other else 0,
+                "waits": [],
+                "last": self.last,
+            }
+        waits = {
+            "check": lambda: change.asked - change.said.keys(),
+            "close": lambda: set(home.voters) - self.promised(change),
+            "release": lambda: self.waits_for(change, now)
+            | {name for name, pledge in change.pledges.items() if pledge.blind_until > now},
+            "accept": lambda: set(home.voters) - agreeing(change.accepted),
+        }[change.step]()
+        return {
+            "step": change.step,
+            "proposal": change.number,
+            "proposal_digest": change.digest,
+            "by": home.name,
+            "since": now - change.since,
+            "waits": sorted(waits),
+            "last": self.last,
+        }
--- a/juniperlanding/accord/part.py
+++ b/juniperlanding/accord/part.py
@@ -87,9 +87,16 @@
         await self.fleet.joined()
         self.written = kept = await self.kept()
         self.accord = accord = Accord(
-            self.name, self.fleet.view.me.life, tuple(self.told.voters), kept,
-            lambda document: read(document).roster, self.check, self.node.config.seed, self.steady(),
-            self.tuning)
+            self.name,
+            self.fleet.view.me.life,
+            tuple(self.told.voters),
+            kept,
+            lambda document: read(document).roster,
+            self.check,
+            self.node.config.seed,
+            self.steady(),
+            self.tuning,
+        )
         self.waiting, self.unwritten, self.decided = [], trio.Event(), trio.Event()
         try:
             async with trio.open_nursery() as nursery:
@@ -106,7 +113,7 @@
             self.before, self.accord = self.given(), None
 
     def given(self):
-        return ([self.accord.life] if self.accord else []) + self.before[:MOST_BEFORE - 1]
+        return ([self.accord.life] if self.accord else []) + self.before[: MOST_BEFORE - 1]
 
     def taken(self, state):
         lives = state[:MOST_BEFORE] if isinstance(state, list) else []  # threat: another version's form
@@ -299,9 +306,13 @@
         accord, now = self.accord, self.steady()
         rest = accord.rest(now) if accord else 0
         voter = accord and accord.voter
-        return {"policy.number": accord.number if accord else -1, "policy.licence_ms": rest // 1_000_000,
-                "policy.leads": int(bool(accord and accord.leader.change)),
-                "policy.cleared": int(bool(not voter or voter.cleared)), "policy.noise": self.noise}
+        return {
+            "policy.number": accord.number if accord else -1,
+            "policy.licence_ms": rest // 1_000_000,
+            "policy.leads": int(bool(accord and accord.leader.change)),
+            "policy.cleared": int(bool(not voter or voter.cleared)),
+            "policy.noise": self.noise,
+        }
 
     def lines(self):
         """The door's `POLICY`: what is in force, what is under way here, what became of the last proposal."""
@@ -310,14 +321,18 @@
             return [first, NO_PROPOSAL, NO_LAST, "--"]
         state = self.accord.state(self.steady())
         rest = f"{state['rest'] / SEC:.2f}" if state["rest"] else "-"
-        first = (f"number={state['number']} digest={state['digest'] or '-'} licence={rest} "
-                 f"step={state['step']} voter={yes(state['voter'])} cleared={yes(state['cleared'])} "
-                 f"voters={','.join(state['voters'])}")
+        first = (
+            f"number={state['number']} digest={state['digest'] or '-'} licence={rest} "
+            f"step={state['step']} voter={yes(state['voter'])} cleared={yes(state['cleared'])} "
+            f"voters={','.join(state['voters'])}"
+        )
         proposal, last = NO_PROPOSAL, NO_LAST
         if state["proposal"] is not None:
-            proposal = (f"proposal={state['proposal']} digest={state['proposal_digest'] or '-'} "
-                        f"by={state['by']} step={state['step']} since={state['since'] / SEC:.2f} "
-                        f"waits={','.join(state['waits']) or '-'}")
+            proposal = (
+                f"proposal={state['proposal']} digest={state['proposal_digest'] or '-'} "
+                f"by={state['by']} step={state['step']} since={state['since'] / SEC:.2f} "
+                f"waits={','.join(state['waits']) or '-'}"
+            )
         if state["last"]:
             number, outcome, by, why = state["last"]
             last = f"last={number} outcome={outcome} by={by} why={' '.join(why.split()) or '-'}"
--- a/juniperlanding/accord/texts.py
+++ b/juniperlanding/accord/texts.py
@@ -29,7 +29,7 @@
         self.held[digest] = document
         pinned = self.home.pinned()
         spare = [one for one in self.held if one not in pinned and one != digest]
-        for one in spare[:max(0, len(spare) - MOST_TEXTS)]:
+        for one in spare[: max(0, len(spare) - MOST_TEXTS)]:
             del self.held[one]
 
     def want(self, digest, source, now):
@@ -44,7 +44,7 @@
             self.wanted[digest] = Wanted(digest, now)
         wanted = self.wanted[digest]
         if source and source != self.home.name and source not in wanted.sources:
-            wanted.sources = [source, *wanted.sources][:words.MOST_VOTERS]
+            wanted.sources = [source, *wanted.sources][: words.MOST_VOTERS]
         if now >= wanted.again_at:
             self.ask(wanted, now)
 
@@ -62,8 +62,9 @@
 
     def ask(self, wanted, now):
         """What is missing, some at once; from the next who may have it if the last gave nothing."""
-        sources = wanted.sources + [name for name in self.home.voters
-                                    if name not in wanted.sources and name != self.home.name]
+        sources = wanted.sources + [
+            name for name in self.home.voters if name not in wanted.sources and name != self.home.name
+        ]
         if not sources:
             return
         wanted.again_at = now + (self.home.tuning.again << min(wanted.asks // 8, 4))
@@ -85,7 +86,7 @@
         if document:
             of = ceil(len(document) / words.PIECE)
             if message.piece < of:
-                data = document[message.piece * words.PIECE:][:words.PIECE]
+                data = document[message.piece * words.PIECE :][: words.PIECE]
                 self.home.say(source, words.Piece(message.digest, message.piece, of, data))
 
     def piece(self, source, message, now):
--- a/juniperlanding/accord/voter.py
+++ b/juniperlanding/accord/voter.py
@@ -29,8 +29,11 @@
 
 def agreeing(answers):
     """Of `answers` (voter -> (its epoch, epochs it knows by name)) those that count together."""
-    return {name for name, (epoch, _) in answers.items()
-            if all(known.get(name, 0) <= epoch for _, known in answers.values())}
+    return {
+        name
+        for name, (epoch, _) in answers.items()
+        if all(known.get(name, 0) <= epoch for _, known in answers.values())
+    }
 
 
 class Voter:
@@ -59,10 +62,16 @@
         home = self.home
         if now < self.recall_at:
             return
-        answered = self.answers if self.cleared else self.vouch() | {
-            name for name, answer in self.answers.items() if not answer.voter}
-        asked = [name for name in (home.voters if self.cleared else home.everybody())
-                 if name not in answered and name != home.name]
+        answered = (
+            self.answers
+            if self.cleared
+            else self.vouch() | {name for name, answer in self.answers.items() if not answer.voter}
+        )
+        asked = [
+            name
+            for name in (home.voters if self.cleared else home.everybody())
+            if name not in answered and name != home.name
+        ]
         for name in asked:
             self.say(name, words.Recall(home.kept.epoch, home.sum))
         self.recall_at = now + self.pace if asked or not self.cleared else 1 << 62
@@ -88,8 +97,13 @@
 
     def vouch(self):
         """Voters whose answers count together, as far as they are cleared themselves."""
-        return agreeing({name: (answer.own, self.home.by_name(answer.epochs))
-                         for name, answer in self.answers.items() if answer.sure})
+        return agreeing(
+            {
+                name: (answer.own, self.home.by_name(answer.epochs))
+                for name, answer in self.answers.items()
+                if answer.sure
+            }
+        )
 
     def clear(self, now):
         """Once (b) a majority without us has answered that is itself cleared, or (a) a majority with us has,
@@ -97,15 +111,26 @@
         home = self.home
         voters = {name: answer for name, answer in self.answers.items() if answer.voter}
         sure = len(self.vouch()) >= home.majority
-        if self.cleared or not sure and (home.kept.doubted or now < self.began + home.tuning.clear_after
-                                         or len(voters) + 1 < home.majority):
+        if (
+            self.cleared
+            or not sure
+            and (
+                home.kept.doubted
+                or now < self.began + home.tuning.clear_after
+                or len(voters) + 1 < home.majority
+            )
+        ):
             return
         self.cleared, self.sure, self.leader_heard, kept = True, sure, now, home.kept
         for answer in voters.values():
             epochs = home.by_name(answer.epochs)
-            kept = merged(kept, answer).but(epochs={
-                name: max(kept.epochs.get(name, 0), epochs.get(name, 0)) for name in home.voters
-                if name != home.name})
+            kept = merged(kept, answer).but(
+                epochs={
+                    name: max(kept.epochs.get(name, 0), epochs.get(name, 0))
+                    for name in home.voters
+                    if name != home.name
+                }
+            )
         stamp = max([kept.stamp, *(answer.stamp for answer in self.answers.values())])
         if kept != home.kept or stamp > kept.stamp or kept.doubted:
             home.kept = kept.but(stamp=stamp + 1, doubted=False)
@@ -129,9 +154,24 @@
             else:
                 home.kept = home.kept.but(epochs=epochs)
         kept = home.kept
-        self.say(source, words.Recalled(
-            message.epoch, before, stamp, True, self.cleared, kept.number, kept.digest, kept.promised,
-            kept.closed, kept.accepted, kept.accepted_digest, kept.epoch, self.epochs()))
+        self.say(
+            source,
+            words.Recalled(
+                message.epoch,
+                before,
+                stamp,
+                True,
+                self.cleared,
+                kept.number,
+                kept.digest,
+                kept.promised,
+                kept.closed,
+                kept.accepted,
+                kept.accepted_digest,
+                kept.epoch,
+                self.epochs(),
+            ),
+        )
 
     # ---- licences
 
@@ -141,8 +181,12 @@
         if why:
             number, digest = (kept.number, kept.digest) if self.cleared else (-1, "")
             silent = max(0, now - self.leader_heard)
-            return self.say(source, words.Denied(
-                life, message.round, why, number, digest, kept.promised, silent, kept.epoch, kept.stamp))
+            return self.say(
+                source,
+                words.Denied(
+                    life, message.round, why, number, digest, kept.promised, silent, kept.epoch, kept.stamp
+                ),
+            )
         self.holders[source, life] = now + home.tuning.longest
         self.say(source, words.Grant(life, message.round, kept.number, kept.digest, kept.epoch, kept.stamp))
 
@@ -184,24 +228,41 @@
     def busy(self, source, now):
         """Threat: two who lead in turn keep each other from ending."""
         kept = self.home.kept
-        return (kept.closed and kept.promised[1] != source
-                and now - self.leader_heard < self.home.tuning.takeover)
+        return (
+            kept.closed and kept.promised[1] != source and now - self.leader_heard < self.home.tuning.takeover
+        )
 
     def follows(self, source, message, now):
-        self.say(source, words.Follows(message.ballot, message.number, self.home.kept.promised,
-                                       self.busy(source, now)))
+        self.say(
+            source,
+            words.Follows(message.ballot, message.number, self.home.kept.promised, self.busy(source, now)),
+        )
 
     def promise(self, source, message, now):
         """In pieces that fit, the same holders in each every time: nothing is granted any more.  Threat: a
         holder that fits no piece; it is told as one whom we forgot."""
         kept = self.home.kept
         base = words.Promise(
-            message.ballot, message.number, 0, 1, [], self.home.tuning.longest, kept.accepted,
-            kept.accepted_digest, kept.epoch, kept.stamp, self.epochs())
+            message.ballot,
+            message.number,
+            0,
+            1,
+            [],
+            self.home.tuning.longest,
+            kept.accepted,
+            kept.accepted_digest,
+            kept.epoch,
+            kept.stamp,
+            self.epochs(),
+        )
         if self.listed[0] != message.ballot:
-            self.listed = message.ballot, *pieces(
-                [(*holder, until) for holder, until in self.holders.items() if until > now],
-                words.MOST - len(words.encoded(base)) - 16)
+            self.listed = (
+                message.ballot,
+                *pieces(
+                    [(*holder, until) for holder, until in self.holders.items() if until > now],
+                    words.MOST - len(words.encoded(base)) - 16,
+                ),
+            )
         _, parts, unlisted = self.listed
         blind = max(0, self.blind_until - now, unlisted - now)
         for at, part in enumerate(parts):
@@ -233,8 +294,14 @@
             self.wanted = source, message
             return home.texts.want(message.digest, source, now)
         if ballot != kept.accepted:
-            home.write(promised=ballot, owed=True, open=False, accepted=ballot,
-                       accepted_digest=message.digest, documents=home.texts.some(kept.digest, message.digest))
+            home.write(
+                promised=ballot,
+                owed=True,
+                open=False,
+                accepted=ballot,
+                accepted_digest=message.digest,
+                documents=home.texts.some(kept.digest, message.digest),
+            )
         kept = home.kept
         self.say(source, words.Accepted(ballot, message.number, kept.epoch, kept.stamp, self.epochs()))
 
@@ -260,8 +327,16 @@
         home = self.home
         if self.cleared and number > home.kept.number:
             self.holders, self.listed, self.wanted = {}, (NONE, [], 0), None
-            home.write(number=number, digest=digest, promised=NONE, owed=False, open=False, accepted=NONE,
-                       accepted_digest="", documents=home.texts.some(digest))
+            home.write(
+                number=number,
+                digest=digest,
+                promised=NONE,
+                owed=False,
+                open=False,
+                accepted=NONE,
+                accepted_digest="",
+                documents=home.texts.some(digest),
+            )
 
     # ---- saying
 
@@ -281,13 +356,23 @@
     if answer.number < kept.number:
         return kept
     if answer.number > kept.number:
-        kept = kept.but(number=answer.number, digest=answer.digest, promised=NONE, owed=False, open=False,
-                        accepted=NONE, accepted_digest="")
+        kept = kept.but(
+            number=answer.number,
+            digest=answer.digest,
+            promised=NONE,
+            owed=False,
+            open=False,
+            accepted=NONE,
+            accepted_digest="",
+        )
     closed = kept.closed or answer.closed
     kept = kept.but(promised=max(kept.promised, answer.promised), owed=kept.owed or answer.closed)
     kept = kept.but(open=kept.promised != NONE and not closed)
-    return kept if answer.accepted <= kept.accepted else kept.but(
-        accepted=answer.accepted, accepted_digest=answer.accepted_digest)
+    return (
+        kept
+        if answer.accepted <= kept.accepted
+        else kept.but(accepted=answer.accepted, accepted_digest=answer.accepted_digest)
+    )
 
 
 def pieces(holders, room):
--- a/juniperlanding/accord/words.py
+++ b/juniperlanding/accord/words.py
@@ -208,8 +208,28 @@
     data: Annotated[bytes, msgspec.Meta(max_length=PIECE)]
 
 
-WORDS = (Ask | Grant | Denied | Check | Says | Prepare | Promise | Follows | Leads | Yields | Release
-         | Released | Accept | Accepted | Decided | Taken | Recall | Recalled | Fetch | Piece)
+WORDS = (
+    Ask
+    | Grant
+    | Denied
+    | Check
+    | Says
+    | Prepare
+    | Promise
+    | Follows
+    | Leads
+    | Yields
+    | Release
+    | Released
+    | Accept
+    | Accepted
+    | Decided
+    | Taken
+    | Recall
+    | Recalled
+    | Fetch
+    | Piece
+)
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(WORDS)
 
 
@@ -228,7 +248,7 @@
 
 
 def digest_of(document):
-    """"" stands for the operators' own file, which is no document."""
+    """ "" stands for the operators' own file, which is no document."""
     return blake2b(document, digest_size=16).hexdigest() if document else ""
 
 
--- a/juniperlanding/carry.py
+++ b/juniperlanding/carry.py
@@ -28,8 +28,11 @@
     terms: number -> topic types of each policy that something owed was taken on under; 0 is the process's own
     settings."""
     known = terms or {0: me.settings.get("topic_types", [])}
-    topics = {id(topic): [at, number] if number else [at]
-              for number, types in sorted(known.items(), reverse=True) for at, topic in enumerate(types)}
+    topics = {
+        id(topic): [at, number] if number else [at]
+        for number, types in sorted(known.items(), reverse=True)
+        for at, topic in enumerate(types)
+    }
     numbers, found, records = {}, [], []
 
     def plain(value):
--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -41,15 +41,20 @@
 
 # ---- the forecaster: one series of delivered latencies for each destination
 
-PREDICTORS = (lambda d: d.series[-1], lambda d: d.mean, lambda d: d.smooth,
-              lambda d: fmean(d.series), lambda d: median(d.series))
+PREDICTORS = (
+    lambda d: d.series[-1],
+    lambda d: d.mean,
+    lambda d: d.smooth,
+    lambda d: fmean(d.series),
+    lambda d: median(d.series),
+)
 
 
 def learn(dest, latency):
     if dest.samples:
         missed = [(predict(dest) - latency) ** 2 for predict in PREDICTORS]
         dest.errors = [a + b for a, b in zip(dest.errors or [0.0] * len(missed), missed, strict=True)]
-    dest.samples, dest.series = dest.samples + 1, [*dest.series[1 - SPAN:], latency]
+    dest.samples, dest.series = dest.samples + 1, [*dest.series[1 - SPAN :], latency]
     dest.mean += (latency - dest.mean) / dest.samples
     dest.smooth += (latency - dest.smooth) * (SMOOTHING if dest.samples > 1 else 1)
     if dest.errors:
@@ -65,6 +70,7 @@
 
 # ---- what a notification is worth, and what may still be done with it
 
+
 def benefit(ntf, at):
     topic, whole = ntf.topic, ntf.topic.get("benefit", 1) * ntf.counts
     objective, ttl = topic.get("objective", 0), topic.get("ttl", 0)
@@ -99,6 +105,7 @@
 
 # ---- the stages, in the order in which a push passes them; `back` runs the other way
 
+
 class Stage:
     def __init__(self, dispatcher):
         self.at, self.me = dispatcher, dispatcher.me
@@ -153,8 +160,11 @@
             rests[ntf.key] = (1 << 62, ntf, call)
         if rests and not call.pushes:  # threat: one times out in a call of several, which runs on
             until = self.at.now + self.me.settings.get("order_pause", 0)
-            self.me.key_rest = {key: (until, by, None) if of is call else (at, by, of)
-                                for key, (at, by, of) in rests.items() if at > self.at.now}
+            self.me.key_rest = {
+                key: (until, by, None) if of is call else (at, by, of)
+                for key, (at, by, of) in rests.items()
+                if at > self.at.now
+            }
             self.at.wake_at(until)
 
 
@@ -406,8 +416,10 @@
 
     def out(self, push):
         near = self.me.settings.get("zone") if self.me.settings.get("crossing_price") else None
-        push.endpoint = min(push.options, key=lambda e: (
-            max(len(e.calls) + 1 - ENOUGH, 0), near is not None and e.zone != near, e.rank))
+        push.endpoint = min(
+            push.options,
+            key=lambda e: (max(len(e.calls) + 1 - ENOUGH, 0), near is not None and e.zone != near, e.rank),
+        )
         return PASS
 
     def back(self, push, ending, latency, wait, report):
@@ -478,7 +490,7 @@
     def chance(self, number):
         """A number from 0 up to 1, the same for equal events."""
         self.me.counter += 1
-        return crc32(f"{self.me.seed}/{self.me.rank}/{number}/{self.me.counter}".encode()) / 2 ** 32
+        return crc32(f"{self.me.seed}/{self.me.rank}/{number}/{self.me.counter}".encode()) / 2**32
 
     def wake_at(self, at):
         if at > self.now and at not in self.me.wakes:
@@ -548,8 +560,19 @@
     def destination(self, number):
         return self.me.destinations.setdefault(number, Destination(number))
 
-    def notification(self, ntf_id, topic, destination, ttl_at=0, key=0, pushes=0, ran_zone=0, ran_at=0,
-                     unsent=False, tenant=""):
+    def notification(
+        self,
+        ntf_id,
+        topic,
+        destination,
+        ttl_at=0,
+        key=0,
+        pushes=0,
+        ran_zone=0,
+        ran_at=0,
+        unsent=False,
+        tenant="",
+    ):
         topic = (self.me.settings.get("topic_types", [])[topic:] or [{}])[0]
         dest = self.destination(destination)
         ntf = Notification(ntf_id, topic, dest, ttl_at or self.now + topic.get("ttl", 0), key, pushes, unsent)
@@ -645,7 +668,8 @@
             self.host.log(f"places run out: {held} held, throttling what is worth least")
         self.me.shedding = held > most or (self.me.shedding and held > most / 2)
         while len(self.me.notifications) > most and (
-                least := [n for d in waiting for n in d.waiting if harmless(n, self.now) and not n.unsent]):
+            least := [n for d in waiting for n in d.waiting if harmless(n, self.now) and not n.unsent]
+        ):
             self.give_up(min(least, key=lambda n: benefit(n, self.now) / (1 + len(n.destination.waiting))))
 
     def reclaim(self, waiting):
@@ -670,8 +694,11 @@
         if not ready or any(stage.out(first) != PASS for stage in self.stages[2:6]):
             return False
         trial = all(e.down for e in dest.endpoints)  # takes what affords the loss, fewest pushes first
-        ready.sort(key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now)) if trial
-                   else (not n.unsent, -benefit(n, now + forecast(dest)), n.ttl_at))
+        ready.sort(
+            key=lambda n: (n.topic.get("kind") == "once-only", n.pushes, benefit(n, now))
+            if trial
+            else (not n.unsent, -benefit(n, now + forecast(dest)), n.ttl_at)
+        )
         pushes = (Push(ntf, ntf.pushes) for ntf in ready[:4])
         if push := next((p for p in pushes if all(stage.out(p) == PASS for stage in self.stages)), None):
             self.send(push, ready)
--- a/juniperlanding/cli/try_.py
+++ b/juniperlanding/cli/try_.py
@@ -308,8 +308,10 @@
             print(f"{loss.site} lost at {loss.level:.0%}, foretold from {loss.known}:")
             for name, (value, least, most, seen, *_) in loss.cells.items():
                 print(f"  {name:<18} foretold {value:7.2f} [{least:.2f}, {most:.2f}]/s, seen {seen:7.2f}/s")
-        print(f"{outcome.notifications} notifications, faults {outcome.faults or 'none'}; "
-              f"held for dead though alive: {len(outcome.false_deaths)}")
+        print(
+            f"{outcome.notifications} notifications, faults {outcome.faults or 'none'}; "
+            f"held for dead though alive: {len(outcome.false_deaths)}"
+        )
     return 0 if outcome.well else UNWELL
 
 
@@ -347,7 +349,9 @@
     elif to:
         print(row)
     else:
-        print(f"{outcome.figures['fates']} of {outcome.figures['proposals']} proposals; "
-              f"{outcome.notifications} notifications")
+        print(
+            f"{outcome.figures['fates']} of {outcome.figures['proposals']} proposals; "
+            f"{outcome.notifications} notifications"
+        )
         print(f"breaches {outcome.breaches or 'none'}, faults {outcome.faults or 'none'}")
     return 0 if outcome.well else UNWELL
--- a/juniperlanding/drill/codec.py
+++ b/juniperlanding/drill/codec.py
@@ -7,8 +7,16 @@
 EVERYONE = 0xFFFF
 TRIMMED = 0xFFFF  # the wire's text length is a u16
 
-OUTCOMES = {0: "delivered", 5: "error", 11: "throttled", 110: "timeout", 111: "unreachable", 104: "reset",
-            125: "cancelled", 114: "moot"}
+OUTCOMES = {
+    0: "delivered",
+    5: "error",
+    11: "throttled",
+    110: "timeout",
+    111: "unreachable",
+    104: "reset",
+    125: "cancelled",
+    114: "moot",
+}
 STATES = {0: "draining", 2: "ready", 3: "gone"}
 NEWS = {0: "changes", 1: "whole", 2: "cached", 3: "failed"}
 
@@ -27,10 +35,17 @@
     266: ("incoming", struct.Struct("<HQHHQQQfH"), ""),
 }
 ACTIONS = {
-    "snapshot": struct.Struct("<HH"), "inspect": struct.Struct("<HHI"), "end_failed": struct.Struct("<HHQ"),
-    "try": struct.Struct("<HHQIQ"), "track": struct.Struct("<HHB"), "not_now": struct.Struct("<HHQQ"),
-    "say": struct.Struct("<HHHH"), "give_in": struct.Struct("<HHH"), "trace": struct.Struct("<HHH"),
-    "after": struct.Struct("<HHQQ"), "disconnect": struct.Struct("<HHI"),
+    "snapshot": struct.Struct("<HH"),
+    "inspect": struct.Struct("<HHI"),
+    "end_failed": struct.Struct("<HHQ"),
+    "try": struct.Struct("<HHQIQ"),
+    "track": struct.Struct("<HHB"),
+    "not_now": struct.Struct("<HHQQ"),
+    "say": struct.Struct("<HHHH"),
+    "give_in": struct.Struct("<HHH"),
+    "trace": struct.Struct("<HHH"),
+    "after": struct.Struct("<HHQQ"),
+    "disconnect": struct.Struct("<HHI"),
     "abort_attempt": struct.Struct("<HHQB"),
 }
 CODES = {name: 320 + at for at, name in enumerate(ACTIONS)}
@@ -90,7 +105,7 @@
     size = n * ENTRY.size if tail == "E" else n
     if at + size > len(body):
         raise Malformed(f"truncated content: {len(body) - at} of {size} bytes")
-    part = body[at:at + size]
+    part = body[at : at + size]
     return (list(ENTRY.iter_unpack(part)) if tail == "E" else part), at + size
 
 
--- a/juniperlanding/drill/host.py
+++ b/juniperlanding/drill/host.py
@@ -114,22 +114,38 @@
         if news != "failed" and number not in self.lists:
             raise codec.Malformed(f"no list {number}")
         entries = [] if news == "failed" else self.lists[number]
-        dispatcher.listed(news, [
-            (endpoint, destination, kind, scale, zone, codec.STATES.get(state, "gone"))
-            for kind, endpoint, scale, zone, since, state, destination in entries])
+        dispatcher.listed(
+            news,
+            [
+                (endpoint, destination, kind, scale, zone, codec.STATES.get(state, "gone"))
+                for kind, endpoint, scale, zone, since, state, destination in entries
+            ],
+        )
 
     def finished(self, dispatcher, ntf, endpoint, hop, detail, spent, complete, code, report):
-        dispatcher.outcome(ntf, hop, self.outcome(code), latency=spent, wait=detail * 1_000_000,
-                           over=bool(complete),
-                           report=dict(zip(report_names(dispatcher.me.settings), report, strict=False)))
+        dispatcher.outcome(
+            ntf,
+            hop,
+            self.outcome(code),
+            latency=spent,
+            wait=detail * 1_000_000,
+            over=bool(complete),
+            report=dict(zip(report_names(dispatcher.me.settings), report, strict=False)),
+        )
 
     def vanished(self, dispatcher, ntf):
         dispatcher.withdrawn(ntf)
 
     def incoming(self, dispatcher, ntf, grade, tenant, key, ttl_at, work, destination, bits):
         names = [*dispatcher.me.settings.get("tenants", {})]
-        dispatcher.notification(ntf, grade, int(destination), ttl_at=ttl_at, key=key,
-                                tenant=names[tenant] if tenant < len(names) else "")
+        dispatcher.notification(
+            ntf,
+            grade,
+            int(destination),
+            ttl_at=ttl_at,
+            key=key,
+            tenant=names[tenant] if tenant < len(names) else "",
+        )
 
     @staticmethod
     def outcome(code):
--- a/juniperlanding/emulator/accord.py
+++ b/juniperlanding/emulator/accord.py
@@ -15,8 +15,14 @@
 
 US, MS, SEC = 10**3, 10**6, 10**9
 VIEW_EVERY, WAKE = 300 * MS, 2 * MS  # how old a view may be; how late a timer may fire
-QUICK = dict(licence=SEC, again=40 * MS, takeover=500 * MS, check_within=400 * MS, give_up=6 * SEC,
-             clear_after=200 * MS)
+QUICK = dict(
+    licence=SEC,
+    again=40 * MS,
+    takeover=500 * MS,
+    check_within=400 * MS,
+    give_up=6 * SEC,
+    clear_after=200 * MS,
+)
 
 
 def document(text, roster=(), refuser="", size=0):
@@ -70,16 +76,30 @@
 class Fleet:
     """members: names; voters: the first so many of them.  chance: what all chance of the run comes from."""
 
-    def __init__(self, members, voters, seed, tuning=None, ppm=(), loss=0.0, double=0.0,
-                 delay=(100 * US, 2 * MS), late=0.0, wrong_view=0.0, disk=(50 * US, 3 * MS)):
+    def __init__(
+        self,
+        members,
+        voters,
+        seed,
+        tuning=None,
+        ppm=(),
+        loss=0.0,
+        double=0.0,
+        delay=(100 * US, 2 * MS),
+        late=0.0,
+        wrong_view=0.0,
+        disk=(50 * US, 3 * MS),
+    ):
         self.chance, self.seed, self.now, self.events, self.order = Random(seed), seed, 0, [], count()
         self.tuning = tuning or Tuning(**QUICK)
         self.loss, self.double, self.delay, self.late, self.disk = loss, double, delay, late, disk
         self.wrong_view, self.cuts, self.armed = wrong_view, set(), []
         self.names, self.voters = tuple(members), tuple(members[:voters])
         ppm = dict(zip(self.names, ppm, strict=False))
-        self.machines = {name: Machine(name, ppm.get(name, 0), self.chance.randrange(1, 10**6) * SEC)
-                         for name in self.names}
+        self.machines = {
+            name: Machine(name, ppm.get(name, 0), self.chance.randrange(1, 10**6) * SEC)
+            for name in self.names
+        }
         self.items, self.decided, self.standing, self.proposed = [], [], {}, []
         self.gaps = []  # (member, ns without a licence, older number, newer number)
         self.unbound, self.last_held, self.said, self.datagrams, self.bytes = [], {}, [], 0, 0
@@ -101,9 +121,14 @@
     def views(self):
         """Who seems reachable: right but late, or (as drawn) wrong; a view must never count for anything."""
         for process in self.processes():
-            seen = {name for name in self.names if self.machines[name].process
-                    and not self.machines[name].process.stopped
-                    and (process.name, name) not in self.cuts and (name, process.name) not in self.cuts}
+            seen = {
+                name
+                for name in self.names
+                if self.machines[name].process
+                and not self.machines[name].process.stopped
+                and (process.name, name) not in self.cuts
+                and (name, process.name) not in self.cuts
+            }
             process.accord.members = {name for name in seen if self.chance.random() >= self.wrong_view}
         self.after(VIEW_EVERY, self.views)
 
@@ -111,8 +136,12 @@
 
     def processes(self):
         """Also the older one of a name that is being replaced."""
-        return [process for machine in self.machines.values() for process in (machine.process, machine.older)
-                if process]
+        return [
+            process
+            for machine in self.machines.values()
+            for process in (machine.process, machine.older)
+            if process
+        ]
 
     def start(self, name, copy="written"):
         """copy: what the folder has: as written, `older` (drawn from what it ever had) or `none`."""
@@ -125,8 +154,17 @@
             machine.written = [Kept()]
         machine.lives += 1
         life = machine.lives * 1000 + self.names.index(name) + 1
-        accord = Accord(name, life, self.voters, machine.written[-1], read, machine.check, self.seed,
-                        machine.local(self.now), self.tuning)
+        accord = Accord(
+            name,
+            life,
+            self.voters,
+            machine.written[-1],
+            read,
+            machine.check,
+            self.seed,
+            machine.local(self.now),
+            self.tuning,
+        )
         accord.members = set(self.names)
         machine.process = Process(machine, accord, life)
         self.handle(machine.process, accord.tick)
@@ -209,8 +247,11 @@
             process.ticks_at = due
             self.after(due - self.now, self.tick, process, due)
         for armed in self.armed:
-            if process.machine.process is process and accord.leader.change and (
-                    accord.leader.change.step == armed[0]):
+            if (
+                process.machine.process is process
+                and accord.leader.change
+                and (accord.leader.change.step == armed[0])
+            ):
                 self.armed.remove(armed)
                 if armed[3:]:  # mute
                     pairs = {(process.name, other) for other in self.names}
@@ -335,8 +376,11 @@
         """Names on the roster in force, of the living that can take it: the others take on nothing."""
         top = max((process.accord for process in self.processes()), key=lambda accord: accord.number)
         roster = (read(top.document) if top.document else None) or set(self.names)
-        return {name for name in roster if self.machines[name].process
-                and not (top.document and self.machines[name].check(top.document))}
+        return {
+            name
+            for name in roster
+            if self.machines[name].process and not (top.document and self.machines[name].check(top.document))
+        }
 
     def settled(self):
         """Whether all that serve take on work under one number, the highest that anybody knows."""
@@ -348,16 +392,22 @@
         """[what is broken, in words]; empty for a sound run."""
         for process in self.processes():
             self.look(process)
-        found = [f"two numbers at {older[0] / SEC:.6f}: {older[2]} under {older[3]}, {newer[2]} under "
-                 f"{newer[3]} since {newer[1] / SEC:.6f}"
-                 for older, newer in accord_verdict.breaches(self.items)[:3]]
-        found += [f"number {number} is {sorted(digests)}"
-                  for number, digests in accord_verdict.doubled(self.decided).items()]
+        found = [
+            f"two numbers at {older[0] / SEC:.6f}: {older[2]} under {older[3]}, {newer[2]} under "
+            f"{newer[3]} since {newer[1] / SEC:.6f}"
+            for older, newer in accord_verdict.breaches(self.items)[:3]
+        ]
+        found += [
+            f"number {number} is {sorted(digests)}"
+            for number, digests in accord_verdict.doubled(self.decided).items()
+        ]
         return found + self.unbound[:3]
 
     def losses(self):
         """Decided numbers that who serves denies, once all is quiet."""
         accords = {name: self.machines[name].process.accord for name in self.bound()}
         standing = [(name, accord.number, accord.digest) for name, accord in accords.items()]
-        return [f"number {number} {digest} lost at {member}"
-                for number, digest, member in accord_verdict.lost(self.decided, standing)][:3]
+        return [
+            f"number {number} {digest} lost at {member}"
+            for number, digest, member in accord_verdict.lost(self.decided, standing)
+        ][:3]
--- a/juniperlanding/emulator/accord_figures.py
+++ b/juniperlanding/emulator/accord_figures.py
@@ -41,7 +41,7 @@
     made.propose(made.names[-1], document("changed"))
     made.run(made.now + 10 * MS)
     took = wait(made, 30 * SEC, before + (step != "check"))
-    return [span for *_, span in pauses(made.items[max(0, since - members):])], took, made.now - began
+    return [span for *_, span in pauses(made.items[max(0, since - members) :])], took, made.now - began
 
 
 def told(name, spans):
--- a/juniperlanding/emulator/accord_mutants.py
+++ b/juniperlanding/emulator/accord_mutants.py
@@ -40,10 +40,16 @@
 
 # ---- what is written down
 
-VOTER_INIT, PREPARE, YIELDS = aside(voter.Voter, "__init__"), aside(voter.Voter, "prepare"), aside(
-    voter.Voter, "yields")
-ACCORD_INIT, HEARD, ACCEPT = aside(accord.Accord, "__init__"), aside(accord.Accord, "heard"), aside(
-    voter.Voter, "accept")
+VOTER_INIT, PREPARE, YIELDS = (
+    aside(voter.Voter, "__init__"),
+    aside(voter.Voter, "prepare"),
+    aside(voter.Voter, "yields"),
+)
+ACCORD_INIT, HEARD, ACCEPT = (
+    aside(accord.Accord, "__init__"),
+    aside(accord.Accord, "heard"),
+    aside(voter.Voter, "accept"),
+)
 
 
 @mutant(voter.Voter, "say")
@@ -157,8 +163,11 @@
 
 # ---- licences
 
-GRANTED, GIVE_UP, WHY_NOT = aside(holder.Holder, "granted"), aside(holder.Holder, "give_up"), aside(
-    voter.Voter, "why_not")
+GRANTED, GIVE_UP, WHY_NOT = (
+    aside(holder.Holder, "granted"),
+    aside(holder.Holder, "give_up"),
+    aside(voter.Voter, "why_not"),
+)
 
 
 @mutant(holder.Holder, "granted")
@@ -173,15 +182,27 @@
 def grants_of_two_rounds_add_up(self, source, message, now):
     """Grants of any round count for the last."""
     if message.round in self.rounds:
-        GRANTED(self, source, words.Grant(message.life, self.round, *[
-            getattr(message, field) for field in message.__struct_fields__[2:]]), now)
+        GRANTED(
+            self,
+            source,
+            words.Grant(
+                message.life,
+                self.round,
+                *[getattr(message, field) for field in message.__struct_fields__[2:]],
+            ),
+            now,
+        )
 
 
 @mutant(holder.Holder, "granted")
 def grants_of_an_older_life_count(self, source, message, now):
     """A restarted process takes the answers to its earlier life for its own."""
-    GRANTED(self, source, words.Grant(self.home.life, *[
-        getattr(message, field) for field in message.__struct_fields__[1:]]), now)
+    GRANTED(
+        self,
+        source,
+        words.Grant(self.home.life, *[getattr(message, field) for field in message.__struct_fields__[1:]]),
+        now,
+    )
 
 
 @mutant(accord.Tuning, "shortest", property)
@@ -234,8 +255,12 @@
 # ---- the change
 
 PROMISE, RELEASED, CLOSED, END, LEARN = (
-    aside(voter.Voter, "promise"), aside(leader.Leader, "released"), aside(leader.Leader, "closed"),
-    aside(leader.Leader, "end"), aside(accord.Accord, "learn"))
+    aside(voter.Voter, "promise"),
+    aside(leader.Leader, "released"),
+    aside(leader.Leader, "closed"),
+    aside(leader.Leader, "end"),
+    aside(accord.Accord, "learn"),
+)
 
 
 @mutant(leader.Pledge, "clean")
@@ -275,8 +300,9 @@
 @mutant(leader.Leader, "take_over")
 def taken_over_by_another_text(self, now):
     """Who takes over decides by itself, without asking the voters for promises."""
-    self.change = leader.Change(self.home.holder.number + 1, self.home.holder.digest, False, now,
-                                now + self.home.tuning.give_up)
+    self.change = leader.Change(
+        self.home.holder.number + 1, self.home.holder.digest, False, now, now + self.home.tuning.give_up
+    )
     self.home.round += 1
     self.change.ballot = self.home.round, self.home.name, self.home.life
     self.step(self.change, "accept", now)
--- a/juniperlanding/emulator/accord_search.py
+++ b/juniperlanding/emulator/accord_search.py
@@ -26,8 +26,15 @@
 NAMES = ("a", "b", "c")
 MOST_FLYING = 40  # messages under way; at the bound the oldest are lost
 # Few and wide timers: each is a move of its own.
-WIDE = dict(licence=6 * SEC, drift=0.01, again=2 * SEC, takeover=3 * SEC, check_within=SEC, give_up=60 * SEC,
-            clear_after=SEC)
+WIDE = dict(
+    licence=6 * SEC,
+    drift=0.01,
+    again=2 * SEC,
+    takeover=3 * SEC,
+    check_within=SEC,
+    give_up=60 * SEC,
+    clear_after=SEC,
+)
 
 
 class Space:
@@ -58,8 +65,9 @@
         if key not in self.moves:
             if kind == "start":
                 name, life = rest
-                accord = Accord(name, life, NAMES, self.facts[blob][0], read, Check(name), 1, now,
-                                Tuning(**WIDE))
+                accord = Accord(
+                    name, life, NAMES, self.facts[blob][0], read, Check(name), 1, now, Tuning(**WIDE)
+                )
                 accord.members = set(NAMES)
                 accord.tick(now)
             else:
@@ -74,8 +82,11 @@
                         accord.propose(rest[0], now)
                     except Refused:
                         pass
-            sent = tuple(self.message((accord.name, accord.life, name, encoded(message)))
-                         for name, message, _ in accord.out if name in NAMES)
+            sent = tuple(
+                self.message((accord.name, accord.life, name, encoded(message)))
+                for name, message, _ in accord.out
+                if name in NAMES
+            )
             accord.out.clear()
             accord.said.clear()
             self.moves[key] = self.blob(accord), sent
@@ -87,8 +98,9 @@
         key = (what, now) if what == "holds" else what
         if key not in cache:
             accord = pickle.loads(self.blobs[blob])
-            cache[key] = accord.holds(now) if what == "holds" else (
-                accord.due() if what == "due" else accord.life)
+            cache[key] = (
+                accord.holds(now) if what == "holds" else (accord.due() if what == "due" else accord.life)
+            )
         return cache[key]
 
 
@@ -247,9 +259,11 @@
     began = time.monotonic()
     with accord_mutants.applied(mutant):
         search, whole, walks = looked(int(states), int(departures), int(seed))
-    print(f"{search.visited} states, {'every run' if whole else 'not every run'} with up to {departures} "
-          f"departures, depth {search.depth}; walks: {walks.visited} states, depth {walks.depth}; "
-          f"{time.monotonic() - began:.0f} s")
+    print(
+        f"{search.visited} states, {'every run' if whole else 'not every run'} with up to {departures} "
+        f"departures, depth {search.depth}; walks: {walks.visited} states, depth {walks.depth}; "
+        f"{time.monotonic() - began:.0f} s"
+    )
     for breach, path in search.breaches + walks.breaches:
         print(breach, path)
     return 1 if search.breaches or walks.breaches else 0
--- a/juniperlanding/emulator/accord_swarm.py
+++ b/juniperlanding/emulator/accord_swarm.py
@@ -65,8 +65,14 @@
         return duel(seed, chance)
     small = chance.random() < 0.5
     voters = 3 if small else chance.choice((3, 3, 5, 5, 7))
-    members = tuple(f"d{at:02}" for at in range(
-        chance.randint(3, 5) if small else chance.randint(voters, max(voters, chance.choice((6, 9, most))))))
+    members = tuple(
+        f"d{at:02}"
+        for at in range(
+            chance.randint(3, 5)
+            if small
+            else chance.randint(voters, max(voters, chance.choice((6, 9, most))))
+        )
+    )
     drift = chance.choice((0.01, 0.2))
     ppm = tuple(chance.choice((chance.randint(-990, 990), -990, 990, 0)) * int(drift * 1000) for _ in members)
     proposals = []
@@ -74,8 +80,13 @@
         at = chance.randint(1200 * MS, 9 * SEC)
         proposals.append((at, chance.choice(members), text(turn, members, voters, chance)))
         while chance.random() < 0.5:  # two at once, or nearly
-            proposals.append((at + chance.randrange(600 * MS), chance.choice(members),
-                              text(len(proposals) + 100, members, voters, chance)))
+            proposals.append(
+                (
+                    at + chance.randrange(600 * MS),
+                    chance.choice(members),
+                    text(len(proposals) + 100, members, voters, chance),
+                )
+            )
     copies = chance.random() < 0.2
     faults = []
     for _ in range(1 if copies else chance.randint(0, 14 if small else 8)):
@@ -86,10 +97,21 @@
     slow = not copies and chance.random() < 0.5
     delay = chance.choice(((MS, 60 * MS), (MS, 300 * MS), (50 * MS, 90 * MS))) if slow else QUICK_LINKS
     disk = (MS, 250 * MS) if not copies and chance.random() < 0.25 else (50 * US, 3 * MS)
-    return Plan(seed, members, voters, ppm, chance.choice((0.0, 0.02, 0.1, 0.3)),
-                chance.choice((0.0, 0.1, 0.3)), 0.0 if copies else chance.choice((0.0, 0.02, 0.1)),
-                chance.choice((0.0, 0.0, 0.5, 1.0)), delay, disk, drift, tuple(sorted(faults)),
-                tuple(sorted(proposals)))
+    return Plan(
+        seed,
+        members,
+        voters,
+        ppm,
+        chance.choice((0.0, 0.02, 0.1, 0.3)),
+        chance.choice((0.0, 0.1, 0.3)),
+        0.0 if copies else chance.choice((0.0, 0.02, 0.1)),
+        chance.choice((0.0, 0.0, 0.5, 1.0)),
+        delay,
+        disk,
+        drift,
+        tuple(sorted(faults)),
+        tuple(sorted(proposals)),
+    )
 
 
 def edge(seed, chance, drift=0.2):
@@ -97,8 +119,21 @@
     members = "d00", "d01", "d02", "d03"
     at, ppm = chance.randint(3 * SEC, 4 * SEC), int(drift * 1_000_000)
     proposals = ((at + chance.randint(100 * MS, 900 * MS), "d00", document("edge")),)
-    return Plan(seed, members, 3, (ppm, ppm, ppm, -ppm), 0.0, 0.0, 0.0, 0.0, QUICK_LINKS, (50 * US, 3 * MS),
-                drift, ((at, "cut", ("d03",), "both", 3 * SEC),), proposals)
+    return Plan(
+        seed,
+        members,
+        3,
+        (ppm, ppm, ppm, -ppm),
+        0.0,
+        0.0,
+        0.0,
+        0.0,
+        QUICK_LINKS,
+        (50 * US, 3 * MS),
+        drift,
+        ((at, "cut", ("d03",), "both", 3 * SEC),),
+        proposals,
+    )
 
 
 def duel(seed, chance):
@@ -116,13 +151,24 @@
         if chance.random() < 0.5:
             side = (chance.choice(members),)
             way = chance.choice(("both", "out", "in"))
-            faults.append((at + chance.randint(0, 400 * MS), "cut", side, way,
-                           chance.randint(300 * MS, 1500 * MS)))
-    return Plan(seed, members, 3, (0,) * len(members), chance.choice((0.0, 0.3)), 0.1,
-                chance.choice((0.0, 0.2)), 0.0,
-                chance.choice((QUICK_LINKS, (MS, 30 * MS))),
-                (50 * US, 3 * MS), 0.01,
-                tuple(sorted(faults)), tuple(proposals))
+            faults.append(
+                (at + chance.randint(0, 400 * MS), "cut", side, way, chance.randint(300 * MS, 1500 * MS))
+            )
+    return Plan(
+        seed,
+        members,
+        3,
+        (0,) * len(members),
+        chance.choice((0.0, 0.3)),
+        0.1,
+        chance.choice((0.0, 0.2)),
+        0.0,
+        chance.choice((QUICK_LINKS, (MS, 30 * MS))),
+        (50 * US, 3 * MS),
+        0.01,
+        tuple(sorted(faults)),
+        tuple(proposals),
+    )
 
 
 def text(turn, members, voters, chance):
@@ -141,8 +187,24 @@
     span = int(10 ** chance.uniform(6.5, 9.5))  # 3 ms to 3 s
     if copies:
         return "crash", members[chance.randrange(voters)], span, chance.choice(("older", "none"))
-    kind = chance.choice(("crash", "crash", "crash_all", "stop", "stop", "cut", "cut", "cut", "disk",
-                          "replace", "crash_at", "crash_at", "mute_at", "storm"))
+    kind = chance.choice(
+        (
+            "crash",
+            "crash",
+            "crash_all",
+            "stop",
+            "stop",
+            "cut",
+            "cut",
+            "cut",
+            "disk",
+            "replace",
+            "crash_at",
+            "crash_at",
+            "mute_at",
+            "storm",
+        )
+    )
     if kind == "crash":
         return kind, name, span, "written"
     if kind == "cut":
@@ -203,8 +265,19 @@
 
 
 def set_up(plan):
-    fleet = Fleet(plan.members, plan.voters, plan.seed, Tuning(**QUICK, drift=plan.drift), plan.ppm,
-                  plan.loss, plan.double, plan.delay, plan.late, plan.wrong_view, plan.disk)
+    fleet = Fleet(
+        plan.members,
+        plan.voters,
+        plan.seed,
+        Tuning(**QUICK, drift=plan.drift),
+        plan.ppm,
+        plan.loss,
+        plan.double,
+        plan.delay,
+        plan.late,
+        plan.wrong_view,
+        plan.disk,
+    )
     for at, name, data in plan.proposals:
         fleet.after(at, fleet.propose, name, data)
     for at, *rest in plan.faults:
@@ -294,8 +367,9 @@
         kept = tuple(f for f in plan.faults if gone not in f and not (f[1] == "cut" and gone in f[2]))
         proposals = tuple(p for p in plan.proposals if p[1] != gone and gone not in read(p[2]))
         if proposals:
-            yield replace(plan, members=plan.members[:-1], ppm=plan.ppm[:-1], faults=kept,
-                          proposals=proposals)
+            yield replace(
+                plan, members=plan.members[:-1], ppm=plan.ppm[:-1], faults=kept, proposals=proposals
+            )
 
 
 def tried(plan, mutant=""):
--- a/juniperlanding/emulator/growth.py
+++ b/juniperlanding/emulator/growth.py
@@ -34,7 +34,7 @@
     if day == "peaks":
         factor = np.ones(SECONDS)
         for at in draw.integers(30, SECONDS - 30, 12):
-            factor[at:at + draw.integers(5, 20)] *= draw.uniform(1.3, 2.2)
+            factor[at : at + draw.integers(5, 20)] *= draw.uniform(1.3, 2.2)
         return base * factor
     return np.full(SECONDS, base) * (1 + t / SECONDS)  # "clumps", "one"
 
@@ -56,6 +56,7 @@
 class Score:
     """true, false, late: counts; ahead: seconds from a split's end to where the bound would have been met;
     foretold: seconds from the first word that no split helps to the bound."""
+
     true: int = 0
     false: int = 0
     late: int = 0
@@ -78,6 +79,7 @@
 @dataclass(eq=False)
 class Kept:
     """One shard of one dispatcher: low, high, growth, its live bytes so far."""
+
     low: int
     high: int
     growth: Growth
@@ -128,9 +130,16 @@
 
     def view(self, shard, live):
         own = self.within(shard)
-        return View(shard.low, shard.high, shard.growth,
-                    lambda: [(int(place), int(size)) for place, size in
-                             zip(self.places[own], live[own], strict=True) if size])
+        return View(
+            shard.low,
+            shard.high,
+            shard.growth,
+            lambda: [
+                (int(place), int(size))
+                for place, size in zip(self.places[own], live[own], strict=True)
+                if size
+            ],
+        )
 
     def begin(self, shards, second, live):
         views = {self.view(shard, live): shard for shard in shards}
@@ -155,8 +164,10 @@
         self.under_way = shard, edge, done
         if shard.met:
             return  # late, and counted
-        ahead = [later[self.within(shard)].sum() >= MOST for _, _, later in
-                 self.history[second + 1:second + 1 + WITHIN]]
+        ahead = [
+            later[self.within(shard)].sum() >= MOST
+            for _, _, later in self.history[second + 1 : second + 1 + WITHIN]
+        ]
         if True in ahead:
             met = second + 1 + ahead.index(True)
             if met >= done:  # else its lateness is counted when the bound is met
@@ -184,7 +195,7 @@
         for one in both:
             one.growth = shard.growth.share(live[self.within(one)].sum() / total)
         at = shards.index(shard)
-        return [*shards[:at], *both, *shards[at + 1:]]
+        return [*shards[:at], *both, *shards[at + 1 :]]
 
 
 DAYS = ("trend", "peaks", "clumps", "doubling", "jump", "nothing", "one")
@@ -206,6 +217,8 @@
     for (day, way), score in found.items():
         ahead = np.percentile(score.ahead, [10, 50]) if score.ahead else (0, 0)
         told = np.median(score.foretold) if score.foretold else 0
-        lines.append(f"{day:9} {way:9} {score.true:4} {score.false:5} {score.late:4} {score.in_time:7.3f} "
-                     f"{score.wrong:5.3f} {ahead[0]:9.1f} {ahead[1]:12.1f} {told:.1f}")
+        lines.append(
+            f"{day:9} {way:9} {score.true:4} {score.false:5} {score.late:4} {score.in_time:7.3f} "
+            f"{score.wrong:5.3f} {ahead[0]:9.1f} {ahead[1]:12.1f} {told:.1f}"
+        )
     return lines
--- a/juniperlanding/emulator/region.py
+++ b/juniperlanding/emulator/region.py
@@ -20,12 +20,32 @@
 
 SITES, PRICE = ("east", "north", "west"), 0.05
 TOPICS = [
-    {"name": "news", "kind": "repeatable", "objective": 600 * MS, "ttl": 4 * SEC, "benefit": 1.0,
-     "late_share": 0.1},
-    {"name": "status", "kind": "collapsible", "objective": 500 * MS, "ttl": 3 * SEC, "benefit": 2.0,
-     "late_share": 0.1, "window": 1500 * MS},
-    {"name": "order", "kind": "once-only", "objective": SEC, "ttl": 4 * SEC, "benefit": 3.0,
-     "late_share": 0.1}]
+    {
+        "name": "news",
+        "kind": "repeatable",
+        "objective": 600 * MS,
+        "ttl": 4 * SEC,
+        "benefit": 1.0,
+        "late_share": 0.1,
+    },
+    {
+        "name": "status",
+        "kind": "collapsible",
+        "objective": 500 * MS,
+        "ttl": 3 * SEC,
+        "benefit": 2.0,
+        "late_share": 0.1,
+        "window": 1500 * MS,
+    },
+    {
+        "name": "order",
+        "kind": "once-only",
+        "objective": SEC,
+        "ttl": 4 * SEC,
+        "benefit": 3.0,
+        "late_share": 0.1,
+    },
+]
 PARTS = {"news": 0.5, "status": 0.2, "order": 0.3}
 BEGUN, CALM, LASTS, FROM = 100 * SEC, 14 * SEC, 24 * SEC, 6 * SEC
 
@@ -50,12 +70,22 @@
 
     def start(self):
         town = self.town
-        settings = {"topic_types": TOPICS, "slots": town.slots, "most_held": 2000, "zone":
-                    SITES.index(self.site), "crossing_price": PRICE, "scale_kind": "nominal",
-                    "may_cancel": True, "dispatchers": town.count, "rank": int(self.name[1:])}
+        settings = {
+            "topic_types": TOPICS,
+            "slots": town.slots,
+            "most_held": 2000,
+            "zone": SITES.index(self.site),
+            "crossing_price": PRICE,
+            "scale_kind": "nominal",
+            "may_cancel": True,
+            "dispatchers": town.count,
+            "rank": int(self.name[1:]),
+        }
         self.at = Dispatcher(self, settings, f"{town.seed}/{self.name}/{town.now}", town.now)
-        self.at.listed("whole", [(number, place, 0, 100.0, zone, "ready")
-                                 for number, (place, zone) in town.endpoints.items()])
+        self.at.listed(
+            "whole",
+            [(number, place, 0, 100.0, zone, "ready") for number, (place, zone) in town.endpoints.items()],
+        )
 
     def push(self, ntf_id, endpoint_id, timeout, leave_within):
         ntf, town = self.at.me.notifications[ntf_id], self.town
@@ -98,8 +128,9 @@
             at.turn()
 
     def cancel(self, ntf_id, number):
-        self.town.later(0, partial(self.outcome, self.at, self.at.me.notifications.get(ntf_id), number, 0,
-                                   "cancelled", 0))
+        self.town.later(
+            0, partial(self.outcome, self.at, self.at.me.notifications.get(ntf_id), number, 0, "cancelled", 0)
+        )
 
     def close_idle(self, endpoint_id):
         pass
@@ -112,12 +143,27 @@
         now, me, places = self.town.now, self.at.me, []
         for dest in me.destinations.values():
             order = words.picked([e for e in dest.endpoints if not e.down], SITES.index(self.site))
-            places.append(Place(dest.id, self.seen.load.a_second(("place", dest.id), now),
-                                int(1000 * 100 * 1.3 * max(0.25, 1 / self.town.count)), 0,
-                                tuple(e.zone for e in order), self.seen.told(dest.id, SITES, now)))
-        made = Figures(words.VERSION, words.BELIEVED // MS, SITES,
-                       tuple(self.seen.kind(topic["name"], now) for topic in TOPICS), tuple(places),
-                       self.town.slots, 2000 - len(me.notifications), 10_000, near=True)
+            places.append(
+                Place(
+                    dest.id,
+                    self.seen.load.a_second(("place", dest.id), now),
+                    int(1000 * 100 * 1.3 * max(0.25, 1 / self.town.count)),
+                    0,
+                    tuple(e.zone for e in order),
+                    self.seen.told(dest.id, SITES, now),
+                )
+            )
+        made = Figures(
+            words.VERSION,
+            words.BELIEVED // MS,
+            SITES,
+            tuple(self.seen.kind(topic["name"], now) for topic in TOPICS),
+            tuple(places),
+            self.town.slots,
+            2000 - len(me.notifications),
+            10_000,
+            near=True,
+        )
         self.told = now, words.decoded(words.encoded(made))
 
 
@@ -231,11 +277,18 @@
         for name, line in made.topics.items():
             mine = [r for r in self.records.values() if r[1] == name and at + FROM <= r[0] < ended - 4 * SEC]
             loss.offered[name] = line.offered, len(mine) / seconds
-            came = {"refused": sum(r[2] == "refused" for r in mine) / seconds,
-                    "lost": sum(r[3] for r in mine) / seconds, "crossings": sum(r[4] for r in mine) / seconds}
+            came = {
+                "refused": sum(r[2] == "refused" for r in mine) / seconds,
+                "lost": sum(r[3] for r in mine) / seconds,
+                "crossings": sum(r[4] for r in mine) / seconds,
+            }
             for at_, measure in enumerate(m for m in MEASURES if m != "late"):
-                loss.cells[f"{measure} {name}"] = (getattr(line, measure), came[measure], getattr(
-                    even.topics[name], measure).value, line.now[at_])
+                loss.cells[f"{measure} {name}"] = (
+                    getattr(line, measure),
+                    came[measure],
+                    getattr(even.topics[name], measure).value,
+                    line.now[at_],
+                )
         self.records = {number: r for number, r in self.records.items() if r[2] is None}
         self.losses.append(loss)
         return loss
--- a/juniperlanding/fleet/agent.py
+++ b/juniperlanding/fleet/agent.py
@@ -20,11 +20,13 @@
 
 class KeyUnreadable(Trouble, OSError):
     """The fleet's key file cannot be read at the start, though the operators' file was in order."""
+
     code, remedy = "fleet-key-unreadable", "Put the key file back, of mode 0600 for the dispatcher's user."
 
 
 class NameTaken(Trouble):
     """Another process of the fleet goes by this dispatcher's name; the younger of the two yields."""
+
     code, remedy = "fleet-name-taken", "Give each dispatcher a name of its own; the other is at `address`."
 
 
@@ -55,8 +57,9 @@
         try:
             host, port = self.told.advertise or self.told.address
             life = crc32(f"{self.name}/{self.world.clock.now()}/{self.sock.address}".encode()) | 1 << 32
-            me = words.Record(self.name, 0, words.ALIVE, host, port, self.told.site, self.phase, VERSION,
-                              life=life)
+            me = words.Record(
+                self.name, 0, words.ALIVE, host, port, self.told.site, self.phase, VERSION, life=life
+            )
             seeds = list(dict.fromkeys([*self.told.seeds, *self.remembered()]))
             self.view = View(me, self.told.name, seeds, life, self.now())
             self.wake()
@@ -154,11 +157,23 @@
     def say(self, member, before):
         record, view = member.record, self.view
         if record.name == self.name:
-            return self.log("fleet", "another process has our name", address=f"{record.host}:{record.port}",
-                            yields=view.me.life > record.life, **NameTaken().fields)
-        self.log("fleet", f"{record.name} is {words.STATES[record.state]}",
-                 before="new" if before is None else words.STATES[before], by=member.by, inc=record.inc,
-                 phase=words.PHASES[record.phase], living=len(view.living()) + 1, sure=f"{view.sure():.2f}")
+            return self.log(
+                "fleet",
+                "another process has our name",
+                address=f"{record.host}:{record.port}",
+                yields=view.me.life > record.life,
+                **NameTaken().fields,
+            )
+        self.log(
+            "fleet",
+            f"{record.name} is {words.STATES[record.state]}",
+            before="new" if before is None else words.STATES[before],
+            by=member.by,
+            inc=record.inc,
+            phase=words.PHASES[record.phase],
+            living=len(view.living()) + 1,
+            sure=f"{view.sure():.2f}",
+        )
 
     def enter(self, phase):
         """We drain, or leave: nobody is to suspect us for it."""
@@ -175,7 +190,9 @@
         """For `STATS`, while the fleet is on."""
         states = [member.state for member in self.view.members.values()] if self.view else []
         return {f"fleet.{state}": states.count(at) for at, state in enumerate(words.STATES)} | {
-            "fleet.doubt": self.view.doubt if self.view else 0, "fleet.noise": self.noise}
+            "fleet.doubt": self.view.doubt if self.view else 0,
+            "fleet.noise": self.noise,
+        }
 
     def calls(self):
         return {"FLEET": self.lines}
@@ -185,16 +202,20 @@
         if not self.view:
             return ["--"]
         view, now = self.view, self.now()
-        rows = [f"{self.name} alive {words.PHASES[view.me.phase]} inc={view.me.inc} self "
-                f"sure={view.sure():.2f} doubt={view.doubt} version={view.version} noise={self.noise} "
-                f"sent={self.sent} received={self.received}"]
+        rows = [
+            f"{self.name} alive {words.PHASES[view.me.phase]} inc={view.me.inc} self "
+            f"sure={view.sure():.2f} doubt={view.doubt} version={view.version} noise={self.noise} "
+            f"sent={self.sent} received={self.received}"
+        ]
         for member in sorted(view.members.values(), key=lambda member: member.name):
             record = member.record
             fresh = member.load and now - member.load_at < view.tuning.load_for
             owed = f" owed={member.load[0]} out={member.load[1]}" if fresh else ""
-            rows.append(f"{record.name} {words.STATES[record.state]} {words.PHASES[record.phase]} "
-                        f"inc={record.inc} at={record.host}:{record.port} site={record.site or '-'} "
-                        f"since={(now - member.since) / SEC:.1f}s by={member.by}{owed}")
+            rows.append(
+                f"{record.name} {words.STATES[record.state]} {words.PHASES[record.phase]} "
+                f"inc={record.inc} at={record.host}:{record.port} site={record.site or '-'} "
+                f"since={(now - member.since) / SEC:.1f}s by={member.by}{owed}"
+            )
         return [*rows, "--"]
 
     # ---- the folder
@@ -223,7 +244,7 @@
                 try:
                     data = memoryview(msgspec.json.encode(living))
                     while data:
-                        data = data[self.world.files.write(file, data):]
+                        data = data[self.world.files.write(file, data) :]
                 finally:
                     self.world.files.close(file)
                 self.world.files.rename(self.path + ".new", self.path)
--- a/juniperlanding/fleet/members.py
+++ b/juniperlanding/fleet/members.py
@@ -173,11 +173,16 @@
             member.load, member.load_at = source.load, now
         if figures and member.record.life == source.life:
             member.figures, member.figures_at = figures, now
-        stale = member if member.record != source and (
-            member.record.inc > source.inc or member.record.life != source.life) else None
+        stale = (
+            member
+            if member.record != source
+            and (member.record.inc > source.inc or member.record.life != source.life)
+            else None
+        )
         if message.kind == words.PING:
-            self.say(source.address, words.ACK, message.number, about=member,
-                     news=[stale.record] if stale else ())
+            self.say(
+                source.address, words.ACK, message.number, about=member, news=[stale.record] if stale else ()
+            )
         elif message.kind == words.ACK:
             self.answered(message.number, source, now)
         elif message.kind == words.NACK and self.probe and message.number == self.probe.number:
@@ -196,8 +201,14 @@
         elif relay := self.relays.pop(number, None):
             address, asked, _ = relay
             if relayed := self.members.get(source.name):
-                self.out.append((address, Message(words.VERSIONS[0], self.fleet, words.ACK, asked,
-                                                  source, "", [relayed.record])))
+                self.out.append(
+                    (
+                        address,
+                        Message(
+                            words.VERSIONS[0], self.fleet, words.ACK, asked, source, "", [relayed.record]
+                        ),
+                    )
+                )
 
     def relay(self, message, now):
         """Probe another for who asked.  Bounded: more asks than that are not served."""
@@ -369,7 +380,7 @@
         targets = lost if self.number % 2 and lost else living or lost
         if not living:
             self.sync_at = now + min(self.tuning.sync, SEC)
-        for address in targets[:words.MOST_NEWS] if not living else self.some_of(targets):
+        for address in targets[: words.MOST_NEWS] if not living else self.some_of(targets):
             self.say(address, words.SYNC, target=self.sum())
 
     def some_of(self, addresses):
@@ -385,4 +396,4 @@
         records = [self.me, *(m.record for m in self.members.values())]
         for at in range(0, len(records), words.MOST_NEWS):
             # Only the first may ask for as much in return.
-            self.say(address, kind if not at else words.NEWS, news=records[at:at + words.MOST_NEWS])
+            self.say(address, kind if not at else words.NEWS, news=records[at : at + words.MOST_NEWS])
--- a/juniperlanding/fleet/words.py
+++ b/juniperlanding/fleet/words.py
@@ -108,8 +108,11 @@
         raise Noise("form") from None
     if message.fleet != fleet:
         raise Noise("fleet")
-    if not (0 < len(message.name) <= MOST_NAME and 0 <= message.life < 1 << 62
-            and len(message.payload) <= MOST_PAYLOAD):
+    if not (
+        0 < len(message.name) <= MOST_NAME
+        and 0 <= message.life < 1 << 62
+        and len(message.payload) <= MOST_PAYLOAD
+    ):
         raise Noise("figures")
     return message
 
@@ -138,15 +141,24 @@
 
 
 def sound(record):
-    return (0 <= record.inc < 1 << 62 and 0 <= record.state < len(STATES) and 0 <= record.phase < len(PHASES)
-            and 0 < len(record.name) <= MOST_NAME and len(record.site) <= MOST_SITE
-            and len(record.load) in (0, 2) and len(record.figures) <= MOST_FIGURES
-            and reachable(record.address))
+    return (
+        0 <= record.inc < 1 << 62
+        and 0 <= record.state < len(STATES)
+        and 0 <= record.phase < len(PHASES)
+        and 0 < len(record.name) <= MOST_NAME
+        and len(record.site) <= MOST_SITE
+        and len(record.load) in (0, 2)
+        and len(record.figures) <= MOST_FIGURES
+        and reachable(record.address)
+    )
 
 
 def reachable(address):
     """Threat: a host that is a name would be looked up, and the whole process waits for that."""
     host, port = address
     parts = host.split(".")
-    return (len(parts) == 4 and all(part.isascii() and part.isdigit() and len(part) <= 3 and int(part) < 256
-                                    for part in parts) and 0 < port < 65536)
+    return (
+        len(parts) == 4
+        and all(part.isascii() and part.isdigit() and len(part) <= 3 and int(part) < 256 for part in parts)
+        and 0 < port < 65536
+    )
--- a/juniperlanding/ground/file.py
+++ b/juniperlanding/ground/file.py
@@ -381,7 +381,15 @@
 
 def topic(entry):
     """A topic type under the module's names; a window that is not there stays out."""
-    plain = {"name": entry.name, "kind": entry.kind, "objective": int(entry.objective), "ttl": int(entry.ttl),
-             "benefit": entry.benefit, "late_share": entry.late_share, "group": entry.group,
-             "ordered": entry.ordered, "fades": entry.fades}
+    plain = {
+        "name": entry.name,
+        "kind": entry.kind,
+        "objective": int(entry.objective),
+        "ttl": int(entry.ttl),
+        "benefit": entry.benefit,
+        "late_share": entry.late_share,
+        "group": entry.group,
+        "ordered": entry.ordered,
+        "fades": entry.fades,
+    }
     return plain | ({"window": int(entry.window)} if entry.window else {})
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -16,8 +16,10 @@
 Name = Annotated[str, Meta(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._:/-]+\Z")]
 Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z", description="IPV4:PORT")]
 
-Voter = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._:/-]{1,128}@\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z",
-                            description="NAME@IPV4:PORT")]
+Voter = Annotated[
+    str,
+    Meta(pattern=r"^[A-Za-z0-9._:/-]{1,128}@\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z", description="NAME@IPV4:PORT"),
+]
 
 
 def told(kind, text, setting=None):
--- a/juniperlanding/handover/channel.py
+++ b/juniperlanding/handover/channel.py
@@ -49,9 +49,9 @@
         """Send a message and the descriptors that go with it; OSError when nobody is there."""
         data = memoryview(frames.pack(word, len(files), **more))
         while data:
-            data = data[await self.sock.send(data):]
+            data = data[await self.sock.send(data) :]
         for at in range(0, len(files), frames.TOGETHER):
-            some = array.array("i", files[at:at + frames.TOGETHER])
+            some = array.array("i", files[at : at + frames.TOGETHER])
             await self.sock.sendmsg([b"f"], [(socket.SOL_SOCKET, socket.SCM_RIGHTS, some)])
 
     def say_now(self, word):
@@ -76,7 +76,7 @@
                 for level, kind, data in told:
                     if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
                         some = array.array("i")
-                        some.frombytes(data[:len(data) - len(data) % some.itemsize])
+                        some.frombytes(data[: len(data) - len(data) % some.itemsize])
                         files.extend(some)
                 if not byte or not told or flags & socket.MSG_CTRUNC:
                     raise OSError(errno.EMFILE, "descriptors are missing")
--- a/juniperlanding/handover/steps.py
+++ b/juniperlanding/handover/steps.py
@@ -17,7 +17,14 @@
 ASKING, LOADING, READY, WAITING = "asking", "loading", "ready", "waiting"
 FREEZE, OFFER, YOURS, RESUME, START_OVER = "freeze", "offer", "yours", "resume", "start over"
 ASK, LOAD, SAY_READY, BEGIN, RELEASE, WAIT, END = (
-    "ask", "load", "say ready", "begin", "release", "wait", "end")
+    "ask",
+    "load",
+    "say ready",
+    "begin",
+    "release",
+    "wait",
+    "end",
+)
 
 
 class Giver:
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -152,7 +152,8 @@
                 with trio.CancelScope() as self.turned_away[line]:
                     self.leaving.add(line)
                     if self.connection_limit.statistics().tasks_waiting and not any(
-                            scope.cancel_called for scope in self.turned_away.values()):
+                        scope.cancel_called for scope in self.turned_away.values()
+                    ):
                         self.turned_away[line].cancel()  # as in `accept`, which waits by now
                     await line.finish()
         except GONE as error:
@@ -236,8 +237,11 @@
     async def say(self, line, status, headers=(), payload=b"", last=False):
         headers = [*headers, ("Content-Length", str(len(payload)))]
         self.counters[f"answers_{status}"] += 1
-        await line.send(h11.Response(status_code=status, headers=headers + [("Connection", "close")] * last),
-                        h11.Data(data=payload), h11.EndOfMessage())
+        await line.send(
+            h11.Response(status_code=status, headers=headers + [("Connection", "close")] * last),
+            h11.Data(data=payload),
+            h11.EndOfMessage(),
+        )
 
     async def respond(self, line, status, headers=(), payload=b"", reason="closed"):
         last = reason != "closed" or self.draining or self.crowded()
@@ -283,8 +287,9 @@
         answer = Answer(ntf_id)
         # Threat: we stood still, and the client has left and hands it in elsewhere.
         unfit = not self.owner.ready or self.owner.stuck or self.closing or line.waiting() == b""
-        if unfit or not self.owner.tell_now(self.owner.submit, topic, destination, ttl_at, key, body,
-                                            answer, *keys):
+        if unfit or not self.owner.tell_now(
+            self.owner.submit, topic, destination, ttl_at, key, body, answer, *keys
+        ):
             self.counters.ended(topic, DECLINED)
             return await self.respond(line, 503)
         await answer.ready.wait()
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -14,6 +14,7 @@
 
 class Untold(Trouble, KeyError):
     """Neither the platform nor an operators' file tells a value without which nothing can start."""
+
     code = "config-untold"
     remedy = "Tell it in the operators' file (docs/configuration.md) or by the platform's EDGE_* values."
 
@@ -24,12 +25,14 @@
 
 class PlatformRefused(Trouble, ValueError):
     """The platform's file is not what it should be; at SIGHUP the old values stay in force."""
+
     code = "platform-refused"
     remedy = "Have the file that EDGE_CONFIG names mended, then start again or send SIGHUP."
 
 
 class PlatformUnreadable(Trouble, OSError):
     """The platform's file cannot be read; after SIGHUP it is tried again by itself."""
+
     code = "platform-unreadable"
     remedy = "Look at the path that EDGE_CONFIG names, at the rights to it and at its disk."
 
@@ -99,20 +102,29 @@
     management = environ.get("EDGE_MANAGEMENT") or told.get("management") or ours.management
     return Config(
         name=environ.get("EDGE_NAME") or told.get("name") or ours.name or "dispatcher",
-        listen=protocol.address(environ.get("EDGE_LISTEN") or told.get("listen")
-                                or need(ours.listen, "listen")),
-        discovery=protocol.address(told.get("discovery") or environ.get("EDGE_DISCOVERY")
-                                   or need(ours.discovery, "discovery")),
+        listen=protocol.address(
+            environ.get("EDGE_LISTEN") or told.get("listen") or need(ours.listen, "listen")
+        ),
+        discovery=protocol.address(
+            told.get("discovery") or environ.get("EDGE_DISCOVERY") or need(ours.discovery, "discovery")
+        ),
         management=protocol.address(management) if management else None,
         state=environ.get("EDGE_STATE") or need(ours.state, "EDGE_STATE" if not operators else "state"),
         seed=str(told.get("seed", ours.seed)),
         limits=ours.limits | without_nulls(told.get("limits", {})),
-        known=told.get("known") or ours.known, settings=settings,
-        kinds=wire.get("models") or ours.kinds, zones=wire.get("areas") or ours.zones,
+        known=told.get("known") or ours.known,
+        settings=settings,
+        kinds=wire.get("models") or ours.kinds,
+        zones=wire.get("areas") or ours.zones,
         # Threat: a time of nothing, in which no connection ever comes up.
         connect_within=(wire.get("permissions") or {}).get("connect_timeout_ns") or ours.connect_within,
-        report=report, log=ours.log, fleet=ours.fleet, policy=ours.policy, shards=ours.shards,
-        sites=ours.sites)
+        report=report,
+        log=ours.log,
+        fleet=ours.fleet,
+        policy=ours.policy,
+        shards=ours.shards,
+        sites=ours.sites,
+    )
 
 
 def without_nulls(told):
@@ -129,6 +141,7 @@
 @dataclass(slots=True)
 class Ours:
     """The operators' file in the form that the platform's is merged with; as it stands, nothing told."""
+
     name: str = ""
     listen: str = ""
     discovery: str = ""
@@ -166,24 +179,49 @@
     settings["routes_apart"] = [kind.routes_apart for kind in kinds]
     if told.tables["topic"]:
         settings["topic_types"] = [file.topic(entry) for entry, _ in told.tables["topic"]]
-    members = [{"id": e.id, "host_port": e.address, "locality": e.zone or "", "flavor": e.kind,
-                "cell": e.destination, "phase": "in_service", "size": e.scale}
-               for e, _ in told.tables["endpoint"]]
-    limits = {"memory_mb": get("limits.memory") / 1e6, "disk_mb": get("limits.disk") / 1e6,
-              "sockets": get("limits.sockets")}
-    return Ours(name=get("instance.name"), listen=get("instance.listen"), discovery=get("instance.discovery"),
-                management=get("instance.management"), state=get("instance.state"),
-                seed=get("instance.seed"), limits=limits,
-                known={"members": members} if members else {}, settings=settings,
-                kinds=[kind.name for kind in kinds], zones=list(get("zones")),
-                connect_within=int(get("connections.connect_within")), report=dict(get("reports")),
-                log={"form": get("log.form"), "lines": get("log.lines")}, fleet=fleet(get),
-                policy=policy(get), shards=shards(get), sites=bool(get("sites.enabled")))
+    members = [
+        {
+            "id": e.id,
+            "host_port": e.address,
+            "locality": e.zone or "",
+            "flavor": e.kind,
+            "cell": e.destination,
+            "phase": "in_service",
+            "size": e.scale,
+        }
+        for e, _ in told.tables["endpoint"]
+    ]
+    limits = {
+        "memory_mb": get("limits.memory") / 1e6,
+        "disk_mb": get("limits.disk") / 1e6,
+        "sockets": get("limits.sockets"),
+    }
+    return Ours(
+        name=get("instance.name"),
+        listen=get("instance.listen"),
+        discovery=get("instance.discovery"),
+        management=get("instance.management"),
+        state=get("instance.state"),
+        seed=get("instance.seed"),
+        limits=limits,
+        known={"members": members} if members else {},
+        settings=settings,
+        kinds=[kind.name for kind in kinds],
+        zones=list(get("zones")),
+        connect_within=int(get("connections.connect_within")),
+        report=dict(get("reports")),
+        log={"form": get("log.form"), "lines": get("log.lines")},
+        fleet=fleet(get),
+        policy=policy(get),
+        shards=shards(get),
+        sites=bool(get("sites.enabled")),
+    )
 
 
 @dataclass(slots=True)
 class Fleet:
     """How a dispatcher takes part in its fleet; addresses are (host, port)."""
+
     address: tuple
     advertise: tuple | None
     key: str
@@ -197,15 +235,20 @@
     if not get("fleet.enabled"):
         return None
     advertise = get("fleet.advertise")
-    return Fleet(address=protocol.address(get("fleet.address")),
-                 advertise=protocol.address(advertise) if advertise else None, key=get("fleet.key"),
-                 name=get("fleet.name"), site=get("fleet.site"),
-                 seeds=[*map(protocol.address, get("fleet.seeds"))])
+    return Fleet(
+        address=protocol.address(get("fleet.address")),
+        advertise=protocol.address(advertise) if advertise else None,
+        key=get("fleet.key"),
+        name=get("fleet.name"),
+        site=get("fleet.site"),
+        seeds=[*map(protocol.address, get("fleet.seeds"))],
+    )
 
 
 @dataclass(slots=True)
 class Policy:
     """How a dispatcher is bound by the fleet's policy; voters: name -> (host, port), licence in ns."""
+
     voters: dict
     folder: str
     file: str | None
@@ -218,14 +261,19 @@
     if not get("policy.enabled"):
         return None
     voters = dict(voter.rpartition("@")[::2] for voter in get("policy.voters"))
-    return Policy(voters={name: protocol.address(address) for name, address in voters.items()},
-                  folder=get("policy.folder"), file=get("policy.file"), licence=int(get("policy.licence")),
-                  drift=get("policy.drift"))
+    return Policy(
+        voters={name: protocol.address(address) for name, address in voters.items()},
+        folder=get("policy.folder"),
+        file=get("policy.file"),
+        licence=int(get("policy.licence")),
+        drift=get("policy.drift"),
+    )
 
 
 @dataclass(slots=True)
 class Shards:
     """How the ledger is split: bytes of a shard (None: by the disk), and how many there may be."""
+
     most: int | None
     least: int | None
     count: int
--- a/juniperlanding/net/discovery.py
+++ b/juniperlanding/net/discovery.py
@@ -102,8 +102,10 @@
         wait = BRIEF if self.failed else int(min(self.wait, max((self.reread_at - begun) * 1000, BRIEF)))
         query = "" if whole else f"?index={self.revision}&wait={wait}"
         with trio.fail_after(LATE + (0 if whole else wait / 1000)):
-            await line.send(h11.Request(method="GET", target=protocol.LIST + query,
-                                        headers=[("Host", "discovery")]), h11.EndOfMessage())
+            await line.send(
+                h11.Request(method="GET", target=protocol.LIST + query, headers=[("Host", "discovery")]),
+                h11.EndOfMessage(),
+            )
             if (await line.answer()).status_code != 200:
                 raise ValueError("no list")
             body = await line.rest(self.most_list)  # threat: it dribbles for as long as we would wait
--- a/juniperlanding/net/door.py
+++ b/juniperlanding/net/door.py
@@ -63,7 +63,7 @@
                 self.counters["door_calls"] += 1
                 data = memoryview("".join(f"{line}\n" for line in answer).encode())
                 while data:
-                    data = data[await sock.sendmsg([data]):]
+                    data = data[await sock.sendmsg([data]) :]
                 await linger(sock)
             if scope.cancelled_caught:
                 self.counters["door_unfinished"] += 1
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -21,6 +21,7 @@
 @dataclass(slots=True, eq=False)
 class Send:
     """One notification on its way in a call."""
+
     id: str
     number: int
     key: str = field(repr=False)
@@ -209,8 +210,9 @@
     async def expire(self, call):
         """Threats: in a call of several, one's time ends before the call does, and its end is due then; the
         connection is still coming up, and it would leave after its end."""
-        times = [(at, place, send) for place, send in enumerate(call.sends)
-                 for at in (send.leave_by, send.ttl_at)]
+        times = [
+            (at, place, send) for place, send in enumerate(call.sends) for at in (send.leave_by, send.ttl_at)
+        ]
         with call.ends:
             for at, _, send in sorted(times, key=lambda time: time[:2]):
                 await trio.sleep_until(self.when(at))  # past already if we stood still meanwhile
@@ -242,8 +244,7 @@
                 over = ending in ("delivered", "over")
                 ending = "moot" if ending == "over" else ending
                 self.counters[f"pushes_{ending}"] += 1
-                outcomes.append((send.id, send.number, ending, now - call.began_at,
-                                 wait, over, report))
+                outcomes.append((send.id, send.number, ending, now - call.began_at, wait, over, report))
         if outcomes:
             with trio.CancelScope(shield=True):
                 await self.told(call.endpoint, outcomes, now)
@@ -333,11 +334,18 @@
             # Threat: who goes by a call's first message believes no end that comes once its time is up; so
             # the first is the one that lasts longest.
             longest = sorted(call.sends, key=lambda send: -send.ttl_at)
-            body = json.dumps([{"id": s.id} | ({"key": s.key} if s.key else {})
-                               | {"body": b64encode(s.body).decode()} for s in longest]).encode()
+            body = json.dumps(
+                [
+                    {"id": s.id} | ({"key": s.key} if s.key else {}) | {"body": b64encode(s.body).decode()}
+                    for s in longest
+                ]
+            ).encode()
         headers.append(("Content-Length", str(len(body))))
-        return (h11.Request(method="POST", target=target, headers=headers), h11.Data(data=body),
-                h11.EndOfMessage())
+        return (
+            h11.Request(method="POST", target=target, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
 
     def keep(self, call):
         line, call.line = call.line, None
--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -40,12 +40,14 @@
 
 class Unreadable(Trouble, OSError):
     """The ledger cannot be read: a start ends there; one that is the owner again tries until it can."""
+
     code = "ledger-unreadable"
     remedy = "Look at the disk and the rights in the folder; never remove the ledger, it is what is owed."
 
 
 class Damaged(Trouble):
     """Whole records of the ledger cannot be read; the one half written at a kill is none of them."""
+
     code = "ledger-damaged"
     remedy = "Check the disk, and whether another version wrote there; what only these records held is lost."
 
@@ -60,6 +62,7 @@
 @dataclass(slots=True)
 class Owed:
     """One notification as the ledger has it."""
+
     id: str
     topic: str
     destination: int
@@ -126,7 +129,7 @@
     gone = int(told, 16) ^ crc32(text)
     for at in reversed(range(len(text))):
         if error := ERRORS.get(gone):
-            return json.loads(text[:at] + bytes([text[at] ^ error]) + text[at + 1:])
+            return json.loads(text[:at] + bytes([text[at] ^ error]) + text[at + 1 :])
         error, after = TOPS[gone >> 24]
         gone = (gone ^ after) << 8 | error
     raise ValueError("more than a byte")
@@ -165,7 +168,7 @@
                     # Threat: the damaged byte became an end of line, and stands before or behind this part.
                     if self.mend(raw) or self.mend(b"\n" + raw):
                         continue
-                    if at + 1 < len(lines) and self.mend(b"\n".join(lines[at - 1:at + 1])):
+                    if at + 1 < len(lines) and self.mend(b"\n".join(lines[at - 1 : at + 1])):
                         next(left)
                         continue
                 for record in found:
@@ -295,7 +298,7 @@
         view = memoryview(data)
         try:
             while view:
-                view = view[self.files.write(self.file, view):]
+                view = view[self.files.write(self.file, view) :]
                 self.torn = bool(view)
         except OSError:
             if self.torn:
@@ -310,7 +313,7 @@
     def append(self, file, data):
         view = memoryview(data)
         while view:
-            view = view[self.files.write(file, view):]
+            view = view[self.files.write(file, view) :]
         return len(data)
 
     def compact(self):
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -126,8 +126,11 @@
         return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
     def reusable(self):
-        return (self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-                and not self.http.trailing_data[0])
+        return (
+            self.http.our_state is h11.DONE
+            and self.http.their_state is h11.DONE
+            and not self.http.trailing_data[0]
+        )
 
     def next(self):
         """The present message is over; the next one may come."""
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -120,8 +120,13 @@
             # Threat: it asks before the first round has told it what the process before us had heard.
             await owner.tell(owner.discovery.subscribe, True)
         self.succession.open(self.nursery, self.freeze)
-        self.log("start", listening="{}:{}".format(*listener.address), endpoints=len(known),
-                 owed=len(self.ledger.owed), torn_records=self.ledger.skipped)
+        self.log(
+            "start",
+            listening="{}:{}".format(*listener.address),
+            endpoints=len(known),
+            owed=len(self.ledger.owed),
+            torn_records=self.ledger.skipped,
+        )
         if self.ledger.damaged:
             self.log("ledger", "records cannot be read", records=self.ledger.damaged, **Damaged().fields)
         async with trio.open_nursery() as nursery:
@@ -151,8 +156,9 @@
                 break
             except OSError as error:  # a third process has it, or still has the address
                 if said != (said := described(error)):
-                    self.log("upgrade", "the folder stays with another process", why=said,
-                             **system(error).fields)
+                    self.log(
+                        "upgrade", "the folder stays with another process", why=said, **system(error).fields
+                    )
                 await trio.sleep(1)
         self.log("upgrade", "the process that took over is gone, serving again")
         await self.rebuild(None)
@@ -253,8 +259,9 @@
             if not self.replaced:
                 self.stops_at = self.world.clock.now() + int(until * SEC)
                 await self.owner.tell(self.owner.at.stopping, self.stops_at)
-            while not self.replaced and (self.clients.open or self.ledger.owed
-                                         or trio.current_time() < begun + protocol.PATIENCE):
+            while not self.replaced and (
+                self.clients.open or self.ledger.owed or trio.current_time() < begun + protocol.PATIENCE
+            ):
                 if trio.current_time() > begun + protocol.KILL_AFTER - protocol.PATIENCE:
                     self.clients.drain()
                 await trio.sleep(0.02)
@@ -298,7 +305,12 @@
         try:
             self.ledger.close()
         except OSError as error:
-            self.log("stop", "the last records could not be written", why=described(error),
-                     records=len(self.ledger.pending), **system(error).fields)
+            self.log(
+                "stop",
+                "the last records could not be written",
+                why=described(error),
+                records=len(self.ledger.pending),
+                **system(error).fields,
+            )
         self.log("stop", "what is owed stays in the ledger", owed=len(self.ledger.owed), **self.counters)
         return not self.ledger.pending
--- a/juniperlanding/net/notices.py
+++ b/juniperlanding/net/notices.py
@@ -130,10 +130,16 @@
         return json.dumps(notice, separators=(",", ":")).encode() + b"\n"
 
     async def exchange(self, line, body):
-        headers = [("Host", "platform"), ("Content-Type", "application/x-ndjson"),
-                   ("Content-Length", str(len(body)))]
-        await line.send(h11.Request(method="POST", target=protocol.NOTICES, headers=headers),
-                        h11.Data(data=body), h11.EndOfMessage())
+        headers = [
+            ("Host", "platform"),
+            ("Content-Type", "application/x-ndjson"),
+            ("Content-Length", str(len(body))),
+        ]
+        await line.send(
+            h11.Request(method="POST", target=protocol.NOTICES, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
         answer = await line.answer()
         await line.rest(protocol.MOST_BODY)
         return answer.status_code
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -152,9 +152,17 @@
         first = min(owed.ran.values(), key=lambda ran: ran[1], default=(0, 0))
         present, self.at.me.settings = self.at.me.settings, self.terms_of(owed)
         try:
-            self.at.notification(owed.id, self.named().get(owed.topic, len(self.topics)), owed.destination,
-                                 ttl_at=owed.ttl_at, key=owed.turn, pushes=owed.pushes, ran_zone=first[0],
-                                 ran_at=first[1], unsent=not owed.left)
+            self.at.notification(
+                owed.id,
+                self.named().get(owed.topic, len(self.topics)),
+                owed.destination,
+                ttl_at=owed.ttl_at,
+                key=owed.turn,
+                pushes=owed.pushes,
+                ran_zone=first[0],
+                ran_at=first[1],
+                unsent=not owed.left,
+            )
         finally:
             self.at.me.settings = present
 
@@ -242,8 +250,11 @@
         """The instant of taking on: it is written, nothing has begun.  Threat: the licence ended meanwhile.
 
         From here on it is owed under its number, whenever the client hears of it."""
-        late = {answer.ntf_id: answer for answer in self.answers
-                if answer.took and answer.status == 202 and not self.licensed(answer.under)}
+        late = {
+            answer.ntf_id: answer
+            for answer in self.answers
+            if answer.took and answer.status == 202 and not self.licensed(answer.under)
+        }
         if not late:
             return
         for place, sends in self.calls.items():
@@ -342,8 +353,11 @@
         due, self.notices_due = self.notices_due, []
         if not self.stuck:
             return due
-        left = {ntf_id: self.ledger.owed[ntf_id].ttl_at - self.at.now for ntf_id, *_ in due
-                if ntf_id in self.ledger.owed}
+        left = {
+            ntf_id: self.ledger.owed[ntf_id].ttl_at - self.at.now
+            for ntf_id, *_ in due
+            if ntf_id in self.ledger.owed
+        }
         self.notices_due = [notice for notice in due if left.get(notice[0], 0) > 0]
         late = [ntf_id for ntf_id, *_ in due if left.get(ntf_id, 1) <= 0]
         for ntf_id in late:
@@ -356,8 +370,11 @@
     def gauges(self):
         """What is so at this moment, under the operators' names."""
         listed = [endpoint for endpoint in self.at.me.endpoints.values() if endpoint.state != "gone"]
-        return {"outstanding": len(self.held), "discovered": len(listed),
-                "ejected": sum(map(self.at.avoids, listed))}
+        return {
+            "outstanding": len(self.held),
+            "discovered": len(listed),
+            "ejected": sum(map(self.at.avoids, listed)),
+        }
 
     def listed(self, news, members):
         for entry, address in members:
@@ -390,8 +407,9 @@
             self.ledger.write("k", ntf_id, turn)
         self.held[ntf_id] = answer
         try:
-            self.at.notification(ntf_id, self.topics[topic], destination, ttl_at=ttl_at, key=turn,
-                                 tenant=tenant)
+            self.at.notification(
+                ntf_id, self.topics[topic], destination, ttl_at=ttl_at, key=turn, tenant=tenant
+            )
         except Exception:  # threat: the client hears yes, and the module has nothing of it
             self.end(ntf_id)
             raise
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -23,8 +23,13 @@
 RETRY, REPORT, NO_SLOT = b"retry-after", b"endpoint-load-metrics", b"x-over-slots"
 
 STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
-BATCH_ENDS = {"accepted": "delivered", "fault": "error", "deferred": "throttled", "expired": "over",
-              "no_more": "moot"}
+BATCH_ENDS = {
+    "accepted": "delivered",
+    "fault": "error",
+    "deferred": "throttled",
+    "expired": "over",
+    "no_more": "moot",
+}
 GIVEN_UP, HANDED_BACK = "given_up", "handed_back"
 
 MOST_DIGITS = 8  # of a destination, or of a TTL in milliseconds: about a day
@@ -113,7 +118,7 @@
 
 
 def may_begin_an_answer(head):
-    return head.startswith(ANSWER[:len(head)])
+    return head.startswith(ANSWER[: len(head)])
 
 
 def says_delivered(head):
@@ -139,10 +144,14 @@
     for member in members:
         try:
             kind, zone = str(member.get("flavor")), str(member.get("locality"))
-            entry = (str(member["id"]), int(member["cell"]),
-                     kinds.index(kind) if kind in kinds else len(kinds), figure(member.get("size", 0)),
-                     zones.index(zone) if zone in zones else len(zones),
-                     STATES.get(member.get("phase"), "draining"))
+            entry = (
+                str(member["id"]),
+                int(member["cell"]),
+                kinds.index(kind) if kind in kinds else len(kinds),
+                figure(member.get("size", 0)),
+                zones.index(zone) if zone in zones else len(zones),
+                STATES.get(member.get("phase"), "draining"),
+            )
             read.append((entry, address(member["host_port"])))
         except (KeyError, ValueError, TypeError, AttributeError):
             continue
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -25,17 +25,20 @@
 
 class Refusal(Trouble, OSError):
     """The process that has the folder says why it keeps it."""
+
     code = "hand-over-refused"
     remedy = "Start a replacement alone, with the same `listen`; start another dispatcher on another folder."
 
 
 class OtherForm(Refusal):
     """The process that has the folder hands over in a form that this version does not know."""
+
     code, remedy = "hand-over-form", "End the old process by SIGTERM, then start this one."
 
 
 class NotTaken(Trouble):
     """Another process asked for the folder and ended or fell silent before it had it; this one serves on."""
+
     code = "hand-over-failed"
     remedy = "Look at the last lines of the process that was to take over; this one needs nothing."
 
@@ -70,18 +73,33 @@
         idle = [(e, line) for e, lines in owner.endpoints.idle.items() for line in lines if line.quiet()]
         calls, clients = owner.endpoints.carried, node.clients.carried
         state = {
-            "form": FORM, "version": module and carry.VERSION, "settings": digest(node.config.settings),
+            "form": FORM,
+            "version": module and carry.VERSION,
+            "settings": digest(node.config.settings),
             "module": module,
             "entries": [[*entry, *owner.endpoints.book[number]] for number, entry in owner.entries.items()],
             # Threat: the whole list is still to come, and a number of an earlier address stands for it.
             "revision": None if owner.discovery.whole else owner.discovery.revision,
-            "discovery": owner.discovery.address, "following": owner.discovery.on,
-            "clients": [[text(line), line.until - now if line.until < float("inf") else None]
-                        for line in clients],
-            "calls": [[call.endpoint, call.began_at, text(call.line), call.line.used_at,
-                       [[s.id, s.number, s.until, s.ttl_at, s.leave_by, s.over, s.cancelled]
-                        for s in call.sends]] for call in calls],
-            "idle": [[endpoint, line.used_at] for endpoint, line in idle]}
+            "discovery": owner.discovery.address,
+            "following": owner.discovery.on,
+            "clients": [
+                [text(line), line.until - now if line.until < float("inf") else None] for line in clients
+            ],
+            "calls": [
+                [
+                    call.endpoint,
+                    call.began_at,
+                    text(call.line),
+                    call.line.used_at,
+                    [
+                        [s.id, s.number, s.until, s.ttl_at, s.leave_by, s.over, s.cancelled]
+                        for s in call.sends
+                    ],
+                ]
+                for call in calls
+            ],
+            "idle": [[endpoint, line.used_at] for endpoint, line in idle],
+        }
         if parts := {part.section: said for part in node.parts if (said := part.given()) is not None}:
             state["parts"] = parts
         lines = [*clients, *(call.line for call in calls), *(line for _, line in idle)]
@@ -96,8 +114,12 @@
             if state["form"] != FORM or len(files) != 2 + sum(len(state[part]) for part in PARTS):
                 raise ValueError("unknown")
             lock, listener, *socks = files
-            return cls(state, world.files.inherit_lock(lock), world.network.inherit(listener, listening=True),
-                       [world.network.inherit(file) for file in socks])
+            return cls(
+                state,
+                world.files.inherit_lock(lock),
+                world.network.inherit(listener, listening=True),
+                [world.network.inherit(file) for file in socks],
+            )
         except (ValueError, TypeError, KeyError, OSError) as error:
             world.network.drop(files)
             raise OtherForm(0, f"hands over in another form ({described(error)})", None) from None
@@ -119,10 +141,17 @@
 
     def calls(self):
         """(call, line) of each that is written whole."""
-        for sock, (endpoint, began_at, early, used_at, sends) in zip(self.parts[1], self.state["calls"],
-                                                                     strict=True):
-            call = Call(endpoint, [Send(i, n, "", b"", *times, over=over, cancelled=cancelled)
-                                   for i, n, *times, over, cancelled in sends], began_at)
+        for sock, (endpoint, began_at, early, used_at, sends) in zip(
+            self.parts[1], self.state["calls"], strict=True
+        ):
+            call = Call(
+                endpoint,
+                [
+                    Send(i, n, "", b"", *times, over=over, cancelled=cancelled)
+                    for i, n, *times, over, cancelled in sends
+                ],
+                began_at,
+            )
             line = Line(sock, h11.CLIENT, b64decode(early))
             line.used_at = used_at
             line.http.send(h11.Request(method="POST", target="/", headers=[("Host", "endpoint")]))
@@ -232,8 +261,14 @@
             self.channel = None
             self.log("upgrade", "nobody took over, serving on", **NotTaken().fields)
             return False
-        self.log("upgrade", "replaced", by=self.channel.peer()[0], clients=len(offer.parts[0]),
-                 calls=len(offer.parts[1]), idle=len(offer.parts[2]))
+        self.log(
+            "upgrade",
+            "replaced",
+            by=self.channel.peer()[0],
+            clients=len(offer.parts[0]),
+            calls=len(offer.parts[1]),
+            idle=len(offer.parts[2]),
+        )
         self.close_harbour()
         offer.close()
         return True
--- a/juniperlanding/processes/accord_verdict.py
+++ b/juniperlanding/processes/accord_verdict.py
@@ -49,9 +49,12 @@
     decided: (number, digest) that somebody was told is decided; standing: (member, number, digest) of all
     that serve, read when every change has settled.  Who stands lower, or at that number with another text,
     denies it."""
-    return [(number, digest, member) for number, digest in sorted(set(decided))
-            for member, its_number, its_digest in standing
-            if its_number < number or (its_number == number and its_digest != digest)]
+    return [
+        (number, digest, member)
+        for number, digest in sorted(set(decided))
+        for member, its_number, its_digest in standing
+        if its_number < number or (its_number == number and its_digest != digest)
+    ]
 
 
 def settled_at(readings, serving, since):
--- a/juniperlanding/processes/member.py
+++ b/juniperlanding/processes/member.py
@@ -44,7 +44,7 @@
             return True  # the sender cannot tell
         if chance() < fault.get("spoil", 0):
             at = int(chance() * len(data))
-            data = data[:at] + bytes([data[at] ^ 255]) + data[at + 1:]
+            data = data[:at] + bytes([data[at] ^ 255]) + data[at + 1 :]
         for _ in range(1 + (chance() < fault.get("twice", 0))):
             delay = fault.get("delay", 0) + chance() * fault.get("jitter", 0)
             if delay:
--- a/juniperlanding/processes/policy.py
+++ b/juniperlanding/processes/policy.py
@@ -41,7 +41,7 @@
 class Policies(Rig):
     def __init__(self, count, folder, seed="1", rate=0.0, licence=LICENCE):
         super().__init__(count, folder, seed, rate)
-        self.voters, self.licence = self.members[:3 if count < 7 else 5], licence
+        self.voters, self.licence = self.members[: 3 if count < 7 else 5], licence
         self.policies, self.change, self.struck, self.down = History(), 0, set(), set()
         self.members[-1].memory = "120MB"  # the others have 128: a text can be too much for it alone
         self.told, self.serial, self.number, self.digest = self.answered, 0, 0, ""
@@ -50,8 +50,10 @@
 
     def more_of_file(self):
         voters = [f"{voter.name}@127.0.0.1:{voter.port}" for voter in self.voters]
-        return (f'[policy]\nenabled = true\nvoters = {json.dumps(voters)}\nfolder = "policies"\n'
-                f'licence = "{int(self.licence * 1000)}ms"\n')
+        return (
+            f'[policy]\nenabled = true\nvoters = {json.dumps(voters)}\nfolder = "policies"\n'
+            f'licence = "{int(self.licence * 1000)}ms"\n'
+        )
 
     def document(self, held=None):
         """A drawn text that nobody proposed before; `held`: most_held."""
@@ -62,7 +64,9 @@
             f'objective = "{topic.objective // MS + self.chance.randrange(200)}ms"\n'
             f'ttl = "{topic.ttl // MS}ms"\n'
             f"benefit = {self.chance.uniform(0.5, 4):.2f}\n"
-            + (f'window = "{topic.window // MS}ms"\n' if topic.window else "") for topic in TOPICS)
+            + (f'window = "{topic.window // MS}ms"\n' if topic.window else "")
+            for topic in TOPICS
+        )
 
     # ---- the history
 
@@ -85,9 +89,21 @@
         rows = [dict(word.partition("=")[::2] for word in line.split(" ")) for line in said.splitlines()[1:4]]
         standing, proposal, last = rows
         poll = Poll(
-            sent_at, self.now(), member.name, running.pid, whole(standing["number"]), standing["digest"],
-            thousandths(standing["licence"]), standing["step"], whole(proposal["proposal"]),
-            proposal["digest"], whole(last["last"]), last["outcome"], last["by"], last["why"])
+            sent_at,
+            self.now(),
+            member.name,
+            running.pid,
+            whole(standing["number"]),
+            standing["digest"],
+            thousandths(standing["licence"]),
+            standing["step"],
+            whole(proposal["proposal"]),
+            proposal["digest"],
+            whole(last["last"]),
+            last["outcome"],
+            last["by"],
+            last["why"],
+        )
         self.policies.polls.append(poll)
         return poll
 
@@ -197,8 +213,14 @@
 
     def clients(self, member, patience=0.4):
         self.serial += 1
-        return Clients(("127.0.0.1", member.listen), self.audit, self.now,
-                       f"{member.name}-b{self.serial}-{self.seed}", patience, self.told)
+        return Clients(
+            ("127.0.0.1", member.listen),
+            self.audit,
+            self.now,
+            f"{member.name}-b{self.serial}-{self.seed}",
+            patience,
+            self.told,
+        )
 
     async def burst(self, clients, count, gap):
         """Orders at a stated pace beside the flow."""
@@ -226,8 +248,10 @@
     def halves(self):
         """Two halves at random, the one with fewer voters first: it is the one that is cut off."""
         order = self.drawn(self.count)
-        return sorted((order[:self.count // 2], order[self.count // 2:]),
-                      key=lambda half: sum(member in self.voters for member in half))
+        return sorted(
+            (order[: self.count // 2], order[self.count // 2 :]),
+            key=lambda half: sum(member in self.voters for member in half),
+        )
 
     async def play(self, name):
         """One change under one fault; whether all agreed within WITHIN of its end."""
@@ -241,9 +265,20 @@
         self.audit.excused_until = max(self.audit.excused_until, self.now() + 5 * SEC * bool(self.struck))
         mended = self.now()
         settled = await self.agreed()
-        self.policies.changes.append(Change(
-            begun, mended, settled, self.change, name, ",".join(sorted(self.struck)), before, before_digest,
-            self.number, self.digest))
+        self.policies.changes.append(
+            Change(
+                begun,
+                mended,
+                settled,
+                self.change,
+                name,
+                ",".join(sorted(self.struck)),
+                before,
+                before_digest,
+                self.number,
+                self.digest,
+            )
+        )
         return settled != UNKNOWN
 
     def save(self, path):
@@ -259,8 +294,12 @@
 def kept(path):
     """The history of a file that `save` made."""
     with closing(sqlite3.connect(path)) as base:
-        return History(**{table: [row(*found) for found in base.execute(f"select * from {table}")]
-                          for table, row in policy_verdict.TABLES.items()})
+        return History(
+            **{
+                table: [row(*found) for found in base.execute(f"select * from {table}")]
+                for table, row in policy_verdict.TABLES.items()
+            }
+        )
 
 
 def whole(text):
@@ -427,10 +466,21 @@
 
 
 FAULTS = {
-    "calm": calm, "lossy": lossy, "two at once": two_at_once, "unfit": unfit, "stopped": stopped,
-    "stopped early": stopped_early, "halves": halves, "cut in flight": cut_in_flight, "island": island,
-    "one way": one_way, "replaced": replaced, "killed": killed, "proposer killed": proposer_killed,
-    "all killed": all_killed, "voters killed": voters_killed,
+    "calm": calm,
+    "lossy": lossy,
+    "two at once": two_at_once,
+    "unfit": unfit,
+    "stopped": stopped,
+    "stopped early": stopped_early,
+    "halves": halves,
+    "cut in flight": cut_in_flight,
+    "island": island,
+    "one way": one_way,
+    "replaced": replaced,
+    "killed": killed,
+    "proposer killed": proposer_killed,
+    "all killed": all_killed,
+    "voters killed": voters_killed,
 }
 TROUBLES = {
     "policy": ("calm", "calm", "lossy", "two at once", "unfit", "stopped", "stopped early", "replaced"),
@@ -462,8 +512,10 @@
     for name in names:
         begun = rig.now()
         well = await rig.play(name)
-        tell(f"change {rig.change:3} {name:<16} number {rig.number:3} "
-             f"{'settled' if well else 'NOT SETTLED'} {(rig.now() - begun) / SEC:5.1f} s")
+        tell(
+            f"change {rig.change:3} {name:<16} number {rig.number:3} "
+            f"{'settled' if well else 'NOT SETTLED'} {(rig.now() - begun) / SEC:5.1f} s"
+        )
         if not well:
             break
     with trio.move_on_after(max(0.0, (rig.audit.excused_until - rig.now()) / SEC)):
@@ -471,8 +523,19 @@
             await trio.sleep(0.05)
     outcome.faults, outcome.notifications = await rig.ends(), len(rig.audit.records)
     rig.policies.ends = [
-        End(one.id, one.kind, one.handed_at, one.ttl, one.delivered_at, one.ran, one.pushes, one.outcome(),
-            ",".join(f"{word}@{at}" for word, at in one.notices)) for one in rig.audit.records.values()]
+        End(
+            one.id,
+            one.kind,
+            one.handed_at,
+            one.ttl,
+            one.delivered_at,
+            one.ran,
+            one.pushes,
+            one.outcome(),
+            ",".join(f"{word}@{at}" for word, at in one.notices),
+        )
+        for one in rig.audit.records.values()
+    ]
     outcome.breaches, outcome.figures = policy_verdict.judge(rig.policies)
 
 
--- a/juniperlanding/processes/policy_verdict.py
+++ b/juniperlanding/processes/policy_verdict.py
@@ -11,19 +11,27 @@
 TAKEN_ON = 202
 UNKNOWN = -1  # no number, or no time
 Order = namedtuple("Order", "sent_at heard_at id member status number")  # status 0: no answer
-Poll = namedtuple("Poll", "sent_at heard_at member pid number digest licence_ms step proposal proposed "
-                          "last outcome by why")  # last: the number that the outcome is of
+Poll = namedtuple(
+    "Poll", "sent_at heard_at member pid number digest licence_ms step proposal proposed last outcome by why"
+)  # last: the number that the outcome is of
 Proposal = namedtuple("Proposal", "sent_at heard_at member digest answer change")  # answer "": none came
 Fault = namedtuple("Fault", "at word who")
 # What became of a notification, as the audit saw it; notices as "given_up@12,..." with their times.
 End = namedtuple("End", "id kind handed_at ttl delivered_at ran pushes outcome notices")
 # From the beginning of a change until all that serve agree again; `struck`: who was killed, stopped, cut off
 # or replaced, as "d01,d02".  mended_at: the last fault's end.  settled_at is UNKNOWN if they did not agree.
-Change = namedtuple("Change", "begun_at mended_at settled_at change fault struck before before_digest "
-                              "number digest")
+Change = namedtuple(
+    "Change", "begun_at mended_at settled_at change fault struck before before_digest number digest"
+)
 AFTER = 500_000_000  # so long after all agreed, the outcome still stands at the door
-TABLES = {"orders": Order, "polls": Poll, "proposals": Proposal, "faults": Fault, "changes": Change,
-          "ends": End}
+TABLES = {
+    "orders": Order,
+    "polls": Poll,
+    "proposals": Proposal,
+    "faults": Fault,
+    "changes": Change,
+    "ends": End,
+}
 
 
 @dataclass
@@ -40,20 +48,28 @@
 
 def taken(history):
     """Items (accord_verdict.py) of all orders taken on under a number."""
-    return [(order.sent_at, order.heard_at, order.member, order.number) for order in history.orders
-            if order.status == TAKEN_ON and order.number != UNKNOWN]
+    return [
+        (order.sent_at, order.heard_at, order.member, order.number)
+        for order in history.orders
+        if order.status == TAKEN_ON and order.number != UNKNOWN
+    ]
 
 
 def held(history):
     """Items of all calls at the door that told of a licence."""
-    return [(poll.sent_at, poll.heard_at, poll.member, poll.number) for poll in history.polls
-            if poll.licence_ms > 0 and poll.number != UNKNOWN]
+    return [
+        (poll.sent_at, poll.heard_at, poll.member, poll.number)
+        for poll in history.polls
+        if poll.licence_ms > 0 and poll.number != UNKNOWN
+    ]
 
 
 def readings(polls):
     """(sent_at, member, (number, digest)), None in place of the pair without a licence."""
-    return [(poll.sent_at, poll.member, (poll.number, poll.digest) if poll.licence_ms > 0 else None)
-            for poll in polls]
+    return [
+        (poll.sent_at, poll.member, (poll.number, poll.digest) if poll.licence_ms > 0 else None)
+        for poll in polls
+    ]
 
 
 def fell(history):
@@ -74,9 +90,13 @@
     for poll in sorted(history.polls):
         first.setdefault(poll.digest, poll)
     settled = {change.change: change.settled_at for change in history.changes}
-    return [(proposal, first[proposal.digest]) for proposal, fate in fated
-            if fate in ("refused", "nowhere", "kept", "lost", "unheard") and proposal.digest in first
-            and first[proposal.digest].sent_at > settled[proposal.change]]
+    return [
+        (proposal, first[proposal.digest])
+        for proposal, fate in fated
+        if fate in ("refused", "nowhere", "kept", "lost", "unheard")
+        and proposal.digest in first
+        and first[proposal.digest].sent_at > settled[proposal.change]
+    ]
 
 
 def fates(history):
@@ -88,14 +108,19 @@
         change = changes.get(proposal.change)
         if not change or change.settled_at == UNKNOWN:
             fate = "unsettled"
-        elif proposal.digest in {poll.digest for poll in history.polls if poll.number > change.before
-                                 and change.begun_at <= poll.sent_at <= change.settled_at + 1}:
+        elif proposal.digest in {
+            poll.digest
+            for poll in history.polls
+            if poll.number > change.before and change.begun_at <= poll.sent_at <= change.settled_at + 1
+        }:
             fate = "decided"
         elif proposal.answer.startswith("NAK"):
             fate = "refused"
         elif (proposal.member, change.before + 1) in {
-                (poll.member, poll.last) for poll in history.polls if poll.outcome == "refused"
-                and proposal.sent_at < poll.sent_at < change.settled_at + AFTER}:
+            (poll.member, poll.last)
+            for poll in history.polls
+            if poll.outcome == "refused" and proposal.sent_at < poll.sent_at < change.settled_at + AFTER
+        }:
             fate = "refused"
         elif change.number == change.before:
             fate = "nowhere" if proposal.answer else "unheard"
@@ -110,10 +135,16 @@
     found = []
     for change in history.changes:
         if change.settled_at != UNKNOWN:
-            told = [(poll.number, poll.digest) for poll in history.polls
-                    if poll.sent_at <= change.settled_at and poll.number > 0]
-            told += [(poll.proposal, poll.proposed) for poll in history.polls
-                     if poll.sent_at <= change.settled_at and poll.step == "decided"]
+            told = [
+                (poll.number, poll.digest)
+                for poll in history.polls
+                if poll.sent_at <= change.settled_at and poll.number > 0
+            ]
+            told += [
+                (poll.proposal, poll.proposed)
+                for poll in history.polls
+                if poll.sent_at <= change.settled_at and poll.step == "decided"
+            ]
             found += accord_verdict.lost(told, [("all", change.number, change.digest)])
     return found
 
@@ -140,13 +171,17 @@
         "two licences at once": accord_verdict.breaches(both),
         "returned": accord_verdict.returns(both),
         "number fell": fell(history),
-        "two texts": list(accord_verdict.doubled(
-            (poll.number, poll.digest) for poll in history.polls if poll.number > 0).items()),
+        "two texts": list(
+            accord_verdict.doubled(
+                (poll.number, poll.digest) for poll in history.polls if poll.number > 0
+            ).items()
+        ),
         "denied": denied(history),
         "came back": ghosts(history, fated),
         "not settled": [change for change in history.changes if change.settled_at == UNKNOWN],
-        "no number told": [order for order in history.orders
-                           if order.status == TAKEN_ON and order.number == UNKNOWN],
+        "no number told": [
+            order for order in history.orders if order.status == TAKEN_ON and order.number == UNKNOWN
+        ],
     }
     spans = pauses(history)
     settled = [change.settled_at - change.mended_at for change in history.changes if change.settled_at > 0]
@@ -154,12 +189,19 @@
         "proposals": len(history.proposals),
         "fates": dict(Counter(fate for _, fate in fated)),
         "faults": dict(Counter(change.fault for change in history.changes)),
-        "why_refused": dict(Counter(
-            proposal.answer or "-" for proposal, fate in fated if fate == "refused").most_common(5)),
-        "orders": len(history.orders), "taken_on": len(taken(history)), "polls": len(history.polls),
+        "why_refused": dict(
+            Counter(proposal.answer or "-" for proposal, fate in fated if fate == "refused").most_common(5)
+        ),
+        "orders": len(history.orders),
+        "taken_on": len(taken(history)),
+        "polls": len(history.polls),
         "settled_ms": [ns // 1_000_000 for ns in accord_verdict.middle_and_worst(settled) if ns is not None],
-        "pauses_ms": {fault: sorted(ns // 1_000_000 for ns in all_of_it)
-                      for fault, all_of_it in sorted(spans.items())},
+        "pauses_ms": {
+            fault: sorted(ns // 1_000_000 for ns in all_of_it) for fault, all_of_it in sorted(spans.items())
+        },
     }
-    return {name: [str(one) for one in all_of_it[:5]] + [f"{len(all_of_it)} in all"]
-            for name, all_of_it in found.items() if all_of_it}, figures
+    return {
+        name: [str(one) for one in all_of_it[:5]] + [f"{len(all_of_it)} in all"]
+        for name, all_of_it in found.items()
+        if all_of_it
+    }, figures
--- a/juniperlanding/processes/ramp.py
+++ b/juniperlanding/processes/ramp.py
@@ -41,10 +41,13 @@
 
 def worst(came):
     """(calls over what is put down to chance, calls, N) of the worst window; `came` in seconds."""
-    found = [(len(inside) - n - 2 * sqrt(n) - 2, len(inside), n)
-             for last in came if last <= WARM
-             for n in [allowed(max(0.0, last - FALL))]
-             for inside in [[at for at in came if last - FALL < at <= last]]]
+    found = [
+        (len(inside) - n - 2 * sqrt(n) - 2, len(inside), n)
+        for last in came
+        if last <= WARM
+        for n in [allowed(max(0.0, last - FALL))]
+        for inside in [[at for at in came if last - FALL < at <= last]]
+    ]
     return max(found, default=(0.0, 0, 0.0))
 
 
@@ -57,8 +60,11 @@
         f'must_ask_in = "20s"\nscale = "nominal"\n[connections]\nidle_closes = "10s"\n[rules]\n'
         f'may_cancel = true\nstart_capacity = {START}\nwarm_within = "{WARM}s"\n'
         f'overload_factor = {FACTOR}\nfall_within = "{FALL}s"\n[[kind]]\nname = "shop"\n'
-        + "".join(f'[[topic]]\nname = "{name}"\nkind = "{kind}"\nobjective = "2s"\nttl = "25s"\n'
-                  for name, kind in (("news", "repeatable"), ("order", "once-only"))))
+        + "".join(
+            f'[[topic]]\nname = "{name}"\nkind = "{kind}"\nobjective = "2s"\nttl = "25s"\n'
+            for name, kind in (("news", "repeatable"), ("order", "once-only"))
+        )
+    )
 
 
 async def play(folder, down, trouble, seed):
@@ -74,6 +80,7 @@
             if first.startswith("GET") and "?" not in first:
                 platform.lists = [listing]
             return platform.reply(first, headers, body)
+
         platform.answer = reply
         try:
             for rank in range(COUNT):
@@ -82,9 +89,17 @@
                 port = free(socket.SOCK_STREAM)
                 (place / "serve.toml").write_text(file_of(place, platform, port, rank, seed))
                 with open(place / "log", "ab") as log:
-                    processes.append((port, await trio.lowlevel.open_process(
-                        [sys.executable, "-m", "juniperlanding", "serve", str(place / "serve.toml")],
-                        stderr=log, stdin=subprocess.DEVNULL, env=environ)))
+                    processes.append(
+                        (
+                            port,
+                            await trio.lowlevel.open_process(
+                                [sys.executable, "-m", "juniperlanding", "serve", str(place / "serve.toml")],
+                                stderr=log,
+                                stdin=subprocess.DEVNULL,
+                                env=environ,
+                            ),
+                        )
+                    )
             with trio.fail_after(READY_WITHIN):
                 for port, _ in processes:
                     while not await there(port):
@@ -94,8 +109,11 @@
                 for rank, (port, _) in enumerate(processes):
                     rate = LIMIT * LOAD / COUNT * chance.uniform(0.5, 1.5)
                     clients = Clients(("127.0.0.1", port), audit, now, f"s{seed}-{rank}", patience=30.0)
-                    coming = [(at, topic, place, size) for at, topic, place, size in
-                              arrivals(f"{seed}/{rank}", rate, length, [1]) if topic.name != "status"]
+                    coming = [
+                        (at, topic, place, size)
+                        for at, topic, place, size in arrivals(f"{seed}/{rank}", rate, length, [1])
+                        if topic.name != "status"
+                    ]
                     load.start_soon(clients.load, coming)
                 name = {"silence": "silenced", "refusal": "refusing"}[trouble]
                 await trio.sleep(BEFORE)
@@ -129,5 +147,8 @@
     at, seconds, what, *seeds = sys.argv[1:]
     for number in seeds:
         came, (over, calls, n) = trio.run(play, Path(at), float(seconds), what, number)
-        print(f"seed {number} {what}: {len(came)} calls while it warms; worst window {calls}, N {n:.1f}, "
-              f"within {n + 2 * sqrt(n) + 2:.1f}: {'kept' if over <= 0 else 'PASSED'}", flush=True)
+        print(
+            f"seed {number} {what}: {len(came)} calls while it warms; worst window {calls}, N {n:.1f}, "
+            f"within {n + 2 * sqrt(n) + 2:.1f}: {'kept' if over <= 0 else 'PASSED'}",
+            flush=True,
+        )
--- a/juniperlanding/processes/region.py
+++ b/juniperlanding/processes/region.py
@@ -28,9 +28,11 @@
 LEVELS = (0.5, 0.8, 1.1)  # of what the neighbours of a lost site carry
 SLOTS, PRICE = 6, 0.05  # calls out at once at each process; of a crossing
 STEADY = Temper("steady", median=250 * MS, spread=0.3)
-TOPICS = (Topic("news", "repeatable", 600 * MS, 4 * SEC, 0.5),
-          Topic("status", "collapsible", 500 * MS, 3 * SEC, 0.2, 1500 * MS),
-          Topic("order", "once-only", SEC, 4 * SEC, 0.3))
+TOPICS = (
+    Topic("news", "repeatable", 600 * MS, 4 * SEC, 0.5),
+    Topic("status", "collapsible", 500 * MS, 3 * SEC, 0.2, 1500 * MS),
+    Topic("order", "once-only", SEC, 4 * SEC, 0.3),
+)
 WORTH = {"news": 1.0, "status": 2.0, "order": 3.0}
 LATE_SHARE = 0.1
 NOTICES = 1.0  # seconds until the front turns a lost site's clients away
@@ -66,15 +68,19 @@
         topics = "".join(
             f'[[topic]]\nname = "{t.name}"\nkind = "{t.kind}"\nobjective = "{t.objective // MS}ms"\n'
             f'ttl = "{t.ttl // MS}ms"\nbenefit = {WORTH[t.name]}\nlate_share = {LATE_SHARE}\n'
-            + (f'window = "{t.window // MS}ms"\n' if t.window else "") for t in TOPICS)
+            + (f'window = "{t.window // MS}ms"\n' if t.window else "")
+            for t in TOPICS
+        )
         head = head.replace('zones = ["a"]', f"zones = {json.dumps(rig.sites)}")
         head = head.replace("slots = 64", f"slots = {SLOTS}").replace(
-            "[[kind]]", "[sites]\nenabled = true\n[[kind]]")
+            "[[kind]]", "[sites]\nenabled = true\n[[kind]]"
+        )
         head = re.sub(r'site = "\w*"', f'site = "{self.site}"', head)
         file.write_text(head + topics)
         platform = self.folder / "platform.json"
-        platform.write_text(json.dumps({"settings": {
-            "az": rig.sites.index(self.site), "costs": {"cross_zone": PRICE}}}))
+        platform.write_text(
+            json.dumps({"settings": {"az": rig.sites.index(self.site), "costs": {"cross_zone": PRICE}}})
+        )
         self.told = {"EDGE_CONFIG": str(platform)}
 
     @property
@@ -138,8 +144,15 @@
         for destination in self.places:
             for at in range(min(ENDPOINTS[destination], len(self.sites))):
                 site, number = self.sites[(destination + at) % len(self.sites)], number + 1
-                made = Placed(site, self, number, destination, Character(STEADY, Random(
-                    f"{self.seed}/endpoint {number}")), Through(self.audit, site), self.now)
+                made = Placed(
+                    site,
+                    self,
+                    number,
+                    destination,
+                    Character(STEADY, Random(f"{self.seed}/endpoint {number}")),
+                    Through(self.audit, site),
+                    self.now,
+                )
                 self.endpoints.append(await nursery.start(made.run))
         self.write_links()
 
@@ -149,8 +162,9 @@
         """One even stream, so that chance in what is offered hides nothing; each goes to a site by drawn
         shares, and there to a dispatcher."""
         chance = Random(f"{self.seed}/load")
-        clients = {m.name: Clients(("127.0.0.1", m.listen), self.audit, self.now, m.name)
-                   for m in self.members}
+        clients = {
+            m.name: Clients(("127.0.0.1", m.listen), self.audit, self.now, m.name) for m in self.members
+        }
         turn = dict.fromkeys(self.weights, 0.0)
         begun, gap = self.now(), SEC / self.rate
         async with trio.open_nursery() as nursery:
@@ -161,8 +175,13 @@
                 name = self.dealt(turn)
                 topic = chance.choices(TOPICS, [t.share for t in TOPICS])[0]
                 place = chance.choices([*self.places], [*self.places.values()])[0]
-                nursery.start_soon(clients[name].submit, f"{name}-{self.seed}-{self.counter}", topic, place,
-                                   chance.randrange(40, 600))
+                nursery.start_soon(
+                    clients[name].submit,
+                    f"{name}-{self.seed}-{self.counter}",
+                    topic,
+                    place,
+                    chance.randrange(40, 600),
+                )
 
     def dealt(self, turn):
         """Who is next: each in proportion to what it is to have, a lost site's part by the plan."""
@@ -222,12 +241,26 @@
 
     def even(self, rested_on, site, near):
         """The same projection with equal shares, from the same figures."""
-        topics = [{"name": t.name, "kind": t.kind, "objective": t.objective, "ttl": t.ttl, "fades": "line",
-                   "benefit": WORTH[t.name], "late_share": LATE_SHARE} for t in TOPICS]
-        made = project(members(rested_on), site, topics, lambda a, b: PRICE,
-                       {m.name: 1 / len(near) for m in near})
-        return {(measure, name): getattr(line, measure).value
-                for name, line in made.topics.items() for measure in MEASURES}
+        topics = [
+            {
+                "name": t.name,
+                "kind": t.kind,
+                "objective": t.objective,
+                "ttl": t.ttl,
+                "fades": "line",
+                "benefit": WORTH[t.name],
+                "late_share": LATE_SHARE,
+            }
+            for t in TOPICS
+        ]
+        made = project(
+            members(rested_on), site, topics, lambda a, b: PRICE, {m.name: 1 / len(near) for m in near}
+        )
+        return {
+            (measure, name): getattr(line, measure).value
+            for name, line in made.topics.items()
+            for measure in MEASURES
+        }
 
     def judged(self):
         """A `Loss` for each, once every notification has its end."""
@@ -235,27 +268,45 @@
 
     def compared(self, site, foretold, second, even, rested_on, at):
         begun, ended = at + int(FROM * SEC), at + int(UNTIL * SEC)
-        made = Loss(site, self.level, foretold["tested"], foretold["known"],
-                    rested_on=rested_on, load=(round(foretold["load"], 2),), equal=all(
-                        abs(share - second["shares"].get(name, 0)) < 0.02
-                        for name, share in foretold["shares"].items()))
+        made = Loss(
+            site,
+            self.level,
+            foretold["tested"],
+            foretold["known"],
+            rested_on=rested_on,
+            load=(round(foretold["load"], 2),),
+            equal=all(
+                abs(share - second["shares"].get(name, 0)) < 0.02
+                for name, share in foretold["shares"].items()
+            ),
+        )
         for topic in TOPICS:
-            mine = [r for r in self.audit.records.values() if r.topic == topic.name
-                    and begun <= r.handed_at < ended]
+            mine = [
+                r
+                for r in self.audit.records.values()
+                if r.topic == topic.name and begun <= r.handed_at < ended
+            ]
             came = self.came(topic, mine, (ended - begun) / SEC)
             line = foretold["topics"][topic.name]
             made.offered[topic.name] = line["offered"], len(mine) * SEC / (ended - begun)
             for measure in MEASURES:
                 made.cells[f"{measure} {topic.name}"] = (
-                    *line[measure], round(came[measure], 3), round(even[measure, topic.name], 3),
-                    line["now"][MEASURES.index(measure)])
+                    *line[measure],
+                    round(came[measure], 3),
+                    round(even[measure, topic.name], 3),
+                    line["now"][MEASURES.index(measure)],
+                )
         return made
 
     def came(self, topic, records, seconds):
         """What the window's notifications cost, as clients, endpoints and platform saw it."""
         refused = lost = crossings = 0.0
-        named = {"benefit": WORTH[topic.name], "objective": topic.objective, "ttl": topic.ttl,
-                 "late_share": LATE_SHARE}
+        named = {
+            "benefit": WORTH[topic.name],
+            "objective": topic.objective,
+            "ttl": topic.ttl,
+            "late_share": LATE_SHARE,
+        }
         for record in records:
             age = record.delivered_at - record.handed_at
             if not record.delivered_at or age >= topic.ttl:
@@ -284,16 +335,24 @@
 
 def read(block):
     """One site's lines of the door as plain figures."""
-    found = {"shares": {}, "topics": {}, "load": float(re.search(rf"load={NUMBER}/s", block)[1]),
-             "known": re.search(r"rests_on=(\S+)", block)[1], "tested": 0,
-             "made": float(re.search(rf"made={NUMBER}s", block)[1])}
+    found = {
+        "shares": {},
+        "topics": {},
+        "load": float(re.search(rf"load={NUMBER}/s", block)[1]),
+        "known": re.search(r"rests_on=(\S+)", block)[1],
+        "tested": 0,
+        "made": float(re.search(rf"made={NUMBER}s", block)[1]),
+    }
     line = next(line for line in block.splitlines() if "load=" in line)
-    found["shares"] = {name: float(share) / 100 for name, share in re.findall(rf"(\S+)={NUMBER}%", line)
-                       if name != "over"}
+    found["shares"] = {
+        name: float(share) / 100 for name, share in re.findall(rf"(\S+)={NUMBER}%", line) if name != "over"
+    }
     for line in block.splitlines():
         if " offered=" in line and "seen" not in line.split():
-            row = {"offered": float(re.search(rf"offered={NUMBER}", line)[1]),
-                   "now": [float(figure) for figure in re.search(r"now=(\S+)", line)[1].split(",")]}
+            row = {
+                "offered": float(re.search(rf"offered={NUMBER}", line)[1]),
+                "now": [float(figure) for figure in re.search(r"now=(\S+)", line)[1].split(",")],
+            }
             for measure in MEASURES:
                 row[measure] = tuple(map(float, re.search(rf"{measure}={BAND}", line).groups()))
             found["topics"][line.split()[0]] = row
--- a/juniperlanding/processes/rig.py
+++ b/juniperlanding/processes/rig.py
@@ -82,7 +82,7 @@
             f'[listing]\nmode = "push"\nmust_ask_in = "20s"\nscale = "nominal"\n[rules]\nmay_cancel = true\n'
             f'[fleet]\nenabled = true\naddress = "127.0.0.1:{self.port}"\nkey = "{rig.key}"\n'
             f'site = "{SITES[self.number % len(SITES)]}"\n'
-            f'seeds = {json.dumps([f"127.0.0.1:{port}" for port in seeds])}\n'
+            f"seeds = {json.dumps([f'127.0.0.1:{port}' for port in seeds])}\n"
             f'{rig.more_of_file()}[[kind]]\nname = "shop"\n{topics_file()}'
         )
         (self.folder / "serve.toml").write_text(text, encoding="utf-8")
@@ -94,7 +94,10 @@
         with open(self.folder / "log", "ab") as log:
             self.running = await trio.lowlevel.open_process(
                 [sys.executable, "-m", *through, "serve", str(self.folder / "serve.toml")],
-                stderr=log, stdin=subprocess.DEVNULL, env=environ | self.told)
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=environ | self.told,
+            )
 
     async def ready(self):
         with trio.fail_after(READY_WITHIN):
@@ -224,10 +227,12 @@
         self.platform = await Platform().open(nursery)
         self.platform.answer = self.reply
         for number, (destination, temper) in enumerate(
-                (destination, temper) for destination, tempers in DESTINATIONS.items() for temper in tempers):
+            (destination, temper) for destination, tempers in DESTINATIONS.items() for temper in tempers
+        ):
             character = Character(TEMPERS[temper], Random(f"{self.seed}/endpoint {number}"))
-            endpoint = Endpoint(number + 1, destination, character, self.audit, self.now,
-                                free(socket.SOCK_STREAM))
+            endpoint = Endpoint(
+                number + 1, destination, character, self.audit, self.now, free(socket.SOCK_STREAM)
+            )
             self.endpoints.append(await nursery.start(endpoint.run))
         self.write_links()
 
@@ -256,8 +261,10 @@
         with trio.move_on_after(4 + RESTARTED / SEC):
             while self.audit.open():
                 await trio.sleep(0.05)
-        left = {fault: sorted(set(ids) - self.excused.get(fault, set()))
-                for fault, ids in self.audit.faults().items()}
+        left = {
+            fault: sorted(set(ids) - self.excused.get(fault, set()))
+            for fault, ids in self.audit.faults().items()
+        }
         return {fault: ids for fault, ids in left.items() if ids}
 
     def judged(self):
@@ -303,7 +310,7 @@
         """Put a fault on the links from each of some names to each of others; none mends them."""
         for source in sources:
             for target in targets:
-                for pair in ((source, target), (target, source))[:1 + both]:
+                for pair in ((source, target), (target, source))[: 1 + both]:
                     if pair[0] != pair[1]:
                         self.faults["{}>{}".format(*pair)] = fault
         self.write_links()
--- a/juniperlanding/processes/troubles.py
+++ b/juniperlanding/processes/troubles.py
@@ -133,8 +133,16 @@
 
 
 TROUBLES = {
-    "none": none, "crash": crash, "cut": cut, "cut-one-way": cut_one_way, "island": island, "lossy": lossy,
-    "slow-peer": slow_peer, "rolling": rolling, "flap": flap, "mixed": mixed,
+    "none": none,
+    "crash": crash,
+    "cut": cut,
+    "cut-one-way": cut_one_way,
+    "island": island,
+    "lossy": lossy,
+    "slow-peer": slow_peer,
+    "rolling": rolling,
+    "flap": flap,
+    "mixed": mixed,
     "region": region,
 }
 NOBODY_DIES = {"none", "cut-one-way", "slow-peer", "rolling"}
--- a/juniperlanding/processes/verdict.py
+++ b/juniperlanding/processes/verdict.py
@@ -33,5 +33,10 @@
 
 def false_deaths(history, living, since=0):
     """(at, who, name) of each time that one who always lived and was reachable was held for dead."""
-    return [(at, who, name) for at, who, beliefs in history if at >= since and who in living
-            for name, state in (beliefs or {}).items() if name in living and state in ("dead", "left")]
+    return [
+        (at, who, name)
+        for at, who, beliefs in history
+        if at >= since and who in living
+        for name, state in (beliefs or {}).items()
+        if name in living and state in ("dead", "left")
+    ]
--- a/juniperlanding/series.py
+++ b/juniperlanding/series.py
@@ -7,6 +7,7 @@
 @dataclass(slots=True, eq=False)
 class Series:
     """Fields as `state.Destination` has them; last_at: when the last sample came, for who needs it."""
+
     samples: int = 0
     series: list = field(default_factory=list)
     mean: float = 0.0
--- a/juniperlanding/shards/books.py
+++ b/juniperlanding/shards/books.py
@@ -63,8 +63,13 @@
         found = Ranges.decode(text)
         edges = [0, *(high for _, high, _ in found)]
         names = {name for *_, name in found}
-        if (int(raw[:8], 16) != crc32(text) or edges != [*(low for low, *_ in found), PLACES]
-                or edges != sorted(set(edges)) or len(names) < len(found) or not all(map(number, names))):
+        if (
+            int(raw[:8], 16) != crc32(text)
+            or edges != [*(low for low, *_ in found), PLACES]
+            or edges != sorted(set(edges))
+            or len(names) < len(found)
+            or not all(map(number, names))
+        ):
             raise ValueError("not each place once")
     except ValueError as error:  # msgspec's errors are ValueErrors
         raise Damaged(errno.EINVAL, f"not a manifest: {error}", path) from None
@@ -113,8 +118,9 @@
 
     def __init__(self, shards, old, new, manifest):
         self.old, self.new, self.manifest = old, new, manifest
-        self.after = sorted([*(shard for shard in shards if shard not in old), *new],
-                            key=lambda shard: shard.low)
+        self.after = sorted(
+            [*(shard for shard in shards if shard not in old), *new], key=lambda shard: shard.low
+        )
         self.todo = [one for shard in old for one in (*shard.ids, *shard.over)]
         self.at, self.copied, self.size = 0, set(), 0
         self.busy, self.why = False, ""  # a thread has its files; why it was given up
@@ -408,7 +414,7 @@
         file = self.files.open(rewrite.manifest, fresh=True)
         try:
             while data:
-                data = data[self.files.write(file, data):]
+                data = data[self.files.write(file, data) :]
             self.files.sync(file)
         finally:
             with suppress(OSError):
--- a/juniperlanding/shards/growth.py
+++ b/juniperlanding/shards/growth.py
@@ -19,7 +19,7 @@
         """The upper edge of the sum over so many seconds, or None while there are too few samples."""
         if self.samples < SAMPLES:
             return None
-        return self.forecast * seconds + BAND * self.miss * seconds ** 0.5
+        return self.forecast * seconds + BAND * self.miss * seconds**0.5
 
 
 class Growth:
@@ -77,7 +77,17 @@
         found.live, found.sampled = int(self.live * part), self.sampled
         for name, by in (("come", part), ("grown", part), ("stay", 1)):
             one = getattr(self, name)
-            setattr(found, name, Record(
-                one.samples, [value * by for value in one.series], one.mean * by, one.smooth * by,
-                [error * by * by for error in one.errors], int(one.forecast * by), int(one.miss * by)))
+            setattr(
+                found,
+                name,
+                Record(
+                    one.samples,
+                    [value * by for value in one.series],
+                    one.mean * by,
+                    one.smooth * by,
+                    [error * by * by for error in one.errors],
+                    int(one.forecast * by),
+                    int(one.miss * by),
+                ),
+            )
         return found
--- a/juniperlanding/shards/part.py
+++ b/juniperlanding/shards/part.py
@@ -35,23 +35,30 @@
         return {"SHARDS": self.told}
 
     def gauges(self):
-        left = [left for growth in self.growth.values()
-                if (left := growth.left(self.bounds.most)) is not None]
-        return self.counts | {"shards": len(self.ledger.shards),
-                              "shard_seconds_left": round(min(left)) if left else -1}
+        left = [
+            left for growth in self.growth.values() if (left := growth.left(self.bounds.most)) is not None
+        ]
+        return self.counts | {
+            "shards": len(self.ledger.shards),
+            "shard_seconds_left": round(min(left)) if left else -1,
+        }
 
     def told(self):
         lines = []
         for shard in self.ledger.shards:
             growth = self.growth.get(shard) or Growth()
-            lines.append(f"{shard.low}-{shard.high} {shard.name} live={shard.live} "
-                         f"rate={growth.grown.forecast} band={2 * growth.grown.miss} "
-                         f"left={seconds(growth.left(self.bounds.most))}")
+            lines.append(
+                f"{shard.low}-{shard.high} {shard.name} live={shard.live} "
+                f"rate={growth.grown.forecast} band={2 * growth.grown.miss} "
+                f"left={seconds(growth.left(self.bounds.most))}"
+            )
         left = self.total.left(self.ledger.most_owed)
         lines.append(f"disk live={self.ledger.owed_size} left={seconds(left)}")
         if self.foretold:
-            lines.append(f"foretold {self.foretold.why} {self.foretold.shard.low}-{self.foretold.shard.high} "
-                         f"left={seconds(self.foretold.left)}")
+            lines.append(
+                f"foretold {self.foretold.why} {self.foretold.shard.low}-{self.foretold.shard.high} "
+                f"left={seconds(self.foretold.left)}"
+            )
         if self.under_way:
             what, step, since = self.under_way
             lines.append(f"now {what} step={step} since_ms={(self.steady() - since) // MS}")
@@ -88,8 +95,10 @@
     def chosen(self):
         """(shards, edges, word) of the rewrite that is due, or (None, None, "")."""
         shards = self.ledger.shards
-        views = {View(shard.low, shard.high, growth, lambda shard=shard: self.sampled(shard)): shard
-                 for shard, growth in self.growth.items()}
+        views = {
+            View(shard.low, shard.high, growth, lambda shard=shard: self.sampled(shard)): shard
+            for shard, growth in self.growth.items()
+        }
         found = self.planner.plan([*views], self.steady())
         self.say(found if isinstance(found, Foretold) else None)
         if isinstance(found, Split):
@@ -106,15 +115,21 @@
 
     def sampled(self, shard):
         ids = [*shard.ids]
-        found = (self.ledger.owed[one] for one in ids[::max(1, len(ids) // SAMPLE)])
+        found = (self.ledger.owed[one] for one in ids[:: max(1, len(ids) // SAMPLE)])
         return [(self.ledger.place(owed.destination), owed.size) for owed in found]
 
     def say(self, foretold):
         """One line when it begins and one when it ends that no split helps."""
         before, self.foretold = self.foretold, foretold
         if foretold and not (before and before.why == foretold.why):
-            self.log("shards", "no split helps", why=foretold.why, low=foretold.shard.low,
-                     high=foretold.shard.high, left=seconds(foretold.left))
+            self.log(
+                "shards",
+                "no split helps",
+                why=foretold.why,
+                low=foretold.shard.low,
+                high=foretold.shard.high,
+                left=seconds(foretold.left),
+            )
         elif before and not foretold:
             self.log("shards", "splits help again, or none is due")
 
--- a/juniperlanding/shards/plan.py
+++ b/juniperlanding/shards/plan.py
@@ -18,6 +18,7 @@
 class View:
     """A shard as the plan sees it: range, live bytes, its growth, and a sample of what it holds as
     [(place, bytes)], read only when a split is due."""
+
     low: int
     high: int
     growth: Growth
@@ -27,6 +28,7 @@
 @dataclass(slots=True)
 class Bounds:
     """most: live bytes of a shard; least: two neighbours under it together are merged; count: most shards."""
+
     most: int
     least: int
     count: int
@@ -47,6 +49,7 @@
 @dataclass(slots=True)
 class Foretold:
     """No split helps: `why` is "destination" or "count"; left: seconds until the bound, at the earliest."""
+
     shard: View
     why: str
     left: float
@@ -55,6 +58,7 @@
 @dataclass(eq=False)
 class Planner:
     """What one dispatcher learned of its own rewrites; `times` in ns a byte, `waits` in ns for a turn."""
+
     bounds: Bounds
     times: Record = field(default_factory=Record)
     waits: Record = field(default_factory=Record)
@@ -83,8 +87,11 @@
     def plan(self, shards, now):
         """The most urgent thing to do now, or None.  `shards`: a `View` of each, by range."""
         foretold, last, queue = None, 0, 0
-        timed = sorted((left, shard.low, shard) for shard in shards
-                       if (left := shard.growth.left(self.bounds.most * AIM)) is not None)
+        timed = sorted(
+            (left, shard.low, shard)
+            for shard in shards
+            if (left := shard.growth.left(self.bounds.most * AIM)) is not None
+        )
         for at, (left, _, shard) in enumerate(timed):
             # Threat: many meet their bound together, and they are split one after the other.
             queue += self.lead(shard.growth.live)
--- a/juniperlanding/sites/figures.py
+++ b/juniperlanding/sites/figures.py
@@ -72,8 +72,9 @@
     while len(data := ENCODER.encode(figures)) > MOST_FIGURES:
         if figures.places:
             gone = figures.places[-1]
-            figures = msgspec.structs.replace(figures, places=figures.places[:-1],
-                                              left_out=figures.left_out + gone.taken)
+            figures = msgspec.structs.replace(
+                figures, places=figures.places[:-1], left_out=figures.left_out + gone.taken
+            )
         elif figures.kinds:
             figures = msgspec.structs.replace(figures, kinds=figures.kinds[:-1])
         else:
@@ -102,6 +103,7 @@
 
 # ---- counting
 
+
 class Rates:
     """Sums of the last `span` whole seconds by key.  Bounded by what is counted in so long."""
 
@@ -167,8 +169,11 @@
         def rate(word):
             return max(0, self.rates.a_second((word, name), now))
 
-        return Kind(name, self.load.a_second(("taken", name), now),
-                    *map(rate, ("delivered", "refused", "late", "crossed")))
+        return Kind(
+            name,
+            self.load.a_second(("taken", name), now),
+            *map(rate, ("delivered", "refused", "late", "crossed")),
+        )
 
     def told(self, destination, sites, now):
         """(site number, forecast, root of the MSE, rest) of each site that answered there lately."""
@@ -181,21 +186,27 @@
         return tuple(found)
 
     def forget(self, now):
-        self.answers = {key: series for key, series in self.answers.items()
-                        if now - series.last_at < ANSWERS_BELIEVED}
+        self.answers = {
+            key: series for key, series in self.answers.items() if now - series.last_at < ANSWERS_BELIEVED
+        }
 
 
 def believed(figures, age):
     """What of them is still believed so long after they came; None for nothing."""
     if not figures or age > figures.rest * MS:
         return None
-    places = tuple(msgspec.structs.replace(place, answers=tuple(
-        answer for answer in place.answers if answer[3] * MS > age)) for place in figures.places)
+    places = tuple(
+        msgspec.structs.replace(
+            place, answers=tuple(answer for answer in place.answers if answer[3] * MS > age)
+        )
+        for place in figures.places
+    )
     return msgspec.structs.replace(figures, places=places)
 
 
 # ---- room and order, by the decisions' own functions
 
+
 class Counted:
     """A host that only counts: what would be sent, and what is refused first."""
 
@@ -228,10 +239,17 @@
     if slots > FEW:
         return slots * usable(FEW, destinations) // FEW
     destinations, host, late = max(1, min(destinations, FEW // 2)), Counted(), 100 * SEC
-    made = Dispatcher(host, {"slots": slots, "scale_kind": "nominal", "topic_types": [{"ttl": 1000 * SEC}]},
-                      "", late)
-    made.listed("whole", [(f"{at}/{number}", number, 0, 1e9, 0, "ready")
-                          for number in range(destinations) for at in range(slots)])
+    made = Dispatcher(
+        host, {"slots": slots, "scale_kind": "nominal", "topic_types": [{"ttl": 1000 * SEC}]}, "", late
+    )
+    made.listed(
+        "whole",
+        [
+            (f"{at}/{number}", number, 0, 1e9, 0, "ready")
+            for number in range(destinations)
+            for at in range(slots)
+        ],
+    )
     for number in range(destinations):
         made.notification(f"w{number}", 0, number)
     made.turn()  # paces begin to fill
--- a/juniperlanding/sites/outage.py
+++ b/juniperlanding/sites/outage.py
@@ -135,9 +135,16 @@
     def rest(self, site):
         """(measure, topic) -> Estimate of each second that the outage goes on, from what is seen in it."""
         out = self.sites[site].outage if site in self.sites else None
-        return {key: Estimate(s.forecast / PPM, max(0.0, (s.forecast - FACTOR * s.miss) / PPM),
-                              (s.forecast + FACTOR * s.miss) / PPM, s.samples)
-                for key, s in (out.rest.items() if out else ()) if s.samples >= SAMPLES}
+        return {
+            key: Estimate(
+                s.forecast / PPM,
+                max(0.0, (s.forecast - FACTOR * s.miss) / PPM),
+                (s.forecast + FACTOR * s.miss) / PPM,
+                s.samples,
+            )
+            for key, s in (out.rest.items() if out else ())
+            if s.samples >= SAMPLES
+        }
 
 
 def seen(members):
@@ -146,8 +153,12 @@
     for member in members:
         for kind in member.figures.kinds if member.lives and member.figures else ():
             into = came.setdefault(kind.name, dict.fromkeys((*MEASURES, "taken"), 0.0))
-            for measure, amount in (("refused", kind.refused), ("late", kind.late), ("taken", kind.taken),
-                                    ("crossings", kind.crossed)):
+            for measure, amount in (
+                ("refused", kind.refused),
+                ("late", kind.late),
+                ("taken", kind.taken),
+                ("crossings", kind.crossed),
+            ):
                 into[measure] += amount / MILLI
     return came
 
--- a/juniperlanding/sites/part.py
+++ b/juniperlanding/sites/part.py
@@ -71,13 +71,20 @@
 
     def given(self):
         """What earlier projections missed, so that a replacement forgets nothing."""
-        return {name: {"/".join(key): [s.samples, s.series, s.mean, s.smooth, s.errors, s.forecast, s.miss]
-                       for key, s in getattr(self.outages, name).items()} for name in LEARNT}
+        return {
+            name: {
+                "/".join(key): [s.samples, s.series, s.mean, s.smooth, s.errors, s.forecast, s.miss]
+                for key, s in getattr(self.outages, name).items()
+            }
+            for name in LEARNT
+        }
 
     def taken(self, state):
         try:
-            found = {name: {tuple(key.split("/", 1)): Series(*fields) for key, fields in state[name].items()}
-                     for name in LEARNT}
+            found = {
+                name: {tuple(key.split("/", 1)): Series(*fields) for key, fields in state[name].items()}
+                for name in LEARNT
+            }
         except (TypeError, KeyError, AttributeError) as error:
             # Threat: another version's form, and the replacement fails for it; what was learnt begins anew.
             return self.log("sites", "what was learnt cannot be read", why=described(error))
@@ -135,8 +142,15 @@
             if record.state == LEFT or record.state == DEAD and now - member.since > FORGOTTEN:
                 continue
             figures = words.decoded(member.figures) if member.figures else None
-            found.append(Member(record.name, record.site, record.state in (ALIVE, SUSPECT),
-                                words.believed(figures, age), age if figures else 0))
+            found.append(
+                Member(
+                    record.name,
+                    record.site,
+                    record.state in (ALIVE, SUSPECT),
+                    words.believed(figures, age),
+                    age if figures else 0,
+                )
+            )
         own = words.decoded(view.figures) if view.figures else None
         return [*found, Member(self.agent.name, self.agent.told.site, True, own, 0)]
 
@@ -152,17 +166,23 @@
             self.ended[name] = ended
         self.seen.forget(now)
         near = me.settings.get("zone") if me.settings.get("crossing_price") else None
-        sites = tuple(dict.fromkeys([self.agent.told.site, *self.node.config.zones, "?"]))[:words.MOST_SITES]
-        places = [self.place(dest, sites, near, at, now) for dest in me.destinations.values()
-                  if dest.endpoints]
+        sites = tuple(dict.fromkeys([self.agent.told.site, *self.node.config.zones, "?"]))[: words.MOST_SITES]
+        places = [
+            self.place(dest, sites, near, at, now) for dest in me.destinations.values() if dest.endpoints
+        ]
         places.sort(key=lambda place: (-place.taken, place.destination))
         each = ledger.owed_size // len(ledger.owed) + 1 if ledger.owed else RECORD
         return words.Figures(
-            words.VERSION, words.BELIEVED // MS, sites,
-            tuple(self.seen.kind(topic.get("name"), now) for topic in self.topics), tuple(places[:256]),
+            words.VERSION,
+            words.BELIEVED // MS,
+            sites,
+            tuple(self.seen.kind(topic.get("name"), now) for topic in self.topics),
+            tuple(places[:256]),
             min(me.settings.get("slots", 1 << 20), 1 << 20),
             max(0, min(me.settings.get("most_held", 1 << 20), 1 << 30) - len(self.node.owner.held)),
-            max(0, ledger.most_owed - ledger.owed_size) // each, near=near is not None)
+            max(0, ledger.most_owed - ledger.owed_size) // each,
+            near=near is not None,
+        )
 
     def place(self, dest, sites, near, at, now):
         here = [e for e in dest.endpoints if e.state == "ready" and not e.down]
@@ -170,9 +190,14 @@
         apart = len({id(e.route) for e in here}) > 1
         pace = self.pace(here[0].route, at, now) if here else words.UNKNOWN
         numbers = tuple(sites.index(site) for e in order if (site := self.site_of(e.zone)) in sites)
-        return words.Place(dest.id, self.seen.load.a_second(("place", dest.id), now),
-                          words.UNKNOWN if apart else pace, max(pace, 0) if apart else 0, numbers,
-                          self.seen.told(dest.id, sites, now))
+        return words.Place(
+            dest.id,
+            self.seen.load.a_second(("place", dest.id), now),
+            words.UNKNOWN if apart else pace,
+            max(pace, 0) if apart else 0,
+            numbers,
+            self.seen.told(dest.id, sites, now),
+        )
 
     def pace(self, route, at, now):
         """What may be offered a route, in thousandths a second: the rule's, or after throttling the
@@ -186,8 +211,11 @@
     def gauges(self):
         """For `STATS`, while the part is on."""
         states = [site.state for site in self.outages.sites.values()]
-        return {"sites.lost": states.count(LOST), "sites.known": len(states),
-                "sites.look_us": self.cost // 1000}
+        return {
+            "sites.lost": states.count(LOST),
+            "sites.known": len(states),
+            "sites.look_us": self.cost // 1000,
+        }
 
     def calls(self):
         return {"SITES": self.lines, "FIGURES": self.told}
@@ -214,26 +242,34 @@
             if made is None:
                 rows.append(f"{head} not projected yet")
                 continue
-            rows.append(f"{head} rests_on={made.rests_on}/{made.rests_on + len(made.unknown)} "
-                        f"made={(now - made.made_at) / SEC:.1f}s oldest={made.oldest / SEC:.1f}s "
-                        f"unknown={','.join(made.unknown) or '-'}")
+            rows.append(
+                f"{head} rests_on={made.rests_on}/{made.rests_on + len(made.unknown)} "
+                f"made={(now - made.made_at) / SEC:.1f}s oldest={made.oldest / SEC:.1f}s "
+                f"unknown={','.join(made.unknown) or '-'}"
+            )
             if made.nothing:
                 rows.append(f"  unknown: {made.nothing}")
                 continue
             rows += projection_lines(made)
-            rows += [f"  seen {measure} {topic} {shown(estimate)} tested={estimate.tested}" for (
-                measure, topic), estimate in sorted(self.outages.rest(name).items())]
+            rows += [
+                f"  seen {measure} {topic} {shown(estimate)} tested={estimate.tested}"
+                for (measure, topic), estimate in sorted(self.outages.rest(name).items())
+            ]
         return [*rows, "--"]
 
 
 def projection_lines(made):
     shares = " ".join(f"{name}={100 * share:.1f}%" for name, share in made.shares.items())
     price = shown(made.price) if made.price else "unknown"
-    rows = [f"  load={made.load:.2f}/s over={100 * made.over:.1f}% {shares}",
-            f"  crossings={shown(made.crossings)}/s price={price}/s"]
+    rows = [
+        f"  load={made.load:.2f}/s over={100 * made.over:.1f}% {shares}",
+        f"  crossings={shown(made.crossings)}/s price={price}/s",
+    ]
     for name, line in made.topics.items():
-        rows.append(f"  {name} offered={line.offered:.2f}/s refused={shown(line.refused)} "
-                    f"late={shown(line.late)} lost={shown(line.lost)} crossings={shown(line.crossings)} "
-                    f"now={','.join(f'{figure:.2f}' for figure in line.now)} tested={line.lost.tested}")
+        rows.append(
+            f"  {name} offered={line.offered:.2f}/s refused={shown(line.refused)} "
+            f"late={shown(line.late)} lost={shown(line.lost)} crossings={shown(line.crossings)} "
+            f"now={','.join(f'{figure:.2f}' for figure in line.now)} tested={line.lost.tested}"
+        )
     rows += [f"  stranded destinations: {', '.join(map(str, made.stranded[:20]))}"] if made.stranded else []
     return rows + [f"  guessed: {guess}" for guess in made.guessed[:8]]
--- a/juniperlanding/sites/play.py
+++ b/juniperlanding/sites/play.py
@@ -54,8 +54,14 @@
             whole += rates[key] / total if total else 0.0
             self.sums.append(whole)
         apart = [any(each for _, each in paces.values())]
-        settings = {"topic_types": topics, "slots": round(slots / self.scale), "most_held": held,
-                    "scale_kind": "nominal", "routes_apart": apart, "may_cancel": True}
+        settings = {
+            "topic_types": topics,
+            "slots": round(slots / self.scale),
+            "most_held": held,
+            "scale_kind": "nominal",
+            "routes_apart": apart,
+            "may_cancel": True,
+        }
         settings |= {"zone": near, "crossing_price": 1} if near is not None else {}
         self.at = Dispatcher(self, settings, "", BEGUN)
         entries = []
