--- a/juniperlanding/sites/project.py
+++ b/juniperlanding/sites/project.py
@@ -108,13 +108,21 @@
     members = sorted(members, key=lambda member: member.name)
     lost = [member for member in members if member.site == site]
     near = [member for member in members if member.site != site and member.lives]
-    made = Projection(site, unknown=[m.name for m in (*lost, *near) if not m.figures],
-                      rests_on=sum(m.figures is not None for m in (*lost, *near)),
-                      oldest=max((m.age for m in (*lost, *near) if m.figures), default=0))
+    made = Projection(
+        site,
+        unknown=[m.name for m in (*lost, *near) if not m.figures],
+        rests_on=sum(m.figures is not None for m in (*lost, *near)),
+        oldest=max((m.age for m in (*lost, *near) if m.figures), default=0),
+    )
     known, carriers = [m for m in lost if m.figures], [m for m in near if m.figures]
     if not lost or not known or not carriers:
-        made.nothing = ("nobody stands there" if not lost else "nobody there tells what it takes"
-                        if not known else "no neighbour tells what it can take")
+        made.nothing = (
+            "nobody stands there"
+            if not lost
+            else "nobody there tells what it takes"
+            if not known
+            else "no neighbour tells what it can take"
+        )
         return made
     # Unknown is not nothing: who tells nothing is taken as the mean of those beside it who do.
     demand = Demand(known, len(lost) / len(known))
@@ -123,8 +131,9 @@
     made.load = demand.total
     carriers = [Carrier(m, site, demand, carriers) for m in carriers]
     made.guessed += sorted({guess for carrier in carriers for guess in carrier.guessed})
-    made.stranded = [number for number in demand.places
-                     if not any(number in carrier.reach for carrier in carriers)]
+    made.stranded = [
+        number for number in demand.places if not any(number in carrier.reach for carrier in carriers)
+    ]
     blind, extra = [m.name for m in near if not m.figures], 0.0
     room = {carrier.name: carrier.room for carrier in carriers}
     if blind:
@@ -165,8 +174,9 @@
             for kind in member.figures.kinds:
                 self.kinds[kind.name] = self.kinds.get(kind.name, 0.0) + scale * kind.taken / MILLI
             for place in member.figures.places:
-                self.places[place.destination] = (self.places.get(place.destination, 0.0)
-                                                  + scale * place.taken / MILLI)
+                self.places[place.destination] = (
+                    self.places.get(place.destination, 0.0) + scale * place.taken / MILLI
+                )
             self.left_out += scale * member.figures.left_out / MILLI
         self.places = {number: rate for number, rate in sorted(self.places.items()) if rate > 0}
         self.total = sum(self.kinds.values())
@@ -210,8 +220,11 @@
 
     def answers(self, place, left, rate, lost, all_members):
         """site -> (share, answer time, its root of the MSE) for what this member would send there."""
-        times = {self.figures.sites[at]: (f / MICRO, miss / MICRO)
-                 for at, f, miss, _ in place.answers if at < len(self.figures.sites)}
+        times = {
+            self.figures.sites[at]: (f / MICRO, miss / MICRO)
+            for at, f, miss, _ in place.answers
+            if at < len(self.figures.sites)
+        }
         for s in dict.fromkeys(left):
             if s not in times:
                 times[s] = self.elsewhere(place.destination, s, all_members, times, lost)
@@ -221,9 +234,14 @@
 
     def elsewhere(self, number, site, all_members, times, lost):
         """An answer time that this member has not seen: what others see, or its own elsewhere, or a guess."""
-        found = [(f / MICRO, miss / MICRO) for member in all_members for place in member.figures.places
-                 if place.destination == number for at, f, miss, _ in place.answers
-                 if member.figures.sites[at] == site] or list(times.values())
+        found = [
+            (f / MICRO, miss / MICRO)
+            for member in all_members
+            for place in member.figures.places
+            if place.destination == number
+            for at, f, miss, _ in place.answers
+            if member.figures.sites[at] == site
+        ] or list(times.values())
         if not found:
             self.guessed.append(f"answer time at {number} in {site}")
             return 0.0, 0.0
@@ -259,17 +277,23 @@
         no endpoint left."""
         own, self.rates, self.dead, self.more = self.own.mix(), {}, {}, more
         for name in order:
-            for part_of, total in ((own, self.own.kinds.get(name, 0.0)),
-                                   (self.mix, share_of(self.demand, name) * more)):
+            for part_of, total in (
+                (own, self.own.kinds.get(name, 0.0)),
+                (self.mix, share_of(self.demand, name) * more),
+            ):
                 for number, part in part_of.items():
                     where = self.rates if number in self.reach else self.dead
                     where[name, number] = where.get((name, number), 0.0) + total * part
 
     def like(self):
         """Equal for those that decide alike: one of them is played for all."""
-        return self.site, self.figures.slots, self.figures.near, tuple(
-            (number, tuple(left)) for number, (_, left, _) in sorted(self.order.items())), tuple(sorted(
-                self.reach))
+        return (
+            self.site,
+            self.figures.slots,
+            self.figures.near,
+            tuple((number, tuple(left)) for number, (_, left, _) in sorted(self.order.items())),
+            tuple(sorted(self.reach)),
+        )
 
     @staticmethod
     def together(group):
@@ -277,20 +301,27 @@
         first, count = group[0], len(group)
         for name in ("rates", "dead"):
             keys = sorted(set().union(*(getattr(one, name) for one in group)))
-            setattr(first, name, {key: sum(getattr(one, name).get(key, 0.0) for one in group) / count
-                                  for key in keys})
+            setattr(
+                first,
+                name,
+                {key: sum(getattr(one, name).get(key, 0.0) for one in group) / count for key in keys},
+            )
         first.excess = sum(one.over() for one in group) / count
         first.now = {}
         for one in group:
             for kind in one.figures.kinds:
                 was = first.now.get(kind.name, (0.0, 0.0, 0.0))
-                first.now[kind.name] = tuple(a + b / MILLI / count for a, b in zip(
-                    was, (kind.refused, kind.late, kind.crossed), strict=True))
+                first.now[kind.name] = tuple(
+                    a + b / MILLI / count
+                    for a, b in zip(was, (kind.refused, kind.late, kind.crossed), strict=True)
+                )
 
     def over(self):
         """What it has no room for, a second, by rates alone."""
-        lasts, live = sum(r * self.lasts(number) for (_, number), r in self.rates.items()), sum(
-            self.rates.values())
+        lasts, live = (
+            sum(r * self.lasts(number) for (_, number), r in self.rates.items()),
+            sum(self.rates.values()),
+        )
         reachable = sum(part for number, part in self.mix.items() if number in self.reach)
         excess = max(0.0, self.more - self.room) * reachable
         if live and lasts and self.busy() > self.calls:  # full of its own
@@ -312,8 +343,18 @@
             for site in order:
                 answers[number].setdefault(site, next(iter(answers[number].values())))
         near = self.site if self.figures.near else None
-        return (yield from Play(self.rates, answers, orders, paces, topics, self.figures.slots,
-                                max(1, self.figures.held), near).run())
+        return (
+            yield from Play(
+                self.rates,
+                answers,
+                orders,
+                paces,
+                topics,
+                self.figures.slots,
+                max(1, self.figures.held),
+                near,
+            ).run()
+        )
 
     def carry(self, ends, order, named, sums, weight, price):
         """Add to `sums` what becomes of the load; what its play did not settle goes by rates alone."""
@@ -340,8 +381,10 @@
             into.offered += weight * (offered + dead)
             into.refused += weight * (gone + dead)
             into.late += weight * late
-            into.late_least, into.late_most = (into.late_least + weight * min(least, late / 2),
-                                               into.late_most + weight * max(most, late * 2))
+            into.late_least, into.late_most = (
+                into.late_least + weight * min(least, late / 2),
+                into.late_most + weight * max(most, late * 2),
+            )
             for site, rate in at.items():
                 if site != self.site:
                     into.crossings += weight * rate
@@ -350,8 +393,10 @@
                     into.priced = into.priced and cost is not None
             refused, was_late, crossed = self.now.get(name, (0.0, 0.0, 0.0))
             into.now_refused, into.now_late, into.now_crossed = (
-                into.now_refused + weight * refused, into.now_late + weight * was_late,
-                into.now_crossed + weight * crossed)
+                into.now_refused + weight * refused,
+                into.now_late + weight * was_late,
+                into.now_crossed + weight * crossed,
+            )
 
     def by_rates(self, rates, topic, refused):
         """(benefit lost to lateness a second, site -> deliveries).  Threat: of what is refused in part, the
@@ -368,10 +413,16 @@
         """The benefit lost to lateness with every answer at the forecast, and at forecast + 2 x root of
         MSE."""
         whole = sum(rates.values())
-        found = [(rate / whole * part, lasts, miss) for number, rate in rates.items() if whole
-                 for part, lasts, miss in self.reach[number].values()]
-        return (carried * sum(part * fades(topic, lasts) for part, lasts, _ in found),
-                carried * sum(part * fades(topic, lasts + FACTOR * miss) for part, lasts, miss in found))
+        found = [
+            (rate / whole * part, lasts, miss)
+            for number, rate in rates.items()
+            if whole
+            for part, lasts, miss in self.reach[number].values()
+        ]
+        return (
+            carried * sum(part * fades(topic, lasts) for part, lasts, _ in found),
+            carried * sum(part * fades(topic, lasts + FACTOR * miss) for part, lasts, miss in found),
+        )
 
 
 def share_of(demand, name):
@@ -411,8 +462,13 @@
         refused = banded(s.refused, chance[0], chance[0] + blind, errors("refused", name), s.offered)
         late = banded(s.late, s.late - s.late_least, s.late_most - s.late, errors("late", name), whole)
         model = s.late + s.refused * s.whole
-        lost = banded(model, model - late.least - refused.least * s.whole,
-                      late.most + refused.most * s.whole - model, errors("lost", name), whole)
+        lost = banded(
+            model,
+            model - late.least - refused.least * s.whole,
+            late.most + refused.most * s.whole - model,
+            errors("lost", name),
+            whole,
+        )
         crossings = banded(s.crossings, chance[1], chance[1], errors("crossings", name), s.offered)
         now = s.now_refused, s.now_late + s.now_refused * s.whole, s.now_crossed
         made.topics[name] = Line(s.offered, refused, late, lost, crossings, s.whole, now)
@@ -420,8 +476,10 @@
     crossed, price = sum(s.crossings for s in sums.values()), sum(s.price for s in sums.values())
     if all(s.priced for s in sums.values()):
         each = price / crossed if crossed else 0.0
-        made.price = Estimate(*(each * figure for figure in (made.crossings.value, made.crossings.least,
-                                                             made.crossings.most)), made.crossings.tested)
+        made.price = Estimate(
+            *(each * figure for figure in (made.crossings.value, made.crossings.least, made.crossings.most)),
+            made.crossings.tested,
+        )
 
 
 def banded(value, under, over, error, offered):
@@ -434,12 +492,16 @@
 
 def together(estimates):
     """The sum of several; their bands added up, as if all missed to one side."""
-    return Estimate(*(sum(getattr(e, part) for e in estimates) for part in ("value", "least", "most")),
-                    min((e.tested for e in estimates), default=0), sum(e.model for e in estimates))
+    return Estimate(
+        *(sum(getattr(e, part) for e in estimates) for part in ("value", "least", "most")),
+        min((e.tested for e in estimates), default=0),
+        sum(e.model for e in estimates),
+    )
 
 
 # ---- the decisions' own functions, asked
 
+
 def fades(topic, lasts):
     """The benefit lost by one delivery that takes so many seconds; all of it past the TTL."""
     ttl, whole = topic.get("ttl", 0), topic.get("benefit", 1)
--- a/juniperlanding/state.py
+++ b/juniperlanding/state.py
@@ -6,6 +6,7 @@
 @dataclass(slots=True, eq=False)
 class Call:
     """One slot and one fate: the pushes that travel together."""
+
     pushes: list = field(default_factory=list)
     judged: bool = False
     lost_at: int = 0
@@ -15,6 +16,7 @@
 @dataclass(slots=True, eq=False)
 class Push:
     """Lives from the choice of an endpoint to the outcome."""
+
     ntf: "Notification"
     number: int
     options: list = field(default_factory=list)
@@ -33,6 +35,7 @@
 @dataclass(slots=True, eq=False)
 class Notification:
     """Lives from the way in to the final answer."""
+
     id: int
     topic: dict
     destination: "Destination"
@@ -51,6 +54,7 @@
 @dataclass(slots=True, eq=False)
 class Route:
     """What shares one limit: a destination, or one endpoint where routes are apart."""
+
     scale: float = 0.0
     wait_until: int = 0
     refusals: int = 0
@@ -66,6 +70,7 @@
 @dataclass(slots=True, eq=False)
 class Endpoint:
     """Lives as long as the list names it, and while a push is out to it."""
+
     id: int
     destination: "Destination"
     route: Route
@@ -91,6 +96,7 @@
 @dataclass(slots=True, eq=False)
 class Destination:
     """One customer's system: its endpoints, what waits for it, and its forecaster's series."""
+
     id: int
     endpoints: list = field(default_factory=list)
     waiting: list = field(default_factory=list)
@@ -114,6 +120,7 @@
 @dataclass(slots=True, eq=False)
 class Instance:
     """Lives from start to kill."""
+
     settings: dict
     seed: int
     rank: int
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,8 +18,14 @@
 
 TOPICS = [
     {"kind": "repeatable", "objective": 2 * SEC, "ttl": 20 * SEC, "benefit": 1, "late_share": 0.5},
-    {"kind": "collapsible", "objective": 2 * SEC, "ttl": 20 * SEC, "benefit": 2, "window": 6 * SEC,
-     "group": "all"},
+    {
+        "kind": "collapsible",
+        "objective": 2 * SEC,
+        "ttl": 20 * SEC,
+        "benefit": 2,
+        "window": 6 * SEC,
+        "group": "all",
+    },
     {"kind": "once-only", "objective": 2 * SEC, "ttl": 20 * SEC, "benefit": 5},
     {"kind": "repeatable", "objective": 2 * SEC, "ttl": 20 * SEC, "benefit": 1, "ordered": True},
 ]
@@ -44,10 +50,20 @@
 
     def __init__(self, endpoints=1, scale=50.0, **settings):
         self.host = Host()
-        basic = {"rank": 0, "dispatchers": 2, "tick": 5_000_000, "scale_kind": "nominal",
-                 "slots": 20, "most_held": 100, "most_pushes": 6,
-                 "start_capacity": 0.2, "warm_within": 10 * SEC,
-                 "overload_factor": 2.0, "fall_within": 2 * SEC, "topic_types": TOPICS}
+        basic = {
+            "rank": 0,
+            "dispatchers": 2,
+            "tick": 5_000_000,
+            "scale_kind": "nominal",
+            "slots": 20,
+            "most_held": 100,
+            "most_pushes": 6,
+            "start_capacity": 0.2,
+            "warm_within": 10 * SEC,
+            "overload_factor": 2.0,
+            "fall_within": 2 * SEC,
+            "topic_types": TOPICS,
+        }
         self.at = Dispatcher(self.host, basic | settings, seed=7, now=100 * SEC)
         self.at.start()
         self.at.listed("cached", [(10 + n, 1, 0, scale, 0, "ready") for n in range(endpoints)])
@@ -89,17 +105,37 @@
 
 # ---- loopback stand-ins for the parties that the dispatcher meets on sockets
 
-WIRE = {"request_classes": [
-    {"name": "news", "effect": "safe", "aim_ns": 2 * SEC, "deadline_ns": 20 * SEC, "worth": 1},
-    {"name": "order", "effect": "unsafe", "aim_ns": 2 * SEC, "deadline_ns": 20 * SEC, "worth": 2},
-    {"name": "pay", "effect": "keyed", "group": "all", "repeat_window_ns": 6 * SEC, "aim_ns": 2 * SEC,
-     "deadline_ns": 20 * SEC, "worth": 2}],
-    "models": ["m1", "m2"], "areas": ["a"], "weight_kind": "nominal", "n_instances": 1, "tick_ns": 5_000_000,
-    "registry_mode": "push", "report": {"fields": ["x0", "x1"]},
+WIRE = {
+    "request_classes": [
+        {"name": "news", "effect": "safe", "aim_ns": 2 * SEC, "deadline_ns": 20 * SEC, "worth": 1},
+        {"name": "order", "effect": "unsafe", "aim_ns": 2 * SEC, "deadline_ns": 20 * SEC, "worth": 2},
+        {
+            "name": "pay",
+            "effect": "keyed",
+            "group": "all",
+            "repeat_window_ns": 6 * SEC,
+            "aim_ns": 2 * SEC,
+            "deadline_ns": 20 * SEC,
+            "worth": 2,
+        },
+    ],
+    "models": ["m1", "m2"],
+    "areas": ["a"],
+    "weight_kind": "nominal",
+    "n_instances": 1,
+    "tick_ns": 5_000_000,
+    "registry_mode": "push",
+    "report": {"fields": ["x0", "x1"]},
     "family_info": {"workers": 20, "batch_by_kind": [1, 5], "routes_apart": [False, False]},
-    "permissions": {"most_held": 50, "max_attempts": 6, "conn_idle_ns": 10 * SEC, "cancel": True,
-                    "connect_timeout_ns": SEC},
-    "safety": {"must_ask_in_ns": 10 * SEC, "start_capacity": 0.2, "warm_within_ns": 10 * SEC}}
+    "permissions": {
+        "most_held": 50,
+        "max_attempts": 6,
+        "conn_idle_ns": 10 * SEC,
+        "cancel": True,
+        "connect_timeout_ns": SEC,
+    },
+    "safety": {"must_ask_in_ns": 10 * SEC, "start_capacity": 0.2, "warm_within_ns": 10 * SEC},
+}
 
 
 MOST_TAKEN = 5  # of what a scene may last, so much more at most for what the machine takes
@@ -237,25 +273,41 @@
                     self.far = await Far(answer).open(nursery)
                     await scene(self)
                     nursery.cancel_scope.cancel()
+
         trio.run(main, instruments=[even])
 
     def config(self):
-        known = {"revision": 1, "complete": True, "members": [
-            member(1, self.far.address), member(8, self.far.address, "terminating", cell=8)]}
-        told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "7",
-                "discovery": "{}:{}".format(*self.platform.address),
-                "limits": self.limits, "known": known, "settings": self.wire, **self.told}
+        known = {
+            "revision": 1,
+            "complete": True,
+            "members": [member(1, self.far.address), member(8, self.far.address, "terminating", cell=8)],
+        }
+        told = {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "seed": "7",
+            "discovery": "{}:{}".format(*self.platform.address),
+            "limits": self.limits,
+            "known": known,
+            "settings": self.wire,
+            **self.told,
+        }
         path = self.folder / "config.json"
         path.write_text(json.dumps(told))
         (self.folder / "state").mkdir(exist_ok=True)
-        self.environ = {"EDGE_CONFIG": str(path), "EDGE_STATE": str(self.folder / "state"),
-                        "EDGE_LISTEN": "127.0.0.1:0", "EDGE_DISCOVERY": "127.0.0.1:1"}  # gone; the file wins
+        self.environ = {
+            "EDGE_CONFIG": str(path),
+            "EDGE_STATE": str(self.folder / "state"),
+            "EDGE_LISTEN": "127.0.0.1:0",
+            "EDGE_DISCOVERY": "127.0.0.1:1",
+        }  # gone; the file wins
         return read(self.environ, self.world.files)
 
     def reread(self):
         """As `serve` does at SIGHUP."""
-        return read({name: self.environ[name] for name in self.environ.keys() - {"EDGE_DISCOVERY"}},
-                    self.world.files)
+        return read(
+            {name: self.environ[name] for name in self.environ.keys() - {"EDGE_DISCOVERY"}}, self.world.files
+        )
 
     async def start(self):
         self.node = Node(self.config(), self.world, log=self.log)
@@ -264,6 +316,7 @@
         async def run(task_status):
             with self.scope:
                 await self.node.run(task_status)
+
         self.address = await self.nursery.start(run)
         return self.node
 
@@ -283,9 +336,11 @@
         return int(first.split()[1]), headers
 
     async def submit(self, number="a1", topic="news", stream=None, body=b"hello", ttl=5000, dest=7, more=""):
-        text = (f"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: {number}\r\nX-Qos: {topic}\r\n"
-                f"X-Expires-In-Ms: {ttl}\r\nX-Addressing: dest={dest}\r\n{more}"
-                f"Content-Length: {len(body)}\r\n\r\n")
+        text = (
+            f"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: {number}\r\nX-Qos: {topic}\r\n"
+            f"X-Expires-In-Ms: {ttl}\r\nX-Addressing: dest={dest}\r\n{more}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
         return (await self.ask(text.encode() + body, stream))[0]
 
     async def until(self, condition):
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -55,7 +55,8 @@
 def pytest_collection_modifyitems(session, config, items):
     found = {item.nodeid: item for item in items}
     whole = {Path(name).resolve() for name in config.args} == {
-        (config.rootpath / name).resolve() for name in config.getini("testpaths")}
+        (config.rootpath / name).resolve() for name in config.getini("testpaths")
+    }
     for nodeid, cause in config.stash[listed].items():
         if item := found.get(nodeid):
             item.add_marker(pytest.mark.xfail(reason=cause, strict=True), append=False)
--- a/tests/tables/__init__.py
+++ b/tests/tables/__init__.py
@@ -26,8 +26,13 @@
     return 0.8**last * series[0] + sum(0.2 * 0.8 ** (last - at) * series[at] for at in range(1, last + 1))
 
 
-PREDICTORS = {"last": lambda s: s[-1], "mean": fmean, "smooth": smoothed, "ten": lambda s: fmean(s[-10:]),
-              "median": lambda s: median(s[-10:])}
+PREDICTORS = {
+    "last": lambda s: s[-1],
+    "mean": fmean,
+    "smooth": smoothed,
+    "ten": lambda s: fmean(s[-10:]),
+    "median": lambda s: median(s[-10:]),
+}
 
 
 def nws(name, *series):
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -19,8 +19,17 @@
         self.fleet, self.name, self.life, self.disk = fleet, name, life, disk
         self.full, self.stopped = False, None
         self.rate, self.held, self.events, self.due = fleet.rates.get(name, 1), [], [], 0
-        self.accord = Accord(name, life, fleet.voters, disk, lambda document: frozenset(), self.check, life,
-                             self.now, fleet.tuning)
+        self.accord = Accord(
+            name,
+            life,
+            fleet.voters,
+            disk,
+            lambda document: frozenset(),
+            self.check,
+            life,
+            self.now,
+            fleet.tuning,
+        )
         self.accord.members = set(fleet.names)
 
     @property
@@ -219,8 +228,13 @@
     assert fleet.run(1, fleet.all(1))
 
 
-@pytest.mark.parametrize("rates", [{"d03": 0.99, "d00": 1.01, "d01": 1.01, "d02": 1.01, "d04": 1.01},
-                                   {"d03": 1.01, "d00": 0.99, "d01": 0.99, "d02": 0.99}])
+@pytest.mark.parametrize(
+    "rates",
+    [
+        {"d03": 0.99, "d00": 1.01, "d01": 1.01, "d02": 1.01, "d04": 1.01},
+        {"d03": 1.01, "d00": 0.99, "d01": 0.99, "d02": 0.99},
+    ],
+)
 def test_clocks_one_percent_apart_never_hold_two_numbers(rates):
     """Broken by dropping the margin of holder, voter or leader: the one cut off goes on by a slow clock."""
     fleet = Fleet(rates=rates)
@@ -308,8 +322,10 @@
         assert fleet.run(1, reaches(fleet, "d04", until))
     fleet.lost = lambda sender, receiver, _: receiver == "d04"
     others = [process.accord for name, process in fleet.up.items() if name != "d04"]
-    assert fleet.run(1.5 + 1.5 + 2 * LONGEST, lambda: len({accord.holds(fleet.now) for accord in others}) == 1
-                     and fleet.now > 17 * SEC)
+    assert fleet.run(
+        1.5 + 1.5 + 2 * LONGEST,
+        lambda: len({accord.holds(fleet.now) for accord in others}) == 1 and fleet.now > 17 * SEC,
+    )
     fleet.run(5)
     assert len({accord.holds(fleet.now) for accord in others} - {None}) == 1
     fleet.heal()
@@ -373,7 +389,7 @@
     """Grants for another life, of rounds before a release, and numbers older than its own."""
     holder, life = fleet.up["d03"].accord.holder, fleet.up["d03"].life
     grant = words.Grant(life, holder.round, 0, "", 1, 1)
-    (to, released), = answers(fleet, "d03", "d04", words.Release((1, "d04", 5), 1))
+    ((to, released),) = answers(fleet, "d03", "d04", words.Release((1, "d04", 5), 1))
     assert (to, released) == ("d04", words.Released((1, "d04", 5), 1)) and holder.holds(fleet.now) is None
     for name in fleet.voters:
         answers(fleet, "d03", name, grant)
@@ -396,13 +412,13 @@
     total, accept = fleet.up["d00"].accord.sum, words.Accept((1, "d04", 5), 1, "")
     assert isinstance(answers(fleet, "d00", "d04", words.Prepare(first, 1, "", total))[0][1], words.Promise)
     for message in (words.Prepare((1, "d03", 4), 1, "", total), words.Prepare(second, 1, "", total), accept):
-        (_, word), = answers(fleet, "d00", "d03", message)
+        ((_, word),) = answers(fleet, "d00", "d03", message)
         assert word.leader == first and kept().promised == first and kept().accepted == words.NONE
-    (_, word), = answers(fleet, "d00", "d03", words.Ask(1, 0, "", total))
+    ((_, word),) = answers(fleet, "d00", "d03", words.Ask(1, 0, "", total))
     assert (word.why, word.ballot) == ("closed", first)
     fleet.up["d00"].accord.voter.leader_heard -= 2 * SEC
     assert isinstance(answers(fleet, "d00", "d03", words.Prepare(second, 1, "", total))[0][1], words.Promise)
-    (_, word), = answers(fleet, "d00", "d03", words.Prepare((1, "d03", 4), 1, "", total))
+    ((_, word),) = answers(fleet, "d00", "d03", words.Prepare((1, "d03", 4), 1, "", total))
     assert word.leader == second and kept().promised == second
     answers(fleet, "d00", "d03", words.Yields(second, 1, True))
     assert kept().closed  # the first may have gone further
@@ -460,9 +476,15 @@
 def test_noise_and_figures_that_no_member_says_are_passed_over():
     ask = words.Ask(1, 0, "", 7)
     assert words.decoded(words.encoded(ask)) == ask
-    for noise in (b"", b"x", msgspec.msgpack.encode(["nothing", 1]), b"\x00" * 1500,
-                  words.encoded(words.Accept((1, "n" * 200, 1), 1, "")), words.encoded(ask.but(round=-1)),
-                  words.encoded(ask.but(digest="d" * 33))):
+    for noise in (
+        b"",
+        b"x",
+        msgspec.msgpack.encode(["nothing", 1]),
+        b"\x00" * 1500,
+        words.encoded(words.Accept((1, "n" * 200, 1), 1, "")),
+        words.encoded(ask.but(round=-1)),
+        words.encoded(ask.but(digest="d" * 33)),
+    ):
         with pytest.raises(words.Noise):
             words.decoded(noise)
 
--- a/tests/test_accord_search.py
+++ b/tests/test_accord_search.py
@@ -34,8 +34,12 @@
             items.append((sent, sent + chance.randrange(8), chance.choice("abc"), chance.randrange(4)))
         slow = {item for item in items for other in items if other[1] <= item[0] and other[3] > item[3]}
         assert {older for older, _ in verdict.breaches(items)} == slow
-        own = {item for item in items for other in items
-               if other[2] == item[2] and other[1] <= item[0] and other[3] > item[3]}
+        own = {
+            item
+            for item in items
+            for other in items
+            if other[2] == item[2] and other[1] <= item[0] and other[3] > item[3]
+        }
         assert {older for older, _ in verdict.returns(items)} == own
 
 
@@ -43,20 +47,30 @@
     assert verdict.doubled([(1, "x"), (2, "y"), (1, "x"), (2, "z")]) == {2: {"y", "z"}}
     standing = [("a", 2, "y"), ("b", 1, "x"), ("c", 2, "z"), ("d", 3, "w")]
     assert verdict.lost([(2, "y")], standing) == [(2, "y", "b"), (2, "y", "c")]
-    items = [(0, 5, "a", 1), (1, 6, "b", 1), (8, 9, "a", 1), (30, 31, "a", 2), (10, 46, "b", 3),
-             (9, 40, "a", 1), (50, 51, "a", 2)]
+    items = [
+        (0, 5, "a", 1),
+        (1, 6, "b", 1),
+        (8, 9, "a", 1),
+        (30, 31, "a", 2),
+        (10, 46, "b", 3),
+        (9, 40, "a", 1),
+        (50, 51, "a", 2),
+    ]
     assert verdict.pauses(items) == [("a", 1, 2, 22), ("b", 1, 3, 40)]
     assert verdict.middle_and_worst([22, 40, 30]) == (30, 40)
     assert verdict.middle_and_worst([]) == (None, None)
 
 
-@pytest.mark.parametrize("readings, at", [
-    ([(1, "a", 1), (2, "b", 2), (3, "a", 2), (4, "b", 2)], 3),
-    ([(1, "a", 1), (2, "b", 2), (4, "b", 2)], None),  # neither everywhere nor nowhere
-    ([(1, "a", 2), (2, "b", 2), (3, "b", None)], None),  # taken on nothing at the end
-    ([(1, "a", 2), (2, "b", 2), (3, "b", None), (5, "b", 2), (6, "c", 1)], 5),
-    ([(1, "a", 2)], None),  # one that serves was never read
-])
+@pytest.mark.parametrize(
+    "readings, at",
+    [
+        ([(1, "a", 1), (2, "b", 2), (3, "a", 2), (4, "b", 2)], 3),
+        ([(1, "a", 1), (2, "b", 2), (4, "b", 2)], None),  # neither everywhere nor nowhere
+        ([(1, "a", 2), (2, "b", 2), (3, "b", None)], None),  # taken on nothing at the end
+        ([(1, "a", 2), (2, "b", 2), (3, "b", None), (5, "b", 2), (6, "c", 1)], 5),
+        ([(1, "a", 2)], None),  # one that serves was never read
+    ],
+)
 def test_settled(readings, at):
     assert verdict.settled_at(readings, {"a", "b"}, 1) == at
 
@@ -64,8 +78,12 @@
 class Change(RuleBasedStateMachine):
     """The whole change with licences and drift: whatever is drawn, one number at one instant."""
 
-    @initialize(members=st.integers(3, 5), seed=st.integers(0, 99), loss=st.sampled_from([0.0, 0.1, 0.3]),
-                ppm=st.lists(st.sampled_from([-10_000, 0, 10_000]), min_size=5, max_size=5))
+    @initialize(
+        members=st.integers(3, 5),
+        seed=st.integers(0, 99),
+        loss=st.sampled_from([0.0, 0.1, 0.3]),
+        ppm=st.lists(st.sampled_from([-10_000, 0, 10_000]), min_size=5, max_size=5),
+    )
     def begin(self, members, seed, loss, ppm):
         names = [f"d{at}" for at in range(members)]
         self.fleet = accord.Fleet(names, 3, seed, ppm=ppm, loss=loss, double=loss)
@@ -129,8 +147,14 @@
 
 
 TestChange = Change.TestCase
-TestChange.settings = settings(max_examples=25, stateful_step_count=30, deadline=None, derandomize=True,
-                               database=None, suppress_health_check=list(HealthCheck))
+TestChange.settings = settings(
+    max_examples=25,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
 
 
 def test_swarm_finds_no_breach_and_repeats():
@@ -140,9 +164,14 @@
     assert (first.items, first.bytes, first.now) == (again.items, again.bytes, again.now)
 
 
-@pytest.mark.parametrize("mutant, seeds", [
-    ("holders_list_forgotten", range(1, 7)), ("accepted_ignored_by_a_new_leader", [33]),
-    ("accepted_cleared_by_a_promise", [27])])
+@pytest.mark.parametrize(
+    "mutant, seeds",
+    [
+        ("holders_list_forgotten", range(1, 7)),
+        ("accepted_ignored_by_a_new_leader", [33]),
+        ("accepted_cleared_by_a_promise", [27]),
+    ],
+)
 def test_swarm_finds_a_defect(mutant, seeds):
     assert any(accord_swarm.tried(accord_swarm.drawn(seed), mutant).breaches for seed in seeds)
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -36,18 +36,27 @@
 
 
 def run(*frames):
-    done = subprocess.run([sys.executable, "-m", "juniperlanding.drill"], input=b"".join(frames),
-                          capture_output=True, timeout=30)
+    done = subprocess.run(
+        [sys.executable, "-m", "juniperlanding.drill"],
+        input=b"".join(frames),
+        capture_output=True,
+        timeout=30,
+    )
     return done.returncode, done.stdout, done.stderr.decode()
 
 
-START = (enlist(request_classes=[{"effect": "safe", "deadline_ns": 10**10, "aim_ns": 10**9}], news_key=1),
-         roster((0, 740432391, 1.0, 0, 0, 2, 57)), topology())
+START = (
+    enlist(request_classes=[{"effect": "safe", "deadline_ns": 10**10, "aim_ns": 10**9}], news_key=1),
+    roster((0, 740432391, 1.0, 0, 0, 2, 57)),
+    topology(),
+)
 
 
 def test_batch_of_the_page():
-    text = ("0c0000005200000003000000 90bf68f501000000 0a010300c4913a5d0542050000000000640ad2557c3bf091"
-            "90dbb60302000000001bb7000000000000006442 0100 030103004d00000000000000 09010500192b6f0e40830e00")
+    text = (
+        "0c0000005200000003000000 90bf68f501000000 0a010300c4913a5d0542050000000000640ad2557c3bf091"
+        "90dbb60302000000001bb7000000000000006442 0100 030103004d00000000000000 09010500192b6f0e40830e00"
+    )
     number, now, count, body = codec.read_batch(BytesIO(bytes.fromhex(text.replace(" ", ""))))
     events = list(codec.records(count, body))
     assert (number, now) == (12, 8412250000)
@@ -56,19 +65,28 @@
     assert events[1:] == [("wake", (3, 77)), ("vanished", (5, 0xE83400E6F2B19))]
 
 
-@pytest.mark.parametrize("wanted, name, fields, text", [
-    ("43010300c4913a5d05420500074a120300b4c40400000000", "try", (0x542055D3A91C4, 51530247, 80000000), None),
-    ("490103000065cd1d000000004d00000000000000", "after", (500000000, 77), None),
-    ("480103001100 74776f2073657276657273206b6e6f776e", "trace", (), b"two servers known"),
-    ("470103001200 696e646578206f7574206f662072616e6765", "give_in", (), b"index out of range"),
-    ("46010300ffff0400 68692037", "say", (codec.EVERYONE,), b"hi 7"),
-    ("4401030001", "track", (1,), None), ("40010300", "snapshot", (), None),
-    ("4b010300c4913a5d0542050000", "abort_attempt", (0x542055D3A91C4, 0), None),
-    ("45010300192b6f0e40830e0080b2e60e00000000", "not_now", (0xE83400E6F2B19, 250000000), None),
-    ("42010300c4913a5d05420500", "end_failed", (0x542055D3A91C4,), None),
-    ("41010300f211902c", "inspect", (747639282,), None),
-    ("4a010300f211902c", "disconnect", (747639282,), None),
-])
+@pytest.mark.parametrize(
+    "wanted, name, fields, text",
+    [
+        (
+            "43010300c4913a5d05420500074a120300b4c40400000000",
+            "try",
+            (0x542055D3A91C4, 51530247, 80000000),
+            None,
+        ),
+        ("490103000065cd1d000000004d00000000000000", "after", (500000000, 77), None),
+        ("480103001100 74776f2073657276657273206b6e6f776e", "trace", (), b"two servers known"),
+        ("470103001200 696e646578206f7574206f662072616e6765", "give_in", (), b"index out of range"),
+        ("46010300ffff0400 68692037", "say", (codec.EVERYONE,), b"hi 7"),
+        ("4401030001", "track", (1,), None),
+        ("40010300", "snapshot", (), None),
+        ("4b010300c4913a5d0542050000", "abort_attempt", (0x542055D3A91C4, 0), None),
+        ("45010300192b6f0e40830e0080b2e60e00000000", "not_now", (0xE83400E6F2B19, 250000000), None),
+        ("42010300c4913a5d05420500", "end_failed", (0x542055D3A91C4,), None),
+        ("41010300f211902c", "inspect", (747639282,), None),
+        ("4a010300f211902c", "disconnect", (747639282,), None),
+    ],
+)
 def test_actions_of_the_page(wanted, name, fields, text):
     assert codec.action(name, 3, *fields, text=text) == bytes.fromhex(wanted.replace(" ", ""))
 
@@ -81,8 +99,16 @@
     assert sent in out and out.endswith(codec.reply(3, []))
 
 
-@pytest.mark.parametrize("bad", [frame(incoming(9))[:-3], frame(b"\x01\x09\x03\x00"),
-                                 frame(b"\x0a\x01\x03\x00"), b"\x01\x00", frame(topology(number=5))])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        frame(incoming(9))[:-3],
+        frame(b"\x01\x09\x03\x00"),
+        frame(b"\x0a\x01\x03\x00"),
+        b"\x01\x00",
+        frame(topology(number=5)),
+    ],
+)
 def test_malformed_frames_end_it_with_one_line(bad):
     code, _, err = run(frame(*START), bad)
     assert code == 2
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -17,6 +17,7 @@
 
 # ---- the forecaster and the time-out
 
+
 def test_forecast_takes_the_predictor_with_the_least_error():
     steady = fed(*[100 * MS] * 10)
     assert (steady.forecast, steady.miss) == (100 * MS, 0)
@@ -53,6 +54,7 @@
 
 # ---- TTL and endings
 
+
 def test_late_drop_ends_unsent_once_samples_exist(bed):
     bed.take(ttl=0.05)
     assert bed.turn() == 1
@@ -80,11 +82,19 @@
     assert bed.host.all("throttled") == [[1, 0]]
 
 
-@pytest.mark.parametrize("topic, ending, again, answer", [
-    (ONCE_ONLY, "timeout", 0, "expired"), (ONCE_ONLY, "error", 0, "expired"),
-    (ONCE_ONLY, "reset", 0, "expired"),
-    (ONCE_ONLY, "unreachable", 1, None), (ONCE_ONLY, "throttled", 1, None), (ONCE_ONLY, "moot", 1, None),
-    (REPEATABLE, "error", 1, None), (COLLAPSIBLE, "error", 1, None)])
+@pytest.mark.parametrize(
+    "topic, ending, again, answer",
+    [
+        (ONCE_ONLY, "timeout", 0, "expired"),
+        (ONCE_ONLY, "error", 0, "expired"),
+        (ONCE_ONLY, "reset", 0, "expired"),
+        (ONCE_ONLY, "unreachable", 1, None),
+        (ONCE_ONLY, "throttled", 1, None),
+        (ONCE_ONLY, "moot", 1, None),
+        (REPEATABLE, "error", 1, None),
+        (COLLAPSIBLE, "error", 1, None),
+    ],
+)
 def test_what_an_ending_proves(bed, topic, ending, again, answer):
     ntf = bed.take(topic)
     bed.turn()
@@ -140,6 +150,7 @@
 
 # ---- waits, rate, slots, order, list
 
+
 def test_told_wait_holds_the_whole_destination():
     bed = Bed(endpoints=3)
     ntf = bed.take()
@@ -222,8 +233,9 @@
     assert bed.host.all("cancel") == [[ntf, 0]]
 
 
-@pytest.mark.parametrize("topic, size, after", [
-    (REPEATABLE, 1, 0.5), (ONCE_ONLY, 1, 1.0), (ONCE_ONLY, 4, 1.45)])
+@pytest.mark.parametrize(
+    "topic, size, after", [(REPEATABLE, 1, 0.5), (ONCE_ONLY, 1, 1.0), (ONCE_ONLY, 4, 1.45)]
+)
 def test_a_call_is_lost_by_the_forecast_and_its_size(topic, size, after):
     bed = Bed(slots=1, may_cancel=True, batch_by_kind=[4])
     bed.deliver(5, after=0.05)
@@ -357,8 +369,9 @@
     assert bed.turn(0.5) == 2 and bed.pushed[-1][0] == other
 
 
-@pytest.mark.parametrize("left, batch, least, most", [
-    (0.7, 1, 0.4, 0.5), (0, 1, 0, 0.2), (0.7, 5, 0.1, 0.2), (0.9, 1, 0, 0.2)])  # the last is a shut one
+@pytest.mark.parametrize(
+    "left, batch, least, most", [(0.7, 1, 0.4, 0.5), (0, 1, 0, 0.2), (0.7, 5, 0.1, 0.2), (0.9, 1, 0, 0.2)]
+)  # the last is a shut one
 def test_a_limit_that_reports_show_idle_is_used_after_throttling(left, batch, least, most):
     bed = Bed(scale=20.0, dispatchers=200, batch_by_kind=[batch])
     ntf = bed.take()
@@ -387,6 +400,7 @@
 
 # ---- health
 
+
 def broken(bed, ending="unreachable", times=3):
     for _ in range(times):
         ntf = bed.take()
@@ -587,9 +601,16 @@
     assert bed.turn(0.1) == 5  # what the call weighed is paid off first
 
 
-@pytest.mark.parametrize("dispatchers, more, closed", [
-    (2, {}, 0), (200, {}, 1), (200, {"idle_closes": 100 * SEC}, 1), (200, {"scale_kind": "rough"}, 1),
-    (200, {"idle_closes": 100 * SEC, "calls_a_connection": 8, "scale_kind": "rough"}, 0)])
+@pytest.mark.parametrize(
+    "dispatchers, more, closed",
+    [
+        (2, {}, 0),
+        (200, {}, 1),
+        (200, {"idle_closes": 100 * SEC}, 1),
+        (200, {"scale_kind": "rough"}, 1),
+        (200, {"idle_closes": 100 * SEC, "calls_a_connection": 8, "scale_kind": "rough"}, 0),
+    ],
+)
 def test_idle_connections_close_where_reuse_is_unlikely(dispatchers, more, closed):
     bed = Bed(scale=10.0, dispatchers=dispatchers, **more)
     bed.deliver(1)
@@ -655,6 +676,7 @@
 
 # ---- restarts
 
+
 def test_what_a_restart_hands_back_goes_again_only_if_it_may(bed):
     for number, topic in enumerate((REPEATABLE, COLLAPSIBLE, ONCE_ONLY), 1):
         bed.at.notification(number, topic, 1, ttl_at=bed.at.now + 20 * SEC, pushes=1, ran_at=bed.at.now - SEC)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -82,7 +82,7 @@
     calls.book["s-1"] = site.peer.address
     calls.start(site.nursery, "s-1", [send("ab"[at], 8 * SEC) for at in range(many)])
     await site.until(lambda: site.peer.calls)
-    call, = set(calls.out.values())
+    (call,) = set(calls.out.values())
     await site.until(lambda: call.written)
     await trio.testing.wait_all_tasks_blocked()
     return call
@@ -95,15 +95,25 @@
 
 # ---- what lies unread, or came in part, as a call is ended
 
-@pytest.mark.parametrize("many, unread, time_out, cancelled", [
-    (1, http(200), "delivered", "delivered"), (1, HALF_A_HEAD, "delivered", "delivered"),
-    (1, HALF_A_LINE, "timeout", "cancelled"), (1, http(500), "error", "error"),
-    (1, http(429), "throttled", "throttled"), (1, http(429, b"hello")[:-1], "timeout", "cancelled"),
-    (2, http(200, BOTH), "delivered", "delivered"), (2, HALF_A_HEAD, "timeout", "cancelled"),
-    (2, HALF_A_BODY, "timeout", "cancelled")])
+
+@pytest.mark.parametrize(
+    "many, unread, time_out, cancelled",
+    [
+        (1, http(200), "delivered", "delivered"),
+        (1, HALF_A_HEAD, "delivered", "delivered"),
+        (1, HALF_A_LINE, "timeout", "cancelled"),
+        (1, http(500), "error", "error"),
+        (1, http(429), "throttled", "throttled"),
+        (1, http(429, b"hello")[:-1], "timeout", "cancelled"),
+        (2, http(200, BOTH), "delivered", "delivered"),
+        (2, HALF_A_HEAD, "timeout", "cancelled"),
+        (2, HALF_A_BODY, "timeout", "cancelled"),
+    ],
+)
 @pytest.mark.parametrize("how", ["time-out", "cancel"])
-def test_what_lies_unread_as_a_call_is_ended_counts_as_far_as_it_came(site, monkeypatch, how, many, unread,
-                                                                      time_out, cancelled):
+def test_what_lies_unread_as_a_call_is_ended_counts_as_far_as_it_came(
+    site, monkeypatch, how, many, unread, time_out, cancelled
+):
     """What lies there is read, and nothing that is still to come is waited for."""
     outcomes = []
     monkeypatch.setattr(lines, "ANSWER_WITHIN", 60)
@@ -120,12 +130,21 @@
         await site.until(lambda: len(outcomes) == many)
         assert {told[2] for told in outcomes} == {cancelled if how == "cancel" else time_out}
         assert not calls.out
+
     site.run(scene)
 
 
-@pytest.mark.parametrize("many, came, ending", [
-    (1, HALF_A_HEAD, "delivered"), (1, HALF_A_LINE, "timeout"), (1, http(500, b"hello")[:-1], "timeout"),
-    (1, http(200, b"hello")[:-1], "delivered"), (2, HALF_A_HEAD, "timeout"), (2, HALF_A_BODY, "timeout")])
+@pytest.mark.parametrize(
+    "many, came, ending",
+    [
+        (1, HALF_A_HEAD, "delivered"),
+        (1, HALF_A_LINE, "timeout"),
+        (1, http(500, b"hello")[:-1], "timeout"),
+        (1, http(200, b"hello")[:-1], "delivered"),
+        (2, HALF_A_HEAD, "timeout"),
+        (2, HALF_A_BODY, "timeout"),
+    ],
+)
 def test_an_answer_half_read_at_the_time_out_counts_as_far_as_it_came(site, monkeypatch, many, came, ending):
     outcomes = []
     monkeypatch.setattr(lines, "ANSWER_WITHIN", 60)
@@ -139,13 +158,15 @@
         time_is_up(call)
         await site.until(lambda: len(outcomes) == many and calls.connection_limit.value == 8)
         assert {told[2] for told in outcomes} == {ending} and not calls.out
+
     site.run(scene)
 
 
 @pytest.mark.parametrize("many, ending", [(1, "delivered"), (2, "timeout")])
 @pytest.mark.parametrize("before", [b"", HALF_A_LINE])
-def test_a_line_that_gets_whole_as_its_connection_is_closed_still_counts(site, monkeypatch, many, ending,
-                                                                         before):
+def test_a_line_that_gets_whole_as_its_connection_is_closed_still_counts(
+    site, monkeypatch, many, ending, before
+):
     outcomes, whole, late = [], Line.arrived, []
 
     def arrived(line):
@@ -159,16 +180,18 @@
         if before:
             site.peer.say(call, before)
             await site.until(lambda: call.line.head == before)
-        late.append((call, HALF_A_HEAD[len(before):]))
+        late.append((call, HALF_A_HEAD[len(before) :]))
         monkeypatch.setattr(Line, "arrived", arrived)
         time_is_up(call)
         await site.until(lambda: len(outcomes) == many)
         assert {told[2] for told in outcomes} == {ending} and not late
+
     site.run(scene)
 
 
 # ---- a connection that comes up in the instant in which its call is called off
 
+
 @pytest.mark.parametrize("many", [1, 2])
 @pytest.mark.parametrize("first", ["up", "off"])
 @pytest.mark.parametrize("how", ["cancel", "time-out", "recall"])
@@ -181,7 +204,7 @@
         calls.network = Held(site.far)
         calls.start(site.nursery, "s-1", [send("ab"[at], 8 * SEC) for at in range(many)])
         await site.until(lambda: calls.network.began)
-        call, = set(calls.out.values())
+        (call,) = set(calls.out.values())
 
         def off():
             if how == "recall":
@@ -191,12 +214,14 @@
                     calls.cancel(name, 0)
             else:
                 time_is_up(call)
+
         for act in (calls.network.go.set, off) if first == "up" else (off, calls.network.go.set):
             act()
         await site.until(lambda: len(outcomes) == many and calls.connection_limit.value == 8)
         await trio.testing.wait_all_tasks_blocked()
         assert {told[2] for told in outcomes} == {"unreachable" if how == "time-out" else "moot"}
         assert not got(site.far) and not calls.out
+
     site.run(scene)
 
 
@@ -206,7 +231,7 @@
 
     def waiting(line):
         if calls.out:
-            call, = calls.out.values()
+            (call,) = calls.out.values()
             if how == "cancel":
                 calls.cancel("a", 0)
             elif how == "recall":
@@ -214,6 +239,7 @@
             else:
                 call.scope.cancel()
         return look(line)
+
     monkeypatch.setattr(Line, "waiting", waiting)
 
 
@@ -230,18 +256,22 @@
         await trio.testing.wait_all_tasks_blocked()
         assert outcomes[0][2] == ("unreachable" if how == "time-out" else "moot")
         assert not got(site.far)
+
     site.run(scene)
 
 
 # ---- what becomes of each kind
 
+
 def endless(site, call):
     """A 500 whose body never ends: the peer sends for as long as it is let."""
+
     async def flood(sock):
         with suppress(OSError, trio.ClosedResourceError):
             await sock.send(b"HTTP/1.1 500 x\r\nTransfer-Encoding: chunked\r\n\r\n")
             while True:
                 await sock.send(b"400\r\n" + b"x" * 1024 + b"\r\n")
+
     site.nursery.start_soon(flood, site.peer.calls[-1])
 
 
@@ -254,6 +284,7 @@
         site.peer.say(call, data)
         if then:
             then(call)
+
     return act
 
 
@@ -271,7 +302,8 @@
     "a head, then nothing": (says(http(500, b"hello")[:-5]), "reset", True),
     "a head that says never ran, then nothing": (says(http(429, b"hello")[:-5]), "reset", True),
     "a head with 200, then nothing": (says(http(200, b"hello")[:-5]), "delivered", True),
-    "reset": (reset, "reset", True)}
+    "reset": (reset, "reset", True),
+}
 
 
 @pytest.mark.parametrize("topic", KINDS)
@@ -285,7 +317,7 @@
         node = await site.start()
         assert await site.submit("a", topic, ttl=9000) == 202
         await site.until(lambda: site.peer.calls)
-        call, = set(node.owner.endpoints.out.values())
+        (call,) = set(node.owner.endpoints.out.values())
         await site.until(lambda: call.written)
         site.peer.answer = http(200)
         act(site, call)
@@ -293,26 +325,31 @@
         assert node.counters[f"pushes_{told}"] >= 1
         given_up = ran and told != "delivered" and topic == "order"
         assert len(site.peer.got) == (1 if told == "delivered" or given_up else 2)
-        assert {(told["message"], told["outcome"]) for told in site.platform.notices
-                if told["message"] == "a"} == (
-            {("a", "given_up")} if given_up else set())  # posted twice does no harm
+        assert {
+            (told["message"], told["outcome"]) for told in site.platform.notices if told["message"] == "a"
+        } == ({("a", "given_up")} if given_up else set())  # posted twice does no harm
+
     site.run(scene)
 
 
 # ---- the process ends meanwhile
 
 ENDS = {  # what came of the answer as the process ends; whether it was delivered
-    "nothing": (b"", False), "half a line": (HALF_A_LINE, False), "a line with 200": (HALF_A_HEAD, True),
+    "nothing": (b"", False),
+    "half a line": (HALF_A_LINE, False),
+    "a line with 200": (HALF_A_HEAD, True),
     "a head, the body never": (http(500, b"hello")[:-5], False),
     "a head that says never ran, the body never": (http(429, b"hello")[:-5], False),
-    "a head with 200, the body never": (http(200, b"hello")[:-5], True)}
+    "a head with 200, the body never": (http(200, b"hello")[:-5], True),
+}
 
 
 @pytest.mark.parametrize("topic", KINDS)
 @pytest.mark.parametrize("read", [True, False])
 @pytest.mark.parametrize("came", ENDS)
-def test_a_call_under_way_as_the_process_ends_has_one_outcome_for_each_kind(site, monkeypatch, came, read,
-                                                                            topic):
+def test_a_call_under_way_as_the_process_ends_has_one_outcome_for_each_kind(
+    site, monkeypatch, came, read, topic
+):
     data, delivered = ENDS[came]
 
     async def scene(site):
@@ -320,7 +357,7 @@
         node = await site.start()
         assert await site.submit("a", topic, ttl=9000) == 202
         await site.until(lambda: site.peer.calls)
-        call, = set(node.owner.endpoints.out.values())
+        (call,) = set(node.owner.endpoints.out.values())
         await site.until(lambda: call.written)
         await node.owner.tell(node.owner.park)
         await node.owner.parked.wait()
@@ -341,9 +378,10 @@
         await site.until(lambda: node.owner.ready and not node.ledger.owed)
         given_up = not delivered and topic == "order"
         assert len(site.peer.got) == (1 if delivered or given_up else 2)
-        assert {(told["message"], told["outcome"]) for told in site.platform.notices
-                if told["message"] == "a"} == (
-            {("a", "given_up")} if given_up else set())  # posted twice does no harm
+        assert {
+            (told["message"], told["outcome"]) for told in site.platform.notices if told["message"] == "a"
+        } == ({("a", "given_up")} if given_up else set())  # posted twice does no harm
+
     site.run(scene)
 
 
@@ -351,6 +389,7 @@
 @pytest.mark.parametrize("how", ["stopped", "killed"])
 def test_a_call_that_still_connects_as_the_process_ends_is_made_by_the_next(site, how, topic):
     """Whatever the kind: what never left is not on file as begun."""
+
     async def scene(site):
         world = site.world
         site.world = replace(world, network=Held(site.far))
@@ -369,11 +408,13 @@
         node = await site.start()
         await site.until(lambda: node.owner.ready and not node.ledger.owed)
         assert len(got(site.far)) == 1 and not noticed(site, "a")
+
     site.run(scene)
 
 
 # ---- killed at each instant of a call: `p` is on file right before its last byte, and no sooner
 
+
 def untried(site, name):
     one = owed(site)[name]
     return not one.pushes and not one.ran
@@ -415,6 +456,7 @@
         assert untried(site, "a")
         await next_process(site)
         assert len(got(site.far)) == 1 and not noticed(site, "a")
+
     site.run(scene)
 
 
@@ -450,6 +492,7 @@
         assert untried(site, "a") and len(got(site.far)) == kept
         await next_process(site)
         assert len(got(site.far)) == 1 + kept and not noticed(site, "a")
+
     site.run(scene)
 
 
@@ -457,6 +500,7 @@
 @pytest.mark.parametrize("byte", ["before", "after"])
 def test_a_kill_once_it_is_on_file_has_one_end_and_no_second_run(site, monkeypatch, byte, topic):
     """On file and not yet out, or out and not yet told: for the ledger it may have run."""
+
     async def scene(site):
         site.far = site.peer = await Peer().open(site.nursery)
         node = await site.start()
@@ -470,6 +514,7 @@
                 instant.set()
                 await trio.sleep_forever()
             await write(line, parts)
+
         monkeypatch.setattr(Line, "write", last)
         assert await site.submit("a", topic, ttl=9000) == 202
         await instant.wait()
@@ -480,6 +525,7 @@
         once = topic == "order"
         assert len(site.peer.got) == (byte == "after") + (not once)
         assert noticed(site, "a") == ({"given_up"} if once else set())
+
     site.run(scene)
 
 
@@ -520,6 +566,7 @@
         await site.until(lambda: node.owner.ready and not node.ledger.owed)
         assert len(got(site.far)) == 1 and not noticed(site, "a")
         assert node.counters["pushes_delivered"] == 1 and not node.counters["faults"]
+
     site.run(scene)
 
 
@@ -542,6 +589,7 @@
             else:
                 calls.recall({"s-1"})
                 node.owner.at.me.endpoints["s-1"].route.wait_until = node.owner.now() + 60 * SEC
+
         for act in (site.world.network.go.set, off) if first == "up" else (off, site.world.network.go.set):
             act()
         await site.until(lambda: node.counters["pushes_moot"])
@@ -551,6 +599,7 @@
         site.world = world
         await next_process(site)
         assert len(got(site.far)) == 1 and not noticed(site, "a")
+
     site.run(scene)
 
 
@@ -565,6 +614,7 @@
         calls.start(site.nursery, "s-1", [send("a", 8 * SEC)])
         await site.until(lambda: outcomes and calls.connection_limit.value == 8)
         assert not asked and not got(site.far)
+
     site.run(scene)
 
 
@@ -578,6 +628,7 @@
             def write(self, file, data):
                 seen.append(bytes(data))
                 return files.write(file, data)
+
         site.world = replace(site.world, files=Seen(files))
         node = await site.start()
         assert await site.submit("a", topic, ttl=900) == 202
@@ -586,6 +637,7 @@
         await site.until(lambda: not node.ledger.owed and node.owner.endpoints.settled())
         assert not got(site.far) and noticed(site, "a") == {"handed_back"}
         assert b'["t","a"' in b"".join(seen) and b'["p",' not in b"".join(seen)
+
     site.run(scene)
 
 
@@ -617,11 +669,13 @@
         site.world = world
         await next_process(site)
         assert sorted(runs) == sorted("xabc") and max(sizes) > 1 and not site.platform.notices
+
     site.run(scene, answer)
 
 
 # ---- the process ends with more calls out than the queue has room for
 
+
 @pytest.mark.parametrize("how", ["stopped", "ended at once"])
 def test_a_process_ends_with_more_calls_out_than_its_queue_holds(site, monkeypatch, how):
     monkeypatch.setattr(owners, "ROUND", 1)  # a queue of four
@@ -644,6 +698,7 @@
             owner.inbox.receive_nowait()
         assert not stuck and not owner.endpoints.out
         node.release()
+
     site.run(scene, lambda *message: None)
 
 
@@ -665,4 +720,5 @@
         await trio.testing.wait_all_tasks_blocked()
         node.release()
         assert not owed(site)
+
     site.run(scene, lambda *message: "late")
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -9,8 +9,14 @@
 from juniperlanding.settings import in_our_words
 from juniperlanding.standins.peers import http
 
-STEP = {"name": "step", "effect": "safe", "fifo_by_key": True, "aim_ns": 2 * SEC, "deadline_ns": 20 * SEC,
-        "worth": 1}
+STEP = {
+    "name": "step",
+    "effect": "safe",
+    "fifo_by_key": True,
+    "aim_ns": 2 * SEC,
+    "deadline_ns": 20 * SEC,
+    "worth": 1,
+}
 SHARES = {"tenants": {"a": 0.2, "b": 0.2}, "over_share": 0.05}  # two at once and one each 10 s, at one of two
 
 
@@ -30,6 +36,7 @@
 
 def test_what_carries_one_key_goes_in_turn(site):
     """`c1` comes after `a2` and goes before it: the round that could have sent `a2` is over."""
+
     async def scene(site):
         node = await site.start()
         for number, query in ("a1", "?key=1f"), ("a2", "?key=1f"), ("c1", "?key=20"), ("d1", ""):
@@ -39,6 +46,7 @@
         site.far.go.set()
         await site.until(lambda: not node.ledger.owed)
         assert sent(site)[-1] == "a2"
+
     answer = ordered(site)
     site.run(scene, answer)
 
@@ -59,17 +67,27 @@
         site.far.go.set()
         await site.until(lambda: not node.ledger.owed)
         assert sent(site) == ["a1", "a1", "c1", "a2"]
+
     answer = ordered(site, None)
     site.run(scene, answer)
 
 
-@pytest.mark.parametrize("query, status", [
-    ("?key=1&key=2", 400), ("?key=", 400), ("?key=" + "a" * 300, 400), ("?other=1", 202), ("?", 202),
-    ("?other=1&key=2", 202)])
+@pytest.mark.parametrize(
+    "query, status",
+    [
+        ("?key=1&key=2", 400),
+        ("?key=", 400),
+        ("?key=" + "a" * 300, 400),
+        ("?other=1", 202),
+        ("?", 202),
+        ("?other=1&key=2", 202),
+    ],
+)
 def test_a_key_that_may_mean_two_things_is_refused(site, query, status):
     async def scene(site):
         await site.start()
         assert await keyed(site, "b1", query) == status
+
     answer = ordered(site)
     site.run(scene, answer)
 
@@ -78,6 +96,7 @@
     async def scene(site):
         await site.start()
         assert await keyed(site, "b1", "", "X-Customer: a", "x-customer: b") == 400
+
     answer = ordered(site)
     site.run(scene, answer)
 
@@ -85,8 +104,11 @@
 def test_what_is_inside_its_tenant_s_share_goes_first(site):
     """With one slot: `a1` holds it while the others come, of which `a2` is beyond the share of its tenant."""
     site.wire = WIRE | {
-        "tenants": [{"name": name, "allowance_per_s": 0.01} for name in "ab"], "over_share_worth": 0.05,
-        "family_info": WIRE["family_info"] | {"workers": 1}, "request_classes": [STEP]}
+        "tenants": [{"name": name, "allowance_per_s": 0.01} for name in "ab"],
+        "over_share_worth": 0.05,
+        "family_info": WIRE["family_info"] | {"workers": 1},
+        "request_classes": [STEP],
+    }
 
     async def scene(site):
         node = await site.start()
@@ -126,9 +148,15 @@
 
 
 def test_shares_come_from_the_settings_and_tenants_over_the_simulator_s_wire():
-    told = in_our_words({"tenants": [{"name": "a", "share": 0.5, "allowance_per_s": 0.2},
-                                     {"name": "b", "share": 0.5, "allowance_per_s": 0.2}],
-                         "over_share_worth": 0.05})
+    told = in_our_words(
+        {
+            "tenants": [
+                {"name": "a", "share": 0.5, "allowance_per_s": 0.2},
+                {"name": "b", "share": 0.5, "allowance_per_s": 0.2},
+            ],
+            "over_share_worth": 0.05,
+        }
+    )
     assert {name: told[name] for name in SHARES} == SHARES
     assert "tenants" not in in_our_words({"tenants": []})
     bed = Bed(**SHARES)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -30,11 +30,22 @@
     return {name.removeprefix("svc."): (int(value), kind) for name, value, kind in parts}
 
 
-@pytest.mark.parametrize("line, answer", [
-    (b"READY\n", "ACK"), (b"READY\r\n", "ACK"), (b"READY", "ACK"), (b"READY\nSTATS\n", "ACK"),
-    (b"\n", "NAK empty line"), (b"", "NAK empty line"), (b"ready\n", "NAK unknown call"),
-    (b"READY NOW\n", "NAK unknown call"), (b"\xff\xfe\n", "NAK not ASCII text"),
-    (b"x" * 200 + b"\n", "NAK line longer than 128 bytes"), (b"x" * 5000, "NAK line longer than 128 bytes")])
+@pytest.mark.parametrize(
+    "line, answer",
+    [
+        (b"READY\n", "ACK"),
+        (b"READY\r\n", "ACK"),
+        (b"READY", "ACK"),
+        (b"READY\nSTATS\n", "ACK"),
+        (b"\n", "NAK empty line"),
+        (b"", "NAK empty line"),
+        (b"ready\n", "NAK unknown call"),
+        (b"READY NOW\n", "NAK unknown call"),
+        (b"\xff\xfe\n", "NAK not ASCII text"),
+        (b"x" * 200 + b"\n", "NAK line longer than 128 bytes"),
+        (b"x" * 5000, "NAK line longer than 128 bytes"),
+    ],
+)
 def test_each_line_gets_one_answer(site, line, answer):
     async def scene(site):
         node = await site.start()
@@ -42,6 +53,7 @@
         told = await call(site, line)
         assert len(told) == 1 and told[0].startswith(answer)
         await site.until(lambda: not node.door.unfinished)
+
     site.run(scene)
 
 
@@ -54,6 +66,7 @@
         node.owner.ready = True
         node.clients.drain()
         assert await call(site, b"READY\n") == ["NAK draining"]
+
     site.run(scene)
 
 
@@ -68,6 +81,7 @@
             assert (await figures(site))["outstanding"] == (0, "g")
             assert await stalled[0].receive_some() == b""
         assert len(site.node.door.unfinished) <= door.PLACES
+
     site.run(scene)
 
 
@@ -80,6 +94,7 @@
         with trio.fail_after(1):
             assert await stream.receive_some() == b""
         assert node.counters["door_unfinished"] == 1 and not node.door.unfinished
+
     site.run(scene)
 
 
@@ -92,6 +107,7 @@
 
         def fail():
             raise OSError("no space left")
+
         node.ledger.flush = fail
         flood = [await site.client() for _ in range(40)]
         for stream in flood:
@@ -101,6 +117,7 @@
             pass
         with trio.fail_after(1):
             assert (await figures(site))["results.news.declined"] == (1, "c")
+
     site.run(scene)
 
 
@@ -109,19 +126,36 @@
 
     async def scene(site):
         node = await site.start()
-        for number, topic, ttl in (("d1", "news", 5000), ("d2", "pay", 5000), ("o1", "order", 5000),
-                                   ("o2", "order", 400), ("h1", "news", 400), ("u1", "news", 1)):
+        for number, topic, ttl in (
+            ("d1", "news", 5000),
+            ("d2", "pay", 5000),
+            ("o1", "order", 5000),
+            ("o2", "order", 400),
+            ("h1", "news", 400),
+            ("u1", "news", 1),
+        ):
             await site.submit(number, topic, ttl=ttl, dest=8 if number == "h1" else 7)
         assert await site.submit("d1") == 202  # once more: nothing new
         assert await site.submit("x1", "pay", dest=70000) == 503
         await site.until(lambda: not node.owner.held)
         told = await figures(site)
         assert {name.removeprefix("results."): value for name, (value, _) in told.items()} == {
-            "news.succeeded": 1, "news.declined": 2, "news.aborted": 0,
-            "pay.succeeded": 1, "pay.declined": 1, "pay.aborted": 0,
-            "order.succeeded": 0, "order.declined": 0, "order.aborted": 2,
-            "forwards": 4, "outstanding": 0, "discovered": 2, "ejected": 0}
+            "news.succeeded": 1,
+            "news.declined": 2,
+            "news.aborted": 0,
+            "pay.succeeded": 1,
+            "pay.declined": 1,
+            "pay.aborted": 0,
+            "order.succeeded": 0,
+            "order.declined": 0,
+            "order.aborted": 2,
+            "forwards": 4,
+            "outstanding": 0,
+            "discovered": 2,
+            "ejected": 0,
+        }
         assert {kind for name, (_, kind) in told.items() if "." in name or name == "forwards"} == {"c"}
+
     site.run(scene, lambda first, headers, body: ends[headers["x-trace-id"]])
 
 
@@ -137,6 +171,7 @@
         await site.until(lambda: node.owner.ready and not node.owner.held)
         told = await figures(site)
         assert told["results.news.succeeded"] == told["results.order.aborted"] == (1, "c")
+
     site.run(scene, lambda *message: None)
 
 
@@ -146,4 +181,5 @@
         await site.until(lambda: node.owner.ready)
         node.owner.at.me.endpoints["s-1"].down = True
         assert (await figures(site))["ejected"] == (1, "g")
+
     site.run(scene)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -224,8 +224,9 @@
             told.append((dispatcher, round((elapsed() - begun[0]) / SEC, 1), round(wait / SEC, 1)))
 
     async def scene(fabric, a, b):
-        model = SimpleNamespace(spoils=0, reply=lambda now, size: Reply(TURNED_AWAY, SEC, 5 * SEC),
-                                there=lambda now, since: True)
+        model = SimpleNamespace(
+            spoils=0, reply=lambda now, size: Reply(TURNED_AWAY, SEC, 5 * SEC), there=lambda now, since: True
+        )
         far = Endpoint(1, 1, "m1", "a", model, fabric, Watch(), None)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(far.run)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,6 +1,5 @@
 """Paths that end something, each held at the instant in which something is still owed (docs/endings.md)."""
 
-
 import os
 import re
 import signal
@@ -20,8 +19,10 @@
 from juniperlanding.net import line, protocol, succession
 from juniperlanding.standins.peers import Platform, http, read_message
 
-REQUEST = (b"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: a2\r\nX-Qos: news\r\n"
-           b"X-Expires-In-Ms: 5000\r\nX-Addressing: dest=7\r\nContent-Length: 5\r\n\r\nhello")
+REQUEST = (
+    b"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: a2\r\nX-Qos: news\r\n"
+    b"X-Expires-In-Ms: 5000\r\nX-Addressing: dest=7\r\nContent-Length: 5\r\n\r\nhello"
+)
 
 
 class Replaced:
@@ -58,6 +59,7 @@
 
 # ---- hand-over
 
+
 def test_a_client_that_is_answered_as_all_is_frozen_may_rest_after_it(site):
     async def scene(site):
         old, stream = await first(site), await site.client()
@@ -66,6 +68,7 @@
         def frozen_in_the_same_round(*fields):
             submit(*fields)
             hand_over.go()
+
         await hand_over.ask()
         old.owner.submit = frozen_in_the_same_round
         assert await site.submit("a1", stream=stream) == 202
@@ -73,6 +76,7 @@
         await site.until(lambda: new.clients.waiting)
         assert [one.until for one in new.clients.waiting] == [float("inf")]
         assert await site.submit("a2", stream=stream) == 202
+
     site.run(scene)
 
 
@@ -85,6 +89,7 @@
         async def frozen_before_its_first_look(*fields):
             hand_over.go()
             await attend(*fields)
+
         old.clients.attend = frozen_before_its_first_look
         stream = await site.client()
         new = await hand_over.over()
@@ -92,6 +97,7 @@
         latest = trio.current_time() + protocol.REQUEST_WITHIN
         assert all(one.until <= latest for one in new.clients.waiting)
         assert (await site.ask(REQUEST, stream))[0] == 202
+
     site.run(scene)
 
 
@@ -101,6 +107,7 @@
     async def kept(self, *events):
         asked.extend(one.target.decode() for one in events if getattr(one, "method", b"") == b"GET")
         await send(self, *events)
+
     monkeypatch.setattr(line.Line, "send", kept)
 
     async def scene(site):
@@ -113,6 +120,7 @@
         await late_first_round(site, lambda: len(asked) == 3)
         await site.until(lambda: len(asked) == 3)
         assert asked[1:] == [protocol.LIST] * 2
+
     site.run(scene)
 
 
@@ -129,8 +137,10 @@
             with trio.move_on_after(0.2):
                 await site.until(unless)
             return await gather()
+
         made.owner.gather = late
         return made
+
     return await start(site, await succession.begin(make, told, site.world))
 
 
@@ -153,13 +163,16 @@
             async def nobody_takes_it(offer):
                 made.succession.give = give
                 return False
+
             made.owner.begin, made.succession.give = begin_and_freeze, nobody_takes_it
             return made
+
         await site.until(lambda: any(one.raw for one in site.node.clients.waiting))
         new = await succession.begin(make, told, site.world)
         site.nursery.start_soon(new.run)
         await site.until(lambda: new.clients.waiting and not new.owner.frozen)
         assert (await site.ask(REQUEST[60:], half))[0] == 202
+
     site.run(scene)
 
 
@@ -185,6 +198,7 @@
         rest.set()
         await site.until(lambda: not new.ledger.owed)
         assert len(mine(calls)) == 1 and new.counters["svc.results.order.succeeded"] == 1
+
     site.run(scene)
 
 
@@ -195,6 +209,7 @@
         if address == site.far.address:
             await up.wait()
         return await connect(self, address)
+
     monkeypatch.setattr(Network, "connect", late)
     site.wire = site.wire | {"permissions": site.wire["permissions"] | {"connect_timeout_ns": 60 * SEC}}
 
@@ -207,6 +222,7 @@
         await site.until(lambda: not new.ledger.owed)
         assert len(mine(site.far.got)) == 1 and old.counters["pushes_moot"] == 1
         assert new.counters["svc.results.order.succeeded"] == 1
+
     site.run(scene)
 
 
@@ -222,8 +238,12 @@
     site.config()
     # An address that no other test takes meanwhile: this process's own, and a port that is never given out.
     site.address = f"127.{os.getpid() // 200 % 200 + 1}.{os.getpid() % 200 + 1}.1", 20_000
-    environ = dict(os.environ, EDGE_CONFIG=str(site.folder / "config.json"),
-                   EDGE_STATE=str(site.folder / "state"), EDGE_LISTEN="{}:{}".format(*site.address))
+    environ = dict(
+        os.environ,
+        EDGE_CONFIG=str(site.folder / "config.json"),
+        EDGE_STATE=str(site.folder / "state"),
+        EDGE_LISTEN="{}:{}".format(*site.address),
+    )
     run = RUN.replace(".venv/bin/python", sys.executable)
     process = await trio.lowlevel.open_process(["/bin/sh", "-c", run], env=environ, stderr=subprocess.DEVNULL)
     try:
@@ -260,6 +280,7 @@
                 one.close()
             await site.until(lambda: lists_asked(site.platform))
             assert len(lists_asked(old)) <= 1
+
     site.run(scene)
 
 
@@ -268,6 +289,7 @@
         async with begun(site) as process:
             process.send_signal(signal.SIGHUP)
             assert await ready(site, process)
+
     site.run(scene)
 
 
@@ -280,6 +302,7 @@
                 process.send_signal(signal.SIGHUP)
                 await trio.sleep(0.0005)
             assert process.returncode == 0
+
     site.run(scene)
 
 
--- a/tests/test_endings_drain.py
+++ b/tests/test_endings_drain.py
@@ -35,6 +35,7 @@
                 while line.sock.peek() is None:  # loopback: it is there at once
                     pass
             raise
+
     monkeypatch.setattr(Line, "begin", begin)
     return late
 
@@ -55,8 +56,10 @@
         node.clients.drain()
 
 
-@pytest.mark.parametrize("how, kept", [
-    ("silent", False), ("evicted", False), ("evicted", True), ("drained", False), ("drained", True)])
+@pytest.mark.parametrize(
+    "how, kept",
+    [("silent", False), ("evicted", False), ("evicted", True), ("drained", False), ("drained", True)],
+)
 def test_a_request_that_comes_as_its_connection_is_given_up_is_answered(site, monkeypatch, how, kept):
     monkeypatch.setattr(Clients.attend, "__defaults__", (SHORT if how == "silent" else 2.5,))
     monkeypatch.setattr(ends, "LAST_REST_WITHIN", 0.0 if how == "drained" else SHORT, raising=False)
@@ -71,6 +74,7 @@
         late.append((stream.socket._sock, handed("X-Trace-Id: a2")))
         end_by(node, how)
         assert await heard(stream) in (202, 503) and not late
+
     site.run(scene)
 
 
@@ -87,6 +91,7 @@
         end_by(node, how)
         await stream.send_all(text[-2:])
         assert await heard(stream) == 202
+
     site.run(scene)
 
 
@@ -102,6 +107,7 @@
             while line.sock.peek() is None:
                 pass
             raise
+
     monkeypatch.setattr(Line, "body", body)
 
     async def scene(site):
@@ -111,6 +117,7 @@
         late.append(stream.socket._sock)
         node.clients.evict()
         assert await heard(stream) == 503
+
     site.run(scene)
 
 
@@ -128,6 +135,7 @@
         assert not stream.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)  # EPIPE after a reset
         assert node.counters["handed_in"] == 1
         assert "a2" not in [headers.get("x-trace-id") for _, headers, _ in site.far.got]
+
     site.run(scene)
 
 
@@ -143,11 +151,13 @@
                 assert await stream.receive_some() == b""
             assert await site.submit("a1") == 202
         assert node.clients.open <= 16
+
     site.run(scene)
 
 
 # ---- the end of the process
 
+
 async def gone(site):
     """The process ends; its tasks are over before another one has the numbers of its sockets."""
     site.scope.cancel()
@@ -177,6 +187,7 @@
         if status == 202:  # the round has written it, and its task gets its turn only now
             await site.until(lambda: clients.accepting.cancel_called)
         return await whole(clients, line, status, *more, **named)
+
     monkeypatch.setattr(Clients, "respond", respond)
 
     async def scene(site):
@@ -185,6 +196,7 @@
         await site.until(lambda: node.ledger.owed)
         site.nursery.start_soon(stop, site)
         assert await heard(stream) == 202
+
     site.run(scene)
 
 
@@ -194,6 +206,7 @@
         await site.until(lambda: node.clients.waiting)
         node.clients.refuse()
         assert await site.submit("a1", stream=stream) == 503 and not node.ledger.owed
+
     site.run(scene)
 
 
@@ -217,11 +230,13 @@
                 socket.create_connection(site.address)
             refused.append(True)
             return close()
+
         node.clients.refuse, node.close = come, closing
         site.nursery.start_soon(stop, site)
         await site.until(lambda: streams)
         assert await heard(streams[0]) == 503
         await site.until(lambda: refused)
+
     site.run(scene)
 
 
@@ -245,10 +260,12 @@
 
             def set(self):
                 ended.set()
+
         node.clients.accepts_nobody = Ended()
         site.nursery.start_soon(stop, site)
         await site.until(lambda: streams)
         assert await heard(streams[0]) == 503
+
     site.run(scene)
 
 
@@ -280,8 +297,10 @@
             refuse()
             node.clients.connection_limit.acquire = acquires
             socket.create_connection(site.address).close()
+
         node.clients.refuse, node.clients.close = refuses, closes
         assert await stop(site) and crossed
+
     site.run(scene)
 
 
@@ -307,12 +326,14 @@
         if how == "come without end":
             come()
         return sock, peer
+
     monkeypatch.setattr(Listener, "accept", accepts)
 
     async def unread(line, *events):
         if how == "read nothing" and line.http.our_role is h11.SERVER:
             await trio.sleep_forever()
         await send(line, *events)
+
     monkeypatch.setattr(Line, "send", unread)
 
     async def scene(site):
@@ -327,6 +348,7 @@
         def refuses():
             refuse()
             come()
+
         node.clients.refuse, node.owner.endpoints.withdraw = refuses, withdraws
         assert await stop(site)
         assert withdrawn == [True] and accepted
@@ -336,6 +358,7 @@
                 if sock.getsockname() in accepted:  # who stood in the backlog at the end is reset
                     stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
                     assert await heard(stream) == 503
+
     site.run(scene)
 
 
@@ -352,12 +375,14 @@
         def closing():
             node.owner.queue.send_nowait((node.owner.finished, held[0]))
             return close()
+
         node.owner.endpoints.told, node.close = keep, closing
         assert await site.submit("a1", "order") == 202
         await site.until(lambda: held)
         assert await stop(site)
         node.release()
         assert not owed(site)
+
     site.run(scene)
 
 
@@ -367,15 +392,16 @@
 @pytest.mark.parametrize("before", [b"", ANSWER[:9], ANSWER[:30]])
 def test_an_answer_that_lies_unread_as_the_process_ends_counts(site, before):
     """Nothing of it, half its first line, half its head were read; what of it is true comes as we end."""
+
     async def scene(site):
         far = await site.nursery.start(trio.serve_tcp, attend, 0)
         site.far.address = far[0].socket.getsockname()[:2]
         node = await site.start()
         assert await site.submit("a1", "order") == 202
         await site.until(lambda: streams)
-        call, = set(node.owner.endpoints.out.values())
+        (call,) = set(node.owner.endpoints.out.values())
         await site.until(lambda: call.written and call.line.head == before)
-        streams[0].socket._sock.send(ANSWER[len(before):50])
+        streams[0].socket._sock.send(ANSWER[len(before) : 50])
         while call.line.sock.peek() is None:
             pass
         assert node.close()
@@ -383,6 +409,7 @@
         assert not owed(site)
         node = await site.start()
         assert node.counters["restored"] == 0
+
     streams = []
 
     async def attend(stream):
@@ -391,12 +418,14 @@
             await stream.send_all(before)
         streams.append(stream)
         await trio.sleep_forever()
+
     site.run(scene)
 
 
 @pytest.mark.parametrize("kind, again", [("news", True), ("order", False)])
 def test_a_push_that_is_out_as_the_process_ends_may_have_run(site, kind, again):
     """SIGTERM or SIGKILL: what may be repeated is, what may not is given up, by the ledger's word alone."""
+
     async def scene(site):
         await site.start()
         assert await site.submit("a1", kind) == 202
@@ -410,6 +439,7 @@
             await site.until(lambda: site.platform.notices)
             assert site.platform.notices == [{"message": "a1", "outcome": "given_up"}]
             assert len(site.far.got) == 1
+
     site.run(scene, lambda *message: None)
 
 
@@ -427,6 +457,7 @@
                 site.kill()
                 raise OSError(5, "killed")
             return size
+
         node.ledger.files.write = struck
         await stream.send_all(handed("X-Trace-Id: a1"))
         assert await heard(stream) in (None, "reset")
@@ -435,6 +466,7 @@
         node = await site.start()
         if step == "after the write":
             await site.until(lambda: site.far.got and not node.ledger.owed)
+
     site.run(scene)
 
 
@@ -451,4 +483,5 @@
         node = await site.start()
         await site.until(lambda: site.platform.notices and not node.ledger.owed)
         assert site.platform.notices[0]["message"] == "a1" and not site.far.got
+
     site.run(scene)
--- a/tests/test_endings_endpoint.py
+++ b/tests/test_endings_endpoint.py
@@ -34,16 +34,21 @@
 
 def each_accepted(first, headers, body):
     if first.startswith("POST /v1/messages:batch"):
-        return http(200, json.dumps([{"id": item["id"], "state": "accepted"}
-                                     for item in json.loads(body)]).encode())
+        return http(
+            200, json.dumps([{"id": item["id"], "state": "accepted"} for item in json.loads(body)]).encode()
+        )
     return http(200)
 
 
 def ids(far):
     """What reached an endpoint, call by call; callers of another test that had its port are passed over."""
     calls = [message for message in far.got if message[0].startswith("POST /v1/")]
-    return [[item["id"] for item in json.loads(body)] if first.startswith("POST /v1/messages:batch")
-            else [headers["x-trace-id"]] for first, headers, body in calls]
+    return [
+        [item["id"] for item in json.loads(body)]
+        if first.startswith("POST /v1/messages:batch")
+        else [headers["x-trace-id"]]
+        for first, headers, body in calls
+    ]
 
 
 async def held(site, outcomes):
@@ -56,21 +61,29 @@
 
 # ---- a connection that comes up late
 
+
 def test_what_ended_while_the_connection_came_up_does_not_leave_with_the_others(site):
     outcomes = []
 
     async def scene(site):
         calls, now = await held(site, outcomes), CLOCK.now()
         soon, late = now + SEC // 10, now + 60 * SEC
-        calls.start(site.nursery, "s-1", [Send("a", 0, "", b"", soon, soon, soon),
-                                          Send("b", 0, "", b"", late, late, late),
-                                          Send("c", 0, "", b"", late, late, late)])
+        calls.start(
+            site.nursery,
+            "s-1",
+            [
+                Send("a", 0, "", b"", soon, soon, soon),
+                Send("b", 0, "", b"", late, late, late),
+                Send("c", 0, "", b"", late, late, late),
+            ],
+        )
         await site.until(lambda: outcomes)  # its end is told at once, and not when the connection is up
         assert [told[:3] for told in outcomes] == [("a", 0, "moot")]
         calls.network.go.set()
         await site.until(lambda: len(outcomes) == 3)
         assert [told[2] for told in outcomes] == ["moot", "delivered", "delivered"]
         assert ids(site.far) == [["b", "c"]] and not calls.out
+
     site.run(scene, each_accepted)
 
 
@@ -86,6 +99,7 @@
         await site.until(lambda: len(outcomes) == 2)
         assert [(told[0], told[2]) for told in outcomes] == [("a", "moot"), ("b", "delivered")]
         assert ids(site.far) == [["b"]] and not calls.out
+
     site.run(scene, each_accepted)
 
 
@@ -101,6 +115,7 @@
         await site.until(lambda: calls.connection_limit.value == 8)
         assert {told[2] for told in outcomes} <= {"moot", "unreachable"}
         assert not site.far.connections and not calls.out
+
     site.run(scene, each_accepted)
 
 
@@ -121,11 +136,13 @@
         await site.until(lambda: node.counters["pushes_delivered"] and not node.ledger.owed)
         assert ids(site.far) == [["c"]]
         assert {told["message"] for told in site.platform.notices} == {"a", "b"}  # twice does no harm
+
     site.run(scene, each_accepted)
 
 
 # ---- small writes
 
+
 def test_no_connection_holds_small_writes_back_on_either_side():
     async def scene():
         network = Network()
@@ -137,4 +154,5 @@
             assert sock.raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
             sock.close()
         listener.close()
+
     trio.run(scene)
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -25,14 +25,26 @@
 REMEDIES = {kind.code: kind.remedy for kind in known()}
 OWED = line(["t", "a1", "news", 7, 1 << 62, "", ""])
 # The wait for a process that hands nothing over is cut from 12 s.
-START = ("import sys; from juniperlanding.handover import steps; steps.JOIN_WITHIN = 10**8;"
-         "from juniperlanding.cli import main; sys.exit(main(['serve', *sys.argv[1:]]))")
+START = (
+    "import sys; from juniperlanding.handover import steps; steps.JOIN_WITHIN = 10**8;"
+    "from juniperlanding.cli import main; sys.exit(main(['serve', *sys.argv[1:]]))"
+)
 FLEET = '[instance]\nname = "a"\n[fleet]\nenabled = true\naddress = "127.0.0.1:1"\nkey = "key"\n'
-CONFIG = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "management": "127.0.0.1:0",
-          "settings": {"request_classes": [{"name": "news", "effect": "safe", "aim_ns": 10**9,
-                                            "deadline_ns": 10**10}], "models": ["m1"]},
-          "known": {"members": [{"id": "s-1", "host_port": "127.0.0.1:1", "cell": 7, "flavor": "m1",
-                                 "phase": "in_service"}]}}
+CONFIG = {
+    "name": "n0",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:1",
+    "management": "127.0.0.1:0",
+    "settings": {
+        "request_classes": [{"name": "news", "effect": "safe", "aim_ns": 10**9, "deadline_ns": 10**10}],
+        "models": ["m1"],
+    },
+    "known": {
+        "members": [
+            {"id": "s-1", "host_port": "127.0.0.1:1", "cell": 7, "flavor": "m1", "phase": "in_service"}
+        ]
+    },
+}
 
 
 def serve(folder, *argv, config=CONFIG, **environ):
@@ -40,8 +52,12 @@
     (folder / "state").mkdir(exist_ok=True)
     (folder / "config.json").write_text(config if isinstance(config, str) else json.dumps(config))
     environ = {"EDGE_CONFIG": f"{folder}/config.json", "EDGE_STATE": f"{folder}/state"} | environ
-    process = subprocess.Popen([sys.executable, "-c", START, *argv], text=True, stderr=subprocess.PIPE, env={
-        **os.environ, **{name: value for name, value in environ.items() if value}})
+    process = subprocess.Popen(
+        [sys.executable, "-c", START, *argv],
+        text=True,
+        stderr=subprocess.PIPE,
+        env={**os.environ, **{name: value for name, value in environ.items() if value}},
+    )
     watch = threading.Timer(15, process.kill)
     watch.daemon = True
     watch.start()  # a line that does not come fails the test
@@ -61,6 +77,7 @@
         (folder / name).write_text(text)
         (folder / name).chmod(mode)
         return {}
+
     return cause
 
 
@@ -86,20 +103,24 @@
     return {}
 
 
-@pytest.mark.parametrize("code, cause, more", [
-    ("folder-taken", folder_taken, {}),
-    ("address-taken", address_taken, {}),
-    ("address-refused", lambda folder: {"config": CONFIG | {"listen": "192.0.2.1:1"}}, {}),
-    ("file-unusable", lambda folder: {"EDGE_STATE": f"{folder}/none"}, {}),
-    ("config-untold", lambda folder: {"EDGE_CONFIG": ""}, {}),
-    ("config-untold", lambda folder: {"config": {"listen": "127.0.0.1:0"}}, {}),
-    ("platform-unreadable", lambda folder: {"EDGE_CONFIG": f"{folder}/none"}, {}),
-    ("platform-refused", lambda folder: {"config": "{"}, {}),
-    ("platform-refused", lambda folder: {"config": '{"settings": 3}'}, {}),
-    ("file-refused", written("a.toml", "nonsense = 1\n"), {"file": "a.toml"}),
-    ("fleet-key-refused", written("a.toml", FLEET), {"file": "a.toml"}),
-    ("disk-full", no_room, {}),
-    ("ledger-unreadable", no_file, {})])
+@pytest.mark.parametrize(
+    "code, cause, more",
+    [
+        ("folder-taken", folder_taken, {}),
+        ("address-taken", address_taken, {}),
+        ("address-refused", lambda folder: {"config": CONFIG | {"listen": "192.0.2.1:1"}}, {}),
+        ("file-unusable", lambda folder: {"EDGE_STATE": f"{folder}/none"}, {}),
+        ("config-untold", lambda folder: {"EDGE_CONFIG": ""}, {}),
+        ("config-untold", lambda folder: {"config": {"listen": "127.0.0.1:0"}}, {}),
+        ("platform-unreadable", lambda folder: {"EDGE_CONFIG": f"{folder}/none"}, {}),
+        ("platform-refused", lambda folder: {"config": "{"}, {}),
+        ("platform-refused", lambda folder: {"config": '{"settings": 3}'}, {}),
+        ("file-refused", written("a.toml", "nonsense = 1\n"), {"file": "a.toml"}),
+        ("fleet-key-refused", written("a.toml", FLEET), {"file": "a.toml"}),
+        ("disk-full", no_room, {}),
+        ("ledger-unreadable", no_file, {}),
+    ],
+)
 def test_a_start_that_does_not_come_about_tells_code_and_remedy(tmp_path, code, cause, more):
     told = cause(tmp_path)
     held = told.pop("held", None)
@@ -136,8 +157,16 @@
     try:
         address = heard(full, " start ").partition("listening=")[2].split()[0]
         client = http.client.HTTPConnection(address)
-        client.request("POST", "/api", headers={"X-Trace-Id": "a1", "X-Qos": "news", "X-Addressing": "dest=7",
-                                                "X-Expires-In-Ms": "5000"})
+        client.request(
+            "POST",
+            "/api",
+            headers={
+                "X-Trace-Id": "a1",
+                "X-Qos": "news",
+                "X-Addressing": "dest=7",
+                "X-Expires-In-Ms": "5000",
+            },
+        )
         assert client.getresponse().status == 503
         assert "cannot write" in heard(full, "code=disk-full")
         time.sleep(0.4)  # some tries more
@@ -157,6 +186,7 @@
 
         def broken(data):
             raise OSError(errno.ENOSPC, "No space left on device")
+
         node.ledger.added = broken
         assert await site.submit("a1") == 503
         await trio.sleep(0.2)
@@ -165,6 +195,7 @@
         assert await site.submit("a2") == 202
         said = [text for event, text in site.lines if event == "ledger"]
         assert len(said) == 2 and "code=disk-full" in said[0] and said[1].startswith("writes again after=0.")
+
     site.run(scene)
 
 
@@ -181,11 +212,13 @@
                 if len(tries) > 3:
                     return await accept()
                 raise OSError(errno.EMFILE, "Too many open files")
+
             listener.accept = fails
             async with await trio.open_tcp_stream(*listener.address):  # ends the accept that waited
                 await site.until(lambda tries=tries: len(tries) > 3)
         found = [event for event, text in site.lines if "code=descriptors-out" in text]
         assert found == ["accept", "door"]
+
     site.run(scene)
 
 
@@ -202,12 +235,15 @@
         node = await site.start()
         node.door.calls["CUT"] = cut
         node.clients.draining = True
-        for call, answer in ((b"CUT", 'NAK 2 of 5 answer code=cut-off remedy="Look at the links."'),
-                             (b"READY", "NAK draining"),
-                             (b"", 'NAK empty line code=door-call remedy="Send one of')):
+        for call, answer in (
+            (b"CUT", 'NAK 2 of 5 answer code=cut-off remedy="Look at the links."'),
+            (b"READY", "NAK draining"),
+            (b"", 'NAK empty line code=door-call remedy="Send one of'),
+        ):
             stream = await trio.open_tcp_stream(*node.door.listener.address)
             await stream.send_all(call + b"\n")
             assert (await stream.receive_some()).decode().startswith(answer)
+
     site.run(scene)
     Cut.code = ""  # it is none of the program's
 
@@ -217,7 +253,11 @@
     with pytest.raises(KeyUnreadable) as error:
         Agent(told, "a", str(tmp_path), world(), lambda: (0, 0), print)
     assert isinstance(error.value, OSError) and system(error.value) is error.value
-    for number, code in ((errno.EDQUOT, "disk-full"), (errno.EIO, "disk-failing"),
-                         (errno.EROFS, "file-unusable"), (errno.ENFILE, "descriptors-out")):
+    for number, code in (
+        (errno.EDQUOT, "disk-full"),
+        (errno.EIO, "disk-failing"),
+        (errno.EROFS, "file-unusable"),
+        (errno.ENFILE, "descriptors-out"),
+    ):
         found = system(OSError(number, "Words"), "here")
         assert (found.code, found.errno, found.what) == (code, number, "here: words")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -44,8 +44,15 @@
 
 def test_an_old_incarnation_never_wins_and_of_one_the_worse_word_does():
     at = view("b")
-    for inc, told, believed in [(0, SUSPECT, SUSPECT), (0, ALIVE, SUSPECT), (1, ALIVE, ALIVE),
-                                (0, DEAD, ALIVE), (1, DEAD, DEAD), (1, ALIVE, DEAD), (2, ALIVE, ALIVE)]:
+    for inc, told, believed in [
+        (0, SUSPECT, SUSPECT),
+        (0, ALIVE, SUSPECT),
+        (1, ALIVE, ALIVE),
+        (0, DEAD, ALIVE),
+        (1, DEAD, DEAD),
+        (1, ALIVE, DEAD),
+        (2, ALIVE, ALIVE),
+    ]:
         at.apply(record("b", inc, told), "c", 1)
         assert at.members["b"].state == believed
 
@@ -87,11 +94,20 @@
 def test_noise_changes_nothing():
     good = words.encoded(said("ping", record("b", life=9), number=1), KEY)
     assert words.decoded(good, KEY, "f").source.name == "b"
-    spoilt = [good[:at] + bytes([good[at] ^ 1]) + good[at + 1:] for at in range(len(good))]
-    bad = [words.encoded(said("ping", one), KEY) for one in (
-        record("b", inc=-1), record("b", port=70_000), record("b", host="a.name.to.look.up"),
-        record("b", load=(1,)),
-        record("b", host="1.2.3.999"), record("x" * 129), record("b", site="y" * 65), record("b", state=9))]
+    spoilt = [good[:at] + bytes([good[at] ^ 1]) + good[at + 1 :] for at in range(len(good))]
+    bad = [
+        words.encoded(said("ping", one), KEY)
+        for one in (
+            record("b", inc=-1),
+            record("b", port=70_000),
+            record("b", host="a.name.to.look.up"),
+            record("b", load=(1,)),
+            record("b", host="1.2.3.999"),
+            record("x" * 129),
+            record("b", site="y" * 65),
+            record("b", state=9),
+        )
+    ]
     for data in [b"", b"x", os.urandom(200), good[:-1], good + b"x", good * 20, *bad, *spoilt]:
         with pytest.raises(Noise):
             words.decoded(data, KEY, "f")
@@ -138,8 +154,9 @@
     made.cut = {(a, b) for one in parts for other in parts if one is not other for a in one for b in other}
     assert made.until_settled(30 * SEC, parts)
     made.run(made.now + 60 * SEC)
-    assert not any(v.members.keys() - {made.name(n) for n in part} for part in parts for v in
-                   [made.views[min(part)]])
+    assert not any(
+        v.members.keys() - {made.name(n) for n in part} for part in parts for v in [made.views[min(part)]]
+    )
     made.cut = {(a, b) for a, b in made.cut if (a in parts[2]) != (b in parts[2])}
     assert made.until_settled(20 * SEC, [parts[0] | parts[1], parts[2]])
     made.cut = set()
@@ -254,9 +271,11 @@
     kinds = [socket.SOCK_STREAM, socket.SOCK_DGRAM] * 3
     monkeypatch.setattr(rig, "PORTS", iter([]))
     ours = [rig.free(kind) for kind in kinds]
-    text = (f"import socket, os; os.getpid = lambda: {os.getpid()}\n"
-            "from juniperlanding.processes.rig import free\n"
-            f"print(*(free(socket.SocketKind(kind)) for kind in {list(map(int, kinds))}))")
+    text = (
+        f"import socket, os; os.getpid = lambda: {os.getpid()}\n"
+        "from juniperlanding.processes.rig import free\n"
+        f"print(*(free(socket.SocketKind(kind)) for kind in {list(map(int, kinds))}))"
+    )
     theirs = subprocess.run([sys.executable, "-c", text], check=True, capture_output=True, text=True).stdout
     assert len({*ours, *map(int, theirs.split())}) == 2 * len(kinds)
     for kind, port in zip(kinds, ours, strict=True):
@@ -275,6 +294,7 @@
             await scene(rig, everybody)
             faults = await rig.ends()
             assert not faults, faults
+
     trio.run(rig.run, whole)
     assert not rate or len(rig.audit.records) > 20
     assert not [m.name for m in rig.members if "fault part=" in m.log()]
@@ -288,6 +308,7 @@
             assert await rig.settled([everybody - rig.named(1)], rig.now(), 15)
             await rig.members[1].start()
             assert await rig.settled([everybody], rig.now(), 15)
+
     processes(tmp_path, 4, scene, rate=0)
 
 
@@ -298,6 +319,7 @@
         assert await rig.settled([half, everybody - half], rig.now(), 30)
         rig.mend()
         assert await rig.settled([everybody], rig.now(), 20)
+
     processes(tmp_path, 5, scene)
 
 
@@ -310,6 +332,7 @@
         assert not verdict.false_deaths(rig.history, everybody, begun)
         rig.mend()
         assert await rig.settled([everybody], rig.now(), 15)
+
     processes(tmp_path, 5, scene)
 
 
@@ -324,6 +347,7 @@
             await trio.sleep(0.4)
         assert not verdict.false_deaths(rig.history, everybody, begun)
         assert await rig.settled([everybody], rig.now(), 15)
+
     processes(tmp_path, 4, scene, rate=0)
 
 
@@ -341,6 +365,7 @@
             member.plain = True
             await member.start()
         assert await rig.settled([rest], rig.now(), 20)
+
     processes(tmp_path, 4, scene, rate=0)
 
 
@@ -351,9 +376,13 @@
             await member.replace()
             await trio.sleep(0.5)
         assert await rig.settled([everybody], rig.now(), 10)
-        wrong = [beliefs for at, _, beliefs in rig.history if at > begun and beliefs
-                 and set(beliefs.values()) - {"alive"}]
+        wrong = [
+            beliefs
+            for at, _, beliefs in rig.history
+            if at > begun and beliefs and set(beliefs.values()) - {"alive"}
+        ]
         assert not wrong, wrong[:3]
+
     processes(tmp_path, 4, scene)
 
 
@@ -369,6 +398,7 @@
         assert not verdict.false_deaths(rig.history, everybody, begun)
         assert "fleet.noise:" in await rig.members[0].ask("STATS")
         assert await rig.settled([everybody], rig.now(), 10)
+
     processes(tmp_path, 3, scene, rate=0)
 
 
@@ -382,10 +412,15 @@
 
     async def scene(site):
         site.config()
+
     site.run(scene)
     environ = os.environ | site.environ | {"EDGE_FLEET": "true", "EDGE_FLEET_ENABLED": "true"}
-    process = subprocess.Popen([sys.executable, "-X", "importtime", "-m", "juniperlanding", "serve"],
-                               env=environ, stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-X", "importtime", "-m", "juniperlanding", "serve"],
+        env=environ,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     try:
         heard = ""
         while "start" not in heard.rpartition("| ")[2]:
@@ -408,10 +443,13 @@
 
     (tmp_path / "key").write_text("k" * 40)
     (tmp_path / "key").chmod(0o644)
-    for text, word in (("enabled = true", "fleet.address"), ('address = "127.0.0.1:5"', "enabled = true"),
-                       ('enabled = true\naddress = "127.0.0.1:5"\nkey = "key"', "0600"),
-                       ('enabled = true\naddress = "127.0.0.1:5"\nkey = "none"', "no such file"),
-                       ('enabled = true\naddress = "0.0.0.0:5"\nkey = "key"', "address is any")):
+    for text, word in (
+        ("enabled = true", "fleet.address"),
+        ('address = "127.0.0.1:5"', "enabled = true"),
+        ('enabled = true\naddress = "127.0.0.1:5"\nkey = "key"', "0600"),
+        ('enabled = true\naddress = "127.0.0.1:5"\nkey = "none"', "no such file"),
+        ('enabled = true\naddress = "0.0.0.0:5"\nkey = "key"', "address is any"),
+    ):
         (tmp_path / "f.toml").write_text(f'[instance]\nname = "a"\n[fleet]\n{text}\n')
         with pytest.raises(FileError, match=word):
             read(tmp_path / "f.toml", Files())
@@ -466,6 +504,7 @@
             assert self.town.until_settled(90 * SEC), [v.members for v in self.town.views.values()]
 
 
-AnyOrder.TestCase.settings = settings(max_examples=30, stateful_step_count=20, deadline=None,
-                                      derandomize=True)
+AnyOrder.TestCase.settings = settings(
+    max_examples=30, stateful_step_count=20, deadline=None, derandomize=True
+)
 TestAnyOrder = AnyOrder.TestCase
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -30,6 +30,7 @@
         ended = pytester.runpytest(*args)
         said = ended.stdout.str() + ended.stderr.str()
         return ended.ret, said, said.strip().splitlines()[-1]
+
     return run
 
 
@@ -75,10 +76,18 @@
     assert code != 0 and "KNOWN-RED.txt: 4 lines, 3 at most" in said
 
 
-@pytest.mark.parametrize("text", [
-    f"{FAILS}\n", f"{FAILS} | 40\n", f"{FAILS} | cause | soon\n", "test_fails | cause | 40\n",
-    line(FAILS) + "\n", line(FAILS) * 2], ids=[
-    "id alone", "no cause", "no issue", "no file in the id", "blank line", "twice"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        f"{FAILS}\n",
+        f"{FAILS} | 40\n",
+        f"{FAILS} | cause | soon\n",
+        "test_fails | cause | 40\n",
+        line(FAILS) + "\n",
+        line(FAILS) * 2,
+    ],
+    ids=["id alone", "no cause", "no issue", "no file in the id", "blank line", "twice"],
+)
 def test_malformed_line_is_told(text):
     with pytest.raises(ValueError, match="is not `node id"):
         read(text)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -63,8 +63,10 @@
 
 def with_wait(mode, wait):
     safety = {key: value for key, value in WIRE["safety"].items() if key != "must_ask_in_ns"}
-    return WIRE | {"registry_mode": mode, "safety": safety | (
-        {} if wait is ABSENT else {"must_ask_in_ns": int(wait * SEC)})}
+    return WIRE | {
+        "registry_mode": mode,
+        "safety": safety | ({} if wait is ABSENT else {"must_ask_in_ns": int(wait * SEC)}),
+    }
 
 
 def listing(members, revision=2, complete=False):
@@ -73,6 +75,7 @@
 
 def play(site, scene):
     """As `Site.run`, on the clock that jumps."""
+
     async def main():
         with trio.fail_after(600):
             async with trio.open_nursery() as nursery:
@@ -84,6 +87,7 @@
                 site.world = replace(site.world, clock=Jumping(), network=site.network)
                 await scene(site)
                 nursery.cancel_scope.cancel()
+
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.002))
 
 
@@ -94,6 +98,7 @@
     def listed(*news_of):
         whole(node.owner.at, *news_of)
         news.set()
+
     node.owner.at.listed = listed
     while (known := node.owner.at.me.endpoints.get(number)) is None or known.state != state:
         await news.wait()
@@ -115,8 +120,16 @@
 
 
 WHOLE = http(200, listing([]))
-TROUBLES = {"silent": None, "half": WHOLE[:60], "cut": http(200, listing([])[:-9]), "dribbles": dribbles,
-            "endless": endless, "failed": http(500), "hang": "hang", "refuse": "refuse"}
+TROUBLES = {
+    "silent": None,
+    "half": WHOLE[:60],
+    "cut": http(200, listing([])[:-9]),
+    "dribbles": dribbles,
+    "endless": endless,
+    "failed": http(500),
+    "hang": "hang",
+    "refuse": "refuse",
+}
 
 
 def troubled(site, trouble, calls):
@@ -136,11 +149,17 @@
         site.network.how = lambda: trouble * bad()
     good = http(200, listing([member(1, site.far.address, "terminating")], revision=2))
     site.platform.answer = lambda *message: (
-        TROUBLES[trouble] if trouble not in ("hang", "refuse") and bad() else good)
+        TROUBLES[trouble] if trouble not in ("hang", "refuse") and bad() else good
+    )
 
 
-@pytest.mark.parametrize("trouble, wait", [*((trouble, 10) for trouble in TROUBLES), *(
-    (trouble, wait) for trouble in ("silent", "refuse") for wait in (3600, 0.001, 0, ABSENT))])
+@pytest.mark.parametrize(
+    "trouble, wait",
+    [
+        *((trouble, 10) for trouble in TROUBLES),
+        *((trouble, wait) for trouble in ("silent", "refuse") for wait in (3600, 0.001, 0, ABSENT)),
+    ],
+)
 @pytest.mark.parametrize("mode", ["push", "ask"])
 def test_a_change_is_told_within_6_s_of_any_failed_call(site, trouble, mode, wait):
     """The worst instant: a call has just begun that will come to nothing.  Pushed lists, which count as told
@@ -152,6 +171,7 @@
         node = await site.start()
         at = await told(node)
         assert at - site.back < (6 if mode == "ask" else 2)
+
     play(site, scene)
 
 
@@ -166,6 +186,7 @@
         at = await told(node)
         assert site.platform.got[0][1] == f"/catalog/members?index=1&wait={least * 1000}"
         assert least < at - site.platform.got[0][0] < least + 2
+
     play(site, scene)
 
 
@@ -177,6 +198,7 @@
         async def waits(stream):
             await trio.sleep(int(first.split("wait=")[1].split()[0]) / 1000)
             await stream.send_all(http(200, listing([], revision=1)))
+
         return waits
 
     async def scene(site):
@@ -185,8 +207,10 @@
         await trio.sleep(10.5)
         assert len(site.platform.got) <= 11
         asked = [at for at, _ in site.platform.got]
-        assert all(after - before <= max(wait, 1) + 0.2
-                   for before, after in zip(asked, asked[1:], strict=False))  # one watch that goes on
+        assert all(
+            after - before <= max(wait, 1) + 0.2 for before, after in zip(asked, asked[1:], strict=False)
+        )  # one watch that goes on
+
     play(site, scene)
 
 
@@ -207,6 +231,7 @@
         node.reload(site.reread)
         moved = trio.current_time()
         assert await told(node) - moved < 4
+
     play(site, scene)
 
 
@@ -218,11 +243,13 @@
         assert not node.owner.at.me.list_failures
         site.platform = await Agent().open(site.nursery)  # the hook holds what goes to the old one
         site.platform.answer = lambda *message: http(
-            200, listing([member(1, site.far.address, "terminating")], revision=2))
+            200, listing([member(1, site.far.address, "terminating")], revision=2)
+        )
         site.config()
         node.reload(site.reread)
         moved = trio.current_time()
         assert await told(node) - moved < 0.1
+
     play(site, scene)
 
 
@@ -233,7 +260,8 @@
         whole = site.folder / "config.json"
         site.platform = await Agent().open(site.nursery)
         site.platform.answer = lambda *message: http(
-            200, listing([member(1, site.far.address, "terminating")], revision=2))
+            200, listing([member(1, site.far.address, "terminating")], revision=2)
+        )
         site.config()
         text = whole.read_text()
         whole.write_text(text[:90])
@@ -244,11 +272,13 @@
         written = trio.current_time()
         assert await told(node) - written < 4
         assert [text for event, text in site.lines if event == "config" and "one stays" in text][1:] == []
+
     play(site, scene)
 
 
 # ---- lists that can be read in part
 
+
 def test_what_cannot_be_read_is_left_out_said_once_and_asked_for_again(site):
     """The good part is in force at once; the whole list is asked for until all of it can be read."""
     odd = {"id": "s-2", "host_port": 7, "cell": "x"}
@@ -259,8 +289,13 @@
         def answer(first, *rest):
             if "wait=" in first and len(lists) < 4:
                 return waits(first)
-            return http(200, lists.pop(0) if lists else listing(
-                [member(1, site.far.address), member(2, site.far.address)], 2, True))
+            return http(
+                200,
+                lists.pop(0)
+                if lists
+                else listing([member(1, site.far.address), member(2, site.far.address)], 2, True),
+            )
+
         site.platform.answer = answer
         node = await site.start()
         begun = await told(node)
@@ -268,10 +303,12 @@
         again = await told(node, "ready", "s-2")
         asked = [at for at, target in site.platform.got if "wait=" not in target]
         assert asked[0] - begun < 6 and all(
-            3 < after - before < 6 for before, after in zip(asked, asked[1:], strict=False))
+            3 < after - before < 6 for before, after in zip(asked, asked[1:], strict=False)
+        )
         assert len(asked) == 4 and again - asked[-1] < 0.1
         said = [text for event, text in site.lines if event == "list"]
         assert said == ["entries cannot be read entries=1", "entries cannot be read entries=2"]
+
     play(site, scene)
 
 
@@ -279,13 +316,20 @@
     async def answer(stream):
         await trio.sleep(int(first.split("wait=")[1].split()[0]) / 1000)
         await stream.send_all(http(200, listing([], revision=2)))
+
     return answer
 
 
-@pytest.mark.parametrize("entry, state", [
-    ({"id": "s-1", "cell": "x"}, "ready"), ({"id": "s-1", "cell": "x", "phase": "terminating"}, "draining"),
-    ({"id": "s-1", "cell": 7, "phase": "in_service"}, "ready"),
-    ({"id": "s-1", "cell": 7, "phase": ["x"]}, "draining"), ({"id": "s-1", "phase": "terminated"}, "gone")])
+@pytest.mark.parametrize(
+    "entry, state",
+    [
+        ({"id": "s-1", "cell": "x"}, "ready"),
+        ({"id": "s-1", "cell": "x", "phase": "terminating"}, "draining"),
+        ({"id": "s-1", "cell": 7, "phase": "in_service"}, "ready"),
+        ({"id": "s-1", "cell": 7, "phase": ["x"]}, "draining"),
+        ({"id": "s-1", "phase": "terminated"}, "gone"),
+    ],
+)
 def test_of_an_entry_that_cannot_be_read_the_last_good_one_stays(site, entry, state):
     async def scene(site):
         known = trio.Event()
@@ -293,6 +337,7 @@
         async def answer(stream):
             await known.wait()
             await stream.send_all(http(200, listing([entry, member(2, site.far.address)], 2, True)))
+
         site.platform.answer = lambda *message: answer
         node = await site.start()
         await told(node, "ready")
@@ -301,4 +346,5 @@
         await told(node, "ready", "s-2")
         assert first.state == state
         assert state == "gone" or node.owner.endpoints.book["s-1"] == site.far.address
+
     play(site, scene)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -44,15 +44,17 @@
 
 # ---- from a client to an endpoint
 
+
 def test_a_notification_goes_through_unchanged_and_is_over(site):
     async def scene(site):
         node = await site.start()
         assert await site.submit("9b1f", "pay", body=b"\x00\xff", more="Idempotency-Key: k-1\r\n") == 202
         await site.until(lambda: node.counters["pushes_delivered"] and not node.ledger.owed)
-        (first, headers, body), = site.far.got
+        ((first, headers, body),) = site.far.got
         assert first == "POST /v1/messages HTTP/1.1" and body == b"\x00\xff"
         assert (headers["x-trace-id"], headers["idempotency-key"]) == ("9b1f", "k-1")
         assert 0 < int(headers["x-expires-in-ms"]) <= 5000
+
     site.run(scene)
 
 
@@ -63,6 +65,7 @@
             assert await site.submit(number, stream=stream) == 202
             await site.until(lambda: not node.ledger.owed)
         assert (len(site.far.got), site.far.connections) == (3, 1)
+
     site.run(scene)
 
 
@@ -81,8 +84,13 @@
         calls.start(site.nursery, "s-1", [send(number) for number in "bcdef"])
         await site.until(lambda: len(outcomes) == 5)
         assert [(told[0], told[2], told[5]) for told in outcomes] == [
-            ("b", "delivered", True), ("c", "error", False), ("d", "throttled", False), ("e", "moot", True),
-            ("f", "error", False)]
+            ("b", "delivered", True),
+            ("c", "error", False),
+            ("d", "throttled", False),
+            ("e", "moot", True),
+            ("f", "error", False),
+        ]
+
     site.run(scene, answer)
 
 
@@ -100,28 +108,49 @@
         assert len(outcomes) == 1
         await site.until(lambda: len(outcomes) == 2)
         assert [told[:3] for told in outcomes] == [("a", 0, "timeout"), ("b", 0, "timeout")]
+
     site.run(scene, silent)
 
 
 # ---- what an answer proves
 
-@pytest.mark.parametrize("answer, ending", [
-    (http(200), "delivered"), (http(500), "error"), (http(418), "error"), (http(429), "throttled"),
-    (http(503), "throttled"), (http(503, b"", "X-Over-Slots: 1"), "moot"), (http(504), "moot"),
-    (http(410), "moot"), (None, "timeout"), ("reset", "reset"), ("end", "reset"), ("half", "reset"),
-    (b"nonsense\r\n\r\n", "reset"), (b"\x93\xac\xc5", "reset"), (b"ICY 200 OK\r\n\r\n", "reset"),
-    (b"HTTP/1.1 2x0 OK\r\n\r\n", "reset"), (b"HTTP/1.1 200 x\r\nContent-Le", "delivered"),
-    (b"HTTP/1.1 200 x\r\nno colon\r\n\r\n", "delivered"), (b"HTTP/1.1 20", "timeout"),
-    (b"HTTP/1.1 200 x\r\nX: " + b"x" * 40000, "delivered"),
-    (b"HTTP/1.1 500 x\r\nX: " + b"x" * 40000, "reset"),
-    (http(200, b"", "Content-Length: 7"), "delivered"), (http(503, b"", "Content-Length: 7"), "reset"),
-    (b"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 x\r\nno colon\r\n\r\n", "delivered"),
-    (b"HTTP/1.1 503 x\r\nContent-Length: 90\r\n\r\nshort", "timeout"),
-    (b"HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100_000, "reset"),
-    (b"HTTP/1.1 429 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "reset"),
-    (b"HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\nshort", "delivered"),
-    (b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\ntoo long", "delivered"),
-    (b"HTTP/1.1 100 x\r\n\r\n" + http(200), "delivered"), (http(200, b"x" * 100_000), "delivered")])
+
+@pytest.mark.parametrize(
+    "answer, ending",
+    [
+        (http(200), "delivered"),
+        (http(500), "error"),
+        (http(418), "error"),
+        (http(429), "throttled"),
+        (http(503), "throttled"),
+        (http(503, b"", "X-Over-Slots: 1"), "moot"),
+        (http(504), "moot"),
+        (http(410), "moot"),
+        (None, "timeout"),
+        ("reset", "reset"),
+        ("end", "reset"),
+        ("half", "reset"),
+        (b"nonsense\r\n\r\n", "reset"),
+        (b"\x93\xac\xc5", "reset"),
+        (b"ICY 200 OK\r\n\r\n", "reset"),
+        (b"HTTP/1.1 2x0 OK\r\n\r\n", "reset"),
+        (b"HTTP/1.1 200 x\r\nContent-Le", "delivered"),
+        (b"HTTP/1.1 200 x\r\nno colon\r\n\r\n", "delivered"),
+        (b"HTTP/1.1 20", "timeout"),
+        (b"HTTP/1.1 200 x\r\nX: " + b"x" * 40000, "delivered"),
+        (b"HTTP/1.1 500 x\r\nX: " + b"x" * 40000, "reset"),
+        (http(200, b"", "Content-Length: 7"), "delivered"),
+        (http(503, b"", "Content-Length: 7"), "reset"),
+        (b"HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 x\r\nno colon\r\n\r\n", "delivered"),
+        (b"HTTP/1.1 503 x\r\nContent-Length: 90\r\n\r\nshort", "timeout"),
+        (b"HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100_000, "reset"),
+        (b"HTTP/1.1 429 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "reset"),
+        (b"HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\nshort", "delivered"),
+        (b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\ntoo long", "delivered"),
+        (b"HTTP/1.1 100 x\r\n\r\n" + http(200), "delivered"),
+        (http(200, b"x" * 100_000), "delivered"),
+    ],
+)
 def test_each_way_to_answer_a_call_has_one_outcome(site, answer, ending):
     outcomes = []
 
@@ -132,13 +161,21 @@
         assert (outcomes[0][2], outcomes[0][5]) == (ending, ending == "delivered" or answer == http(410))
         assert not calls.out
         await site.until(lambda: 8 - calls.connection_limit.value == sum(map(len, calls.idle.values())))
+
     site.run(scene, lambda *message: answer)
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"\x93\xac\xc5\r\n", b"HTTP/1.1 200 x\r\nno colon\r\n\r\n", http(200, b"[" * 9000), http(200, b"null"),
-    b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100_000,
-    http(200, b'[{"id":[],"state":{}}]')])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"\x93\xac\xc5\r\n",
+        b"HTTP/1.1 200 x\r\nno colon\r\n\r\n",
+        http(200, b"[" * 9000),
+        http(200, b"null"),
+        b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100_000,
+        http(200, b'[{"id":[],"state":{}}]'),
+    ],
+)
 def test_a_spoilt_answer_to_several_may_have_run_and_ends_its_connection_at_once(site, spoilt):
     outcomes = []
 
@@ -148,6 +185,7 @@
         async with site.even.within(0.5):
             await site.until(lambda: len(outcomes) == 2)
         assert {told[2] for told in outcomes} == {"reset"} and calls.connection_limit.value == 8
+
     site.run(scene, lambda *message: spoilt)
 
 
@@ -161,13 +199,19 @@
         async with site.even.within(2):
             await site.until(lambda: calls.connection_limit.value == 8)
         assert [told[2] for told in outcomes] == ["delivered"]
+
     site.run(scene, lambda *message: b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\nx")
 
 
-@pytest.mark.parametrize("more, endings", [
-    ((), ["delivered", "throttled"]), (("Connection: close",), ["delivered", "throttled"]),
-    (("Connection: close", "Retry-After: 1"), ["throttled", "throttled"]),
-    (("connection: close",), ["unreachable", "unreachable"])])
+@pytest.mark.parametrize(
+    "more, endings",
+    [
+        ((), ["delivered", "throttled"]),
+        (("Connection: close",), ["delivered", "throttled"]),
+        (("Connection: close", "Retry-After: 1"), ["throttled", "throttled"]),
+        (("connection: close",), ["unreachable", "unreachable"]),
+    ],
+)
 def test_a_fresh_connection_that_is_turned_away_and_ended_never_came_up(site, more, endings):
     outcomes = []
 
@@ -180,6 +224,7 @@
             calls.start(site.nursery, "s-1", [send(number)])
             await site.until(lambda: not calls.out)
         assert [told[2] for told in outcomes] == endings
+
     site.run(scene, answer)
 
 
@@ -237,12 +282,13 @@
     async def scene(site):
         calls = await endpoints(site, outcomes)
         with in_a_thread(elsewhere, calls):
-            for number in "ab"[:len(endings)]:
+            for number in "ab"[: len(endings)]:
                 # The last byte waits until the connection broke, however long a busy machine takes for that.
                 monkeypatch.setattr(net_line, "HOLD", hold if kept and number == "a" else float("inf"))
                 calls.start(site.nursery, "s-1", [send(number)])
                 await site.until(lambda: not calls.out)
         assert [told[2] for told in outcomes] == endings and len(whole) == len(endings) * kept
+
     site.run(scene)
 
 
@@ -255,6 +301,7 @@
         calls.start(site.nursery, "s-1", [send("a")])
         await site.until(lambda: outcomes)
         assert outcomes[0][2] == "unreachable" and calls.connection_limit.value == 8
+
     site.run(scene)
 
 
@@ -270,6 +317,7 @@
         calls.cancel("a", 0)
         await site.until(lambda: outcomes)
         assert outcomes[0][2] == ending
+
     site.run(scene, silent)
 
 
@@ -285,6 +333,7 @@
         await site.until(lambda: outcomes)
         assert [told[:3] for told in outcomes] == [("b", 0, "moot")]
         assert len(site.far.got) == 1
+
     site.run(scene, silent)
 
 
@@ -306,11 +355,11 @@
             time.sleep(0.2)  # the whole process stands still, past the time-out
             await site.until(lambda: outcomes)
         assert outcomes[0][2] == "delivered"
+
     site.run(scene)
 
 
-@pytest.mark.parametrize("answer, ending",
-                         [(http(200), "delivered"), (http(500), "error"), (b"", "timeout")])
+@pytest.mark.parametrize("answer, ending", [(http(200), "delivered"), (http(500), "error"), (b"", "timeout")])
 def test_an_answer_that_came_before_our_first_look_at_it_counts(site, monkeypatch, answer, ending):
     outcomes, write = [], Line.write
 
@@ -335,6 +384,7 @@
             calls.start(site.nursery, "s-1", [send("a", SEC // 10)])
             await site.until(lambda: outcomes)
         assert outcomes[0][2] == ending
+
     site.run(scene)
 
 
@@ -351,6 +401,7 @@
             for idle in calls.idle.get("s-1", []):
                 idle.used_at -= 9.6 * SEC
         assert [told[2] for told in outcomes] == ["delivered"] * 2 and site.far.connections == 2
+
     site.run(scene, lambda *message: http(200) + (http(200) if spoil == "unasked" else b""))
 
 
@@ -367,6 +418,7 @@
         assert [told[2] for told in outcomes] == ["delivered"] * 2 and calls.connection_limit.value == 0
         calls.close_idle("s-2")
         assert calls.connection_limit.value == 1
+
     site.run(scene)
 
 
@@ -382,6 +434,7 @@
         site.far.answer = lambda *message: http(200)
         await site.until(lambda: len(outcomes) == 3)
         assert [told[2] for told in outcomes] == ["moot", "timeout", "delivered"]
+
     site.run(scene, silent)
 
 
@@ -403,11 +456,13 @@
             # One push of it, called back: it never left, and the folder knows of none.
             assert node.owner.at.me.notifications["a1"].pushes == 1 and others
             assert not node.ledger.owed["a1"].pushes and not owed(site)["a1"].pushes
+
     site.run(scene)
 
 
 # ---- the ledger
 
+
 def test_once_only_pushes_are_on_file_before_their_bytes_leave(site):
     found = []
 
@@ -420,6 +475,7 @@
         await site.submit("a1", "order")
         await site.until(lambda: found)
         assert (found[0].id, found[0].pushes, len(found[0].ran)) == ("a1", 1, 1)
+
     site.run(scene, answer)
 
 
@@ -435,6 +491,7 @@
         await site.until(lambda: not node.ledger.owed)
         assert [notice["message"] for notice in site.platform.notices] == notices
         assert len(site.far.got) == calls
+
     site.run(scene, silent)
 
 
@@ -450,10 +507,11 @@
         found = protocol.entries([member(2, site.far.address, cell=8)], ["m1"], ["a"])
         await node.owner.tell(node.owner.listed, "changes", found)
         await site.until(lambda: site.far.got and not node.ledger.owed)
+
     site.run(scene)
 
 
-@pytest.mark.parametrize("spoil", [b"", b"0badc0de [\"e\",\"a1\"]\n", b"\xff\xfe\n\n"])
+@pytest.mark.parametrize("spoil", [b"", b'0badc0de ["e","a1"]\n', b"\xff\xfe\n\n"])
 def test_a_torn_last_record_is_skipped(tmp_path, spoil):
     ledger = Ledger(tmp_path, 1 << 20)
     ledger.take("a1", "news", 7, 5 * SEC, "", b"hello")
@@ -484,8 +542,13 @@
 def test_never_ran_and_may_have_run_survive_compaction(tmp_path):
     ledger = Ledger(tmp_path, 1 << 20)
     ledger.take("a1", "order", 7, 5 * SEC, "k", b"x")
-    for record in (["p", "a1", 0, 3, 100], ["n", "a1", 0], ["p", "a1", 1, 2, 200], ["p", "a1", 2, 4, 300],
-                   ["n", "a1", 2]):
+    for record in (
+        ["p", "a1", 0, 3, 100],
+        ["n", "a1", 0],
+        ["p", "a1", 1, 2, 200],
+        ["p", "a1", 2, 4, 300],
+        ["n", "a1", 2],
+    ):
         ledger.write(*record)
     ledger.take("a2", "order", 7, 5 * SEC, "", b"")
     ledger.write("o", "a2", "given_up", 0)
@@ -531,11 +594,13 @@
         assert await site.submit("a1", "order") == 202
         await site.until(lambda: site.far.got)
         node.ledger.owed["a1"].ttl_at = CLOCK.now() + int(left * SEC)
-        await node.owner.tell(node.owner.finished, "s-1", [("a1", 0, ending, SEC, 0, True, None)],
-                              CLOCK.now())
+        await node.owner.tell(
+            node.owner.finished, "s-1", [("a1", 0, ending, SEC, 0, True, None)], CLOCK.now()
+        )
         await site.until(lambda: not node.ledger.owed)
         assert [notice["message"] for notice in site.platform.notices] == notices
         assert node.counters["svc.results.order.succeeded"] == (ending == "delivered" and left > 0)
+
     site.run(scene, silent)
 
 
@@ -551,6 +616,7 @@
         await site.until(lambda: not node.ledger.owed)
         assert [headers["x-trace-id"] for _, headers, _ in site.far.got] == ["a2"]
         assert node.owner.at.me.slots_out == 0
+
     site.run(scene)
 
 
@@ -579,6 +645,7 @@
         node.ledger.added = whole
         await site.until(lambda: not node.ledger.pending and not node.ledger.owed)
         assert [notice["message"] for notice in site.platform.notices] == ["a2"]
+
     site.run(scene, silent)
 
 
@@ -595,6 +662,7 @@
         await site.until(lambda: not node.ledger.owed and not node.ledger.pending)
         ends = [(notice["message"], notice["outcome"]) for notice in site.platform.notices]
         assert len(ends) == 2 and set(ends) == {("a1", "given_up")}
+
     site.run(scene)
 
 
@@ -609,6 +677,7 @@
         await node.owner.tell(node.owner.finished, "s-1", [("a1", 0, "delivered", SEC, 0, True, None)], heard)
         await site.until(lambda: not node.ledger.owed)
         assert not site.platform.notices and node.counters["svc.results.order.succeeded"] == 1
+
     site.run(scene, silent)
 
 
@@ -622,10 +691,11 @@
     def half(file, data):
         if not halves:
             raise OSError(5, "Input/output error")
-        return write(file, bytes(data)[:halves.pop()])
+        return write(file, bytes(data)[: halves.pop()])
 
     def fails(file, size):
         raise OSError(5, "Input/output error")
+
     ledger.files.write, ledger.files.truncate = half, fails
     for _ in range(2):
         with pytest.raises(OSError):
@@ -643,6 +713,7 @@
         node.ledger.added = broken
         node.owner.end("a1")
         assert not node.close() and any("could not be written" in text for _, text in site.lines)
+
     site.run(scene)
 
 
@@ -657,11 +728,13 @@
         node.owner.held.update(dict.fromkeys(("b1", "b2")))
         assert await site.submit("a3") == 503
         assert node.counters["turned_away_full"] == 2
+
     site.run(scene, silent)
 
 
 # ---- notices
 
+
 @pytest.mark.parametrize("kill", [False, True])
 def test_notices_are_posted_until_taken_over_a_restart_too(site, kill):
     async def scene(site):
@@ -675,6 +748,7 @@
         site.platform.notice_status = 204
         await site.until(lambda: not node.ledger.owed)
         assert site.platform.notices == [{"message": "a1", "outcome": "given_up"}]
+
     site.run(scene, silent)
 
 
@@ -682,24 +756,28 @@
     async def scene(site):
         whole, silent_until = site.platform.answer, trio.current_time() + 0.2
         site.platform.answer = lambda *message: (
-            whole(*message) if trio.current_time() > silent_until or message[0].startswith("GET") else None)
+            whole(*message) if trio.current_time() > silent_until or message[0].startswith("GET") else None
+        )
         node = await site.start()
         node.owner.notices.add("a1", "given_up", 0)
         await site.until(lambda: site.platform.notices)
         assert trio.current_time() < silent_until + 0.3 and node.owner.notices.patience <= 0.3
+
     site.run(scene)
 
 
 def test_one_unreadable_notice_does_not_hold_up_the_others(site):
     async def scene(site):
         whole = site.platform.answer
-        site.platform.answer = lambda first, headers, body: http(400) if b"bad" in body else whole(
-            first, headers, body)
+        site.platform.answer = (
+            lambda first, headers, body: http(400) if b"bad" in body else whole(first, headers, body)
+        )
         node = await site.start()
         for number in ("bad", "a1", "a2"):
             node.owner.notices.add(number, "handed_back", 500)
         await site.until(lambda: len(site.platform.notices) == 2)
         assert site.platform.notices[0] == {"message": "a1", "outcome": "handed_back", "retry_in_ms": 500}
+
     site.run(scene)
 
 
@@ -709,19 +787,30 @@
         assert await site.submit("a1", ttl=0) == 503
         assert not node.ledger.owed
         assert site.platform.notices == [] and node.counters["faults"] == 0
+
     site.run(scene)
 
 
 # ---- discovery
 
+
 def test_the_watch_tells_changes_and_leaves_out_what_it_cannot_read(site):
     async def scene(site):
         other = await Far().open(site.nursery)
         site.platform.lists = [
-            {"revision": 2, "complete": False, "members": [
-                member(1, site.far.address, "terminating"), member(2, other.address), {"id": "s-9"}, 7,
-                member(3, other.address, "unheard-of")]},
-            {"revision": 3, "complete": True, "members": [member(2, other.address)]}]
+            {
+                "revision": 2,
+                "complete": False,
+                "members": [
+                    member(1, site.far.address, "terminating"),
+                    member(2, other.address),
+                    {"id": "s-9"},
+                    7,
+                    member(3, other.address, "unheard-of"),
+                ],
+            },
+            {"revision": 3, "complete": True, "members": [member(2, other.address)]},
+        ]
         node = await site.start()
         await site.until(lambda: list(node.owner.at.me.endpoints) == ["s-2"])
         watches = [first for first, _, _ in site.platform.got]
@@ -730,6 +819,7 @@
         await site.submit("a1")
         await site.until(lambda: other.got)
         assert not site.far.got and list(node.owner.entries) == ["s-2"]
+
     site.run(scene)
 
 
@@ -743,11 +833,21 @@
         await trio.sleep(0.35)
         watches = [first for first, _, _ in site.platform.got]
         assert 3 <= len(watches) <= 6 and all("index=" in first for first in watches)
+
     site.run(scene)
 
 
-@pytest.mark.parametrize("answer", [http(200, b"[]"), http(200, b'{"members":3}'), http(500), "reset",
-                                    b"junk\r\n\r\n", http(200, b'{"members":[],"revision":"x y"}')])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        http(200, b"[]"),
+        http(200, b'{"members":3}'),
+        http(500),
+        "reset",
+        b"junk\r\n\r\n",
+        http(200, b'{"members":[],"revision":"x y"}'),
+    ],
+)
 def test_a_broken_watch_is_begun_again_and_nothing_else_stops(site, answer):
     async def scene(site):
         site.platform.answer = lambda first, *rest: answer
@@ -758,6 +858,7 @@
         node.owner.subscribe(True)
         await site.until(lambda: node.owner.at.me.list_failures == 2)
         assert node.counters["faults"] == 0
+
     site.run(scene)
 
 
@@ -771,45 +872,74 @@
     odd = [member(1, ("h", 5)) | {"size": size} for size in (float("nan"), float("inf"), -1, None)]
     assert protocol.entries(odd, ["m1"], ["a"]) == []
     assert [protocol.wait(value) for value in (b"1.5", b"2", b"-1", b"nan", b"x", b"1e400")] == [
-        3 * SEC // 2, 2 * SEC, 0, 0, 0, 0]
+        3 * SEC // 2,
+        2 * SEC,
+        0,
+        0,
+        0,
+        0,
+    ]
     assert protocol.destination(b"zone=a; dest=7") == 7
 
 
 # ---- clients
 
+
 def handed(*lines, body=b""):
     """A request that would be taken on, with some of its lines replaced or more behind them."""
-    whole = {"X-Trace-Id": "a", "X-Qos": "news", "X-Expires-In-Ms": "900", "X-Addressing": "dest=7",
-             "Content-Length": "0"}
+    whole = {
+        "X-Trace-Id": "a",
+        "X-Qos": "news",
+        "X-Expires-In-Ms": "900",
+        "X-Addressing": "dest=7",
+        "Content-Length": "0",
+    }
     more = [line for line in lines if line.split(":")[0] not in whole]
     whole |= dict(line.split(": ") for line in lines if line not in more)
     text = ["POST /api HTTP/1.1", "Host: x", *(f"{name}: {value}" for name, value in whole.items()), *more]
     return "\r\n".join(text).encode("latin-1") + b"\r\n\r\n" + body
 
 
-@pytest.mark.parametrize("text, status", [
-    (handed(), 202), (handed("X-Trace-Id: "), 400), (handed("X-Trace-Id: " + "a" * 300), 400),
-    (handed("X-Qos: unheard-of"), 400), (handed("X-Addressing: dest=-1"), 400),
-    (handed("X-Addressing: dest=70000"), 503), (handed("X-Addressing: to=7"), 400),
-    (handed("X-Expires-In-Ms: -5"), 400), (handed("X-Expires-In-Ms: 1_0"), 400),
-    (handed("X-Expires-In-Ms: soon"), 400), (handed("X-Expires-In-Ms: " + "9" * 19), 400),
-    (handed("X-Expires-In-Ms: " + "9" * 5000), 400), (handed("x-trace-id: b"), 400),
-    (handed("Content-Length: -1"), 400), (handed("Content-Length: 9" + "9" * 30), 400),
-    (handed("Content-Length: 3000000000"), 413), (handed("content-length: 5"), 400),
-    (handed("Transfer-Encoding: chunked", body=b"0\r\n\r\n"), 400),
-    (handed("Transfer-Encoding: chunked", "Content-Length: 20", body=b"0\r\n\r\n" + b"x" * 15), 400),
-    (handed(body=b"more than its length"), 400), (handed(body=handed()), 400),
-    (b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", 200), (b"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", 404),
-    (b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n", 405), (b"nonsense\r\n\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000, 413),
-    (b"GET / HTTP/1.1\r\nX: " + b"x" * 40000, 431)])
+@pytest.mark.parametrize(
+    "text, status",
+    [
+        (handed(), 202),
+        (handed("X-Trace-Id: "), 400),
+        (handed("X-Trace-Id: " + "a" * 300), 400),
+        (handed("X-Qos: unheard-of"), 400),
+        (handed("X-Addressing: dest=-1"), 400),
+        (handed("X-Addressing: dest=70000"), 503),
+        (handed("X-Addressing: to=7"), 400),
+        (handed("X-Expires-In-Ms: -5"), 400),
+        (handed("X-Expires-In-Ms: 1_0"), 400),
+        (handed("X-Expires-In-Ms: soon"), 400),
+        (handed("X-Expires-In-Ms: " + "9" * 19), 400),
+        (handed("X-Expires-In-Ms: " + "9" * 5000), 400),
+        (handed("x-trace-id: b"), 400),
+        (handed("Content-Length: -1"), 400),
+        (handed("Content-Length: 9" + "9" * 30), 400),
+        (handed("Content-Length: 3000000000"), 413),
+        (handed("content-length: 5"), 400),
+        (handed("Transfer-Encoding: chunked", body=b"0\r\n\r\n"), 400),
+        (handed("Transfer-Encoding: chunked", "Content-Length: 20", body=b"0\r\n\r\n" + b"x" * 15), 400),
+        (handed(body=b"more than its length"), 400),
+        (handed(body=handed()), 400),
+        (b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+        (b"GET /other HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+        (b"nonsense\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000, 413),
+        (b"GET / HTTP/1.1\r\nX: " + b"x" * 40000, 431),
+    ],
+)
 def test_each_request_gets_one_answer(site, text, status):
     async def scene(site):
         await site.start()
         assert (await site.ask(text))[0] == status
         assert (await site.ask(b"GET /_counters HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
         assert f"answers_{status} 1\n".encode() in site.payload
+
     site.run(scene)
 
 
@@ -820,6 +950,7 @@
         node.owner.ready = False
         assert (await site.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 503
         assert await site.submit("a1") == 503
+
     site.run(scene)
 
 
@@ -834,6 +965,7 @@
         with trio.fail_after(3):
             assert (await slow.receive_some()).startswith(b"HTTP/1.1 408")
             assert await mute.receive_some() == b""
+
     site.run(scene)
 
 
@@ -852,6 +984,7 @@
             for stream in flood[:30]:  # who was about to go on is told to come again, and nothing more
                 assert (await site.ask(b"", stream))[0] == 503 and await stream.receive_some() == b""
         assert await kept.receive_some() == b"" and node.clients.open <= 16
+
     site.run(scene)
 
 
@@ -865,6 +998,7 @@
                 while True:
                     await endless.send_all(b"x" * 65536)
             await site.until(lambda: not node.clients.open)
+
     site.run(scene)
 
 
@@ -876,6 +1010,7 @@
         assert await site.submit("a1", "order") == 202
         assert node.counters["taken_on"] == 1 and len(site.far.got) == 1
         await site.until(lambda: not node.owner.taken)
+
     site.run(scene)
 
 
@@ -890,6 +1025,7 @@
         assert await site.submit("a2") in (202, 503)
         assert await site.submit("a3", stream=idle[-1]) in (202, 503)
         assert await idle[0].receive_some() == b""
+
     site.run(scene)
 
 
@@ -898,6 +1034,7 @@
         node = await site.start()
         assert [await site.submit("a1"), await site.submit("a1")] == [202, 202]
         assert node.counters["taken_on"] == 1
+
     site.run(scene, silent)
 
 
@@ -911,6 +1048,7 @@
         await site.until(lambda: not node.clients.open)
         await trio.sleep(0.02)
         assert list(node.ledger.owed) == ["a1"] and node.counters["unheard"] == 0
+
     site.run(scene)
 
 
@@ -921,11 +1059,13 @@
         await node.owner.tell(node.owner.unheard, "a1")
         await site.until(lambda: not node.ledger.owed)
         assert not node.owner.held and not node.owner.at.me.notifications
+
     site.run(scene)
 
 
 # ---- start and stop
 
+
 def test_a_drain_serves_on_and_then_sends_clients_away(site):
     async def scene(site):
         node, stream = await site.start(), await site.client()
@@ -936,6 +1076,7 @@
         node.clients.drain()
         assert await stream.receive_some() == b""
         assert (await site.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[1]["connection"] == "close"
+
     site.run(scene)
 
 
@@ -943,10 +1084,15 @@
     """The real program as a process of its own, once it is ready."""
     site.config()
     site.address = "127.0.0.1", free(socket.SOCK_STREAM)
-    environ = dict(os.environ, EDGE_LISTEN="{}:{}".format(*site.address),
-                   EDGE_CONFIG=str(site.folder / "config.json"), EDGE_STATE=str(site.folder / "state"))
-    process = await trio.lowlevel.open_process([sys.executable, "-m", "juniperlanding", "serve"], env=environ,
-                                               stderr=subprocess.DEVNULL)
+    environ = dict(
+        os.environ,
+        EDGE_LISTEN="{}:{}".format(*site.address),
+        EDGE_CONFIG=str(site.folder / "config.json"),
+        EDGE_STATE=str(site.folder / "state"),
+    )
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-m", "juniperlanding", "serve"], env=environ, stderr=subprocess.DEVNULL
+    )
     while True:
         try:
             if (await site.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200:
@@ -961,6 +1107,7 @@
         assert await site.submit("a1", dest=8, ttl=9000) == 202
         process.kill()
         assert await process.wait() == -signal.SIGKILL and list(owed(site)) == ["a1"]
+
     site.run(scene)
 
 
@@ -983,6 +1130,7 @@
         node = await site.start()
         await site.until(lambda: node.counters["pushes_delivered"] and not node.ledger.owed)
         assert site.far.got[-1][1]["x-trace-id"] == "a2" and not site.platform.notices
+
     site.run(scene)
 
 
@@ -1008,6 +1156,7 @@
         await site.until(lambda: len([first for first, _, _ in site.platform.got if "GET" in first]) == 2)
         asked = [first.split()[1] for first, _, _ in site.platform.got if "GET" in first]
         assert not old.notices and asked == ["/catalog/members", "/catalog/members?index=1&wait=10000"]
+
     site.run(scene)
 
 
@@ -1024,6 +1173,7 @@
         process.terminate()
         process.send_signal(signal.SIGHUP)
         assert await process.wait() == 0
+
     site.run(scene, silent)
 
 
@@ -1064,6 +1214,7 @@
         await node.owner.tell(lambda: 1 // 0)
         assert await site.submit("a1") == 202
         assert node.counters["faults"] == 1 and any(code == "fault" for code, _ in site.lines)
+
     site.run(scene)
 
 
@@ -1075,6 +1226,7 @@
         assert await site.submit("a1") == 503
         node.owner.at.notification = whole
         assert await site.submit("a2") == 202 and "a1" not in node.ledger.owed
+
     site.run(scene)
 
 
@@ -1087,6 +1239,7 @@
         assert node.owner.ready and node.counters["faults"] == 1
         assert list(node.owner.at.me.notifications) == ["a2"]
         node.ledger.close()
+
     site.run(scene)
 
 
@@ -1099,6 +1252,7 @@
         await site.until(lambda: site.platform.notices)
         assert site.platform.notices == [{"message": "a1", "outcome": "given_up"}]
         assert not node.owner.held and not node.owner.at.me.notifications
+
     site.run(scene)
 
 
@@ -1112,6 +1266,7 @@
         sock.close()  # before the dispatcher had a chance to read
         await site.until(lambda: node.counters["handed_in"])
         assert node.counters["taken_on"] == 0 and not site.far.got
+
     site.run(scene)
 
 
@@ -1128,6 +1283,7 @@
             assert await site.submit("a1", "order", ttl=9000) == 202
         await trio.sleep(0.05)
         assert len(site.far.got) == 1 and not node.ledger.owed
+
     site.run(scene)
 
 
@@ -1155,6 +1311,7 @@
         calls.start(site.nursery, "s-1", [late])
         await site.until(lambda: outcomes)
         assert outcomes[0][2] == "moot" and not site.far.got
+
     site.run(scene)
 
 
@@ -1169,12 +1326,14 @@
                 ends.append("end")
             except trio.BrokenResourceError:
                 ends.append("reset")
+
         listeners = await site.nursery.start(trio.serve_tcp, attend, 0)
         calls = await endpoints(site, [])
         calls.book["s-1"] = listeners[0].socket.getsockname()[:2]
         calls.start(site.nursery, "s-1", [send("a", wait=SEC // 20)])
         await site.until(lambda: ends)
         assert ends == ["reset"]
+
     site.run(scene)
 
 
@@ -1192,6 +1351,7 @@
             config = site.reread()
             config.discovery = ("127.0.0.1", 9)
             return config
+
         node.reload(read)
         await site.until(lambda: node.config.discovery == ("127.0.0.1", 9))
         assert len(tries) == 4
@@ -1203,11 +1363,13 @@
             config = site.reread()
             config.discovery = ("127.0.0.1", 10)
             return config
+
         node.reload(written)
         assert node.config.discovery == ("127.0.0.1", 9)  # the old one stays in force
         await site.until(lambda: node.config.discovery == ("127.0.0.1", 10))
         said = [text for event, text in site.lines if event == "config" and "cannot be read" in text]
         assert len(said) == 2 and "tried again" in said[0] and "one stays in force" in said[1]
+
     site.run(scene)
 
 
@@ -1227,18 +1389,22 @@
         await site.until(lambda: any("client=" in text for event, text in site.lines if event == "conn"))
         await trio.sleep(0.05)
         assert list(owed(site)) == ["a1"] and not node.counters["unheard"]
+
     site.run(scene)
 
 
 def test_from_the_command_line_a_full_disk_refuses_and_sigterm_ends_with_a_line_and_code_1(site):
     """Real writes that the system refuses: a bound on the size of files stands for the disk."""
+
     async def scene(site):
         site.config()
         site.address = "127.0.0.1", free(socket.SOCK_STREAM)
         process = await trio.lowlevel.open_process(
-            [sys.executable, "-m", "juniperlanding", "serve"], stderr=subprocess.PIPE,
+            [sys.executable, "-m", "juniperlanding", "serve"],
+            stderr=subprocess.PIPE,
             env=os.environ | site.environ | {"EDGE_LISTEN": f"127.0.0.1:{site.address[1]}"},
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (300, 300)))
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (300, 300)),
+        )
         try:
             heard = b""
             while b"start" not in heard:
@@ -1252,4 +1418,5 @@
             assert b"Traceback" not in heard
         finally:
             process.kill()
+
     site.run(scene)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -26,6 +26,7 @@
         for ntf_id in ids:
             seen.heard.setdefault(ntf_id, trio.current_time())
         return http(204)
+
     site.platform.answer = answer
     return seen
 
@@ -40,6 +41,7 @@
 @pytest.mark.parametrize("outage", [0, 0.3, 1, 3, 30])
 def test_after_a_platform_that_was_silent_an_end_is_heard_within_0_2_s(site, trouble, outage):
     """It is back just after a try began that will come to nothing, over a connection that stays silent."""
+
     async def scene(site):
         back = None
 
@@ -49,6 +51,7 @@
                 back = trio.current_time()
                 return True
             return back is None
+
         seen = platform(site, bad if trouble == "silent" else lambda: False)
         node = await site.start()
         due = trio.current_time()
@@ -58,11 +61,13 @@
         assert await heard(seen, "a1") - back <= 0.2
         await trio.sleep(1)
         assert not node.owner.notices.due and node.counters["notices_posted"] == 1
+
     play(site, scene)
 
 
 def test_an_end_due_while_the_kept_connection_is_dead_goes_over_a_new_one(site):
     """Also one that comes due while the post before it is out."""
+
     async def scene(site):
         silent = False
         seen = platform(site, lambda: silent and len(seen.posts) == 2)
@@ -75,6 +80,7 @@
         node.owner.notices.add("a3", "handed_back", 500)
         assert await heard(seen, "a2", "a3") - due < 0.15
         assert seen.posts[-1][1] == ["a2", "a3"]
+
     play(site, scene)
 
 
@@ -94,7 +100,9 @@
                         await stream.send_all(whole(*message))
                 finally:
                     seen.open -= 1
+
             return late if message[0].startswith("POST") else None
+
         site.platform.answer = answer
         node = await site.start()
         for number in range(100):
@@ -102,6 +110,7 @@
         while node.owner.notices.due:
             await trio.sleep(0.1)
         assert trio.current_time() < 10 and seen.most <= 2 and node.counters["notices_posted"] == 100
+
     play(site, scene)
 
 
@@ -110,8 +119,11 @@
     async def scene(site):
         seen = platform(site, lambda: False)
         whole = site.platform.answer
-        site.platform.answer = lambda first, headers, body: http(400) if any(
-            f'"{ntf_id}"'.encode() in body for ntf_id in bad) else whole(first, headers, body)
+        site.platform.answer = (
+            lambda first, headers, body: http(400)
+            if any(f'"{ntf_id}"'.encode() in body for ntf_id in bad)
+            else whole(first, headers, body)
+        )
         node = await site.start()
         ids = [f"a{number}" for number in range(100)]
         for ntf_id in ids:
@@ -121,6 +133,7 @@
         bad.clear()
         await heard(seen, *ids)
         assert trio.current_time() - due < 0.6
+
     play(site, scene)
 
 
@@ -142,11 +155,13 @@
         node.owner.notices.add("a3", "given_up", 0)
         await heard(seen, "a3")
         assert len(old.posts) == 2 and not node.owner.notices.due
+
     play(site, scene)
 
 
 def test_a_notification_whose_time_is_up_is_ended_in_time_after_3_s_of_silence(site):
     """End to end: the platform falls silent under the notice of one, and is back as another's time is up."""
+
     async def scene(site):
         back = float("inf")
         seen = platform(site, lambda: trio.current_time() < back)
@@ -159,4 +174,5 @@
         assert await heard(seen, "a1", "a2") - begun < 3.8
         while node.ledger.owed:
             await trio.sleep(0.01)
+
     play(site, scene)
--- a/tests/test_other_customers.py
+++ b/tests/test_other_customers.py
@@ -27,8 +27,17 @@
     return {section: WIRE[section] | told}
 
 
-SECTIONS = ("permissions", "safety", "family_info", "report", "models", "areas", "tenants", "n_instances",
-            "tick_ns")
+SECTIONS = (
+    "permissions",
+    "safety",
+    "family_info",
+    "report",
+    "models",
+    "areas",
+    "tenants",
+    "n_instances",
+    "tick_ns",
+)
 CASES = {
     "deadlines of half a second": classes(aim_ns=SEC // 10, deadline_ns=SEC // 2),
     "deadlines of ten minutes": classes(aim_ns=60 * SEC, deadline_ns=600 * SEC),
@@ -41,7 +50,8 @@
     "figures with a point": classes(aim_ns=2e9, deadline_ns=20e9, repeat_window_ns=6e9)
     | changed("family_info", workers=20.0, batch_by_kind=[1.0, 5.0])
     | changed("permissions", most_held=50.0, max_attempts=6.0, conn_idle_ns=1e10, connect_timeout_ns=1e9)
-    | changed("safety", warm_within_ns=1e10, must_ask_in_ns=1e10) | {"tick_ns": 5e6},
+    | changed("safety", warm_within_ns=1e10, must_ask_in_ns=1e10)
+    | {"tick_ns": 5e6},
     "calls of none": changed("family_info", batch_by_kind=[0, 0]),
     "calls of nothing told": changed("family_info", batch_by_kind=[None, None]),
     "calls of 50, told of one kind alone": changed("family_info", batch_by_kind=[50], routes_apart=[]),
@@ -57,10 +67,15 @@
     "nobody tells how connections come up": changed("permissions", connect_timeout_ns=None),
     "no call is called off": changed("permissions", cancel=False),
     "a thousand dispatchers": {"n_instances": 1000, "rank": 999},
-    "no rule has a figure": changed("safety", start_capacity=0, warm_within_ns=0, overload_factor=0,
-                                    fall_ns=0, must_ask_in_ns=0),
-    "forty tenants, most without a share": {"over_share_worth": 0, "tenants": [
-        {"name": f"t{n}", "share": 0.025, "allowance_per_s": 0.01 if n else 0} for n in range(40)]},
+    "no rule has a figure": changed(
+        "safety", start_capacity=0, warm_within_ns=0, overload_factor=0, fall_ns=0, must_ask_in_ns=0
+    ),
+    "forty tenants, most without a share": {
+        "over_share_worth": 0,
+        "tenants": [
+            {"name": f"t{n}", "share": 0.025, "allowance_per_s": 0.01 if n else 0} for n in range(40)
+        ],
+    },
     "limits of one call a second": {"weight_kind": "nominal"},
     "scales that say nothing": {"weight_kind": "off"},
     "every section empty": {name: {} for name in ("permissions", "safety", "family_info", "report")},
@@ -99,8 +114,12 @@
 def test_each_gets_one_end_whatever_the_settings_say(site, settings):
     """What the module doesn't end in time is ended for it, and counted as a fault."""
     site.wire = WIRE | settings
-    effects = {one["name"]: None if one["effect"] == "keyed" and one.get("group") not in ("all", None)
-               else one["effect"] for one in site.wire["request_classes"]}
+    effects = {
+        one["name"]: None
+        if one["effect"] == "keyed" and one.get("group") not in ("all", None)
+        else one["effect"]
+        for one in site.wire["request_classes"]
+    }
 
     async def scene(site):
         places = await peers(site)
@@ -135,8 +154,11 @@
 @pytest.mark.parametrize("most, held, calls", [(1, 12, 12), (3, 12, 4), (50, 49, 1), (50, 60, 2)])
 def test_a_call_carries_as_many_as_the_settings_say(site, most, held, calls):
     """The first is out over the only slot while the others come."""
-    site.wire = WIRE | {"family_info": {"workers": 1, "batch_by_kind": [most, 1]}} | changed(
-        "permissions", most_held=100, cancel=False)
+    site.wire = (
+        WIRE
+        | {"family_info": {"workers": 1, "batch_by_kind": [most, 1]}}
+        | changed("permissions", most_held=100, cancel=False)
+    )
 
     async def scene(site):
         node = await site.start()
@@ -153,12 +175,25 @@
     site.run(scene, lambda *message: "late" if message[1].get("x-trace-id") == "first" else well(*message))
 
 
-@pytest.mark.parametrize("name, written", [
-    ("commande-payée", "utf-8"), ("commande-payée", "latin-1"), ("注文", "utf-8"), ("заказ срочный", "utf-8"),
-    ("a:b|c,d;e=f{g}", "utf-8"), ("x" * 300, "utf-8"), ("None", "utf-8"), ("0", "utf-8")])
+@pytest.mark.parametrize(
+    "name, written",
+    [
+        ("commande-payée", "utf-8"),
+        ("commande-payée", "latin-1"),
+        ("注文", "utf-8"),
+        ("заказ срочный", "utf-8"),
+        ("a:b|c,d;e=f{g}", "utf-8"),
+        ("x" * 300, "utf-8"),
+        ("None", "utf-8"),
+        ("0", "utf-8"),
+    ],
+)
 def test_topic_types_and_tenants_go_by_any_name(site, name, written):
-    site.wire = WIRE | {"request_classes": [CLASSES[0] | {"name": name}], "over_share_worth": 0.5,
-                        "tenants": [{"name": name, "share": 1, "allowance_per_s": 5}]}
+    site.wire = WIRE | {
+        "request_classes": [CLASSES[0] | {"name": name}],
+        "over_share_worth": 0.5,
+        "tenants": [{"name": name, "share": 1, "allowance_per_s": 5}],
+    }
 
     async def scene(site):
         node = await site.start()
@@ -173,8 +208,9 @@
     site.run(scene)
 
 
-@pytest.mark.parametrize("settings", [
-    {"effect": "perhaps"}, {"effect": None}, {}, {"effect": "keyed", "group": "hall"}])
+@pytest.mark.parametrize(
+    "settings", [{"effect": "perhaps"}, {"effect": None}, {}, {"effect": "keyed", "group": "hall"}]
+)
 def test_what_nobody_says_may_run_twice_is_once_only(settings):
     told = in_our_words({"request_classes": [{"name": "odd", **settings}]})
     assert told["topic_types"][0]["kind"] == "once-only"
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -38,6 +38,7 @@
 
 # ---- who gives way
 
+
 def test_idle_clients_push_out_each_other_and_no_request_that_has_begun(site, at_once):
     site.limits = FEW
 
@@ -51,6 +52,7 @@
         assert line in node.clients.waiting
         await stream.send_all(ASKS[-2:])
         assert await heard(stream) == 202
+
     site.run(scene)
 
 
@@ -67,6 +69,7 @@
         assert await idle.receive_some() == b""
         await stream.send_all(ASKS[-2:])
         assert await heard(stream) == 202
+
     site.run(scene)
 
 
@@ -82,6 +85,7 @@
         node.clients.evict()
         assert line in node.clients.waiting and len(node.clients.waiting) == 3
         assert await site.submit("a1", stream=stream) == 202
+
     site.run(scene)
 
 
@@ -94,20 +98,30 @@
         node.clients.evict()
         await trio.testing.wait_all_tasks_blocked()
         assert await site.submit("a1", stream=stream) == 202
+
     site.run(scene)
 
 
 # ---- who gets a descriptor
 
+
 async def submit(site, name, dest=7, ttl=9000, body=b"hello"):
     """Asks as soon as it is connected, whatever else this thread has to do."""
     sock = socket.create_connection(site.address)
-    sock.sendall(handed(f"X-Trace-Id: {name}", f"X-Addressing: dest={dest}", f"X-Expires-In-Ms: {ttl}",
-                        f"Content-Length: {len(body)}", body=body))
+    sock.sendall(
+        handed(
+            f"X-Trace-Id: {name}",
+            f"X-Addressing: dest={dest}",
+            f"X-Expires-In-Ms: {ttl}",
+            f"Content-Length: {len(body)}",
+            body=body,
+        )
+    )
     sock.setblocking(False)
     async with trio.SocketStream(trio.socket.from_stdlib_socket(sock)) as stream:
         return await heard(stream)
 
+
 async def idle(site, ended):
     """Holds a connection for as long as it may, and then the next one."""
     while True:
@@ -134,8 +148,11 @@
         if first.startswith("POST"):
             notices.extend(json.loads(line)["message"] for line in body.splitlines())
             return http(204)
-        told = {"revision": 2, "complete": True, "members": [
-            member(1, site.far.address), member(2, site.other.address, cell=9)]}
+        told = {
+            "revision": 2,
+            "complete": True,
+            "members": [member(1, site.far.address), member(2, site.other.address, cell=9)],
+        }
         return http(200, json.dumps(told).encode())
 
     async def scene(site):
@@ -164,4 +181,5 @@
         finally:
             process.send_signal(signal.SIGKILL)
         await process.wait()
+
     site.run(scene)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -33,9 +33,11 @@
 from juniperlanding.standins.peers import Far, Platform
 
 MS, SEC = 1_000_000, 1_000_000_000
-TOPICS = ('[[topic]]\nname = "news"\nkind = "repeatable"\nobjective = "%s"\nttl = "20s"\n'
-          '[[topic]]\nname = "order"\nkind = "once-only"\nobjective = "2s"\nttl = "20s"\n'
-          '[[topic]]\nname = "pay"\nkind = "collapsible"\nobjective = "2s"\nttl = "20s"\nwindow = "6s"\n')
+TOPICS = (
+    '[[topic]]\nname = "news"\nkind = "repeatable"\nobjective = "%s"\nttl = "20s"\n'
+    '[[topic]]\nname = "order"\nkind = "once-only"\nobjective = "2s"\nttl = "20s"\n'
+    '[[topic]]\nname = "pay"\nkind = "collapsible"\nobjective = "2s"\nttl = "20s"\nwindow = "6s"\n'
+)
 PLAIN = TOPICS % "2s"
 
 
@@ -64,11 +66,13 @@
 
     def config(self):
         told = super().config()
-        told.fleet = config.Fleet(self.addresses[self.number], None, str(self.folder / "key"), "fleet", "",
-                                  list(self.addresses))
+        told.fleet = config.Fleet(
+            self.addresses[self.number], None, str(self.folder / "key"), "fleet", "", list(self.addresses)
+        )
         voters = {f"d{number}": address for number, address in enumerate(self.addresses)}
-        told.policy = config.Policy(voters, str(self.folder / "policies"),
-                                    str(self.folder / "policy.toml"), self.licence, 0.01)
+        told.policy = config.Policy(
+            voters, str(self.folder / "policies"), str(self.folder / "policy.toml"), self.licence, 0.01
+        )
         return told
 
     @property
@@ -87,8 +91,10 @@
 
     async def offered(self, number, topic="news", **more):
         """(status, x-policy-number or None)."""
-        text = (f"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: {number}\r\nX-Qos: {topic}\r\n"
-                f"X-Expires-In-Ms: 9000\r\nX-Addressing: dest=7\r\nContent-Length: 2\r\n\r\nhi")
+        text = (
+            f"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: {number}\r\nX-Qos: {topic}\r\n"
+            f"X-Expires-In-Ms: 9000\r\nX-Addressing: dest=7\r\nContent-Length: 2\r\n\r\nhi"
+        )
         status, self.headers = await self.ask(text.encode())
         return status, self.headers.get(protocol.POLICY)
 
@@ -113,8 +119,10 @@
                             await member.ready()
                     await scene(*members)
                     nursery.cancel_scope.cancel()
+
         even.run(main)
         assert not [line for member in members for line in member.lines if line[0] == "fault"]
+
     return run
 
 
@@ -135,6 +143,7 @@
         def objectives(node):
             found = node.owner.at.me.notifications
             return [found[name].topic["objective"] // MS for name in ("a0", "a1", "a2")]
+
         assert objectives(a.node) == [2000, 700, 900]
         a.kill()
         await a.start()
@@ -152,6 +161,7 @@
         async def run():
             with scope:
                 await a.node.run()
+
         a.nursery.start_soon(run)
         await a.in_force(2)
         assert old.replaced and old.parts[1].holds() is None
@@ -163,6 +173,7 @@
             if type(accord_word(payload)) is Released:
                 lives.add(life)
             return send(byte, to, payload, life)
+
         a.node.parts[0].send = seen
         b.policy.propose(b.write(TOPICS % "950ms"))
         await a.in_force(3)
@@ -173,6 +184,7 @@
         a.node = old
         await a.in_force(3)
         assert not old.replaced and objectives(old) == [2000, 700, 900]
+
     three(scene)
 
 
@@ -186,6 +198,7 @@
         assert last == "last=1 outcome=refused by=d1 why=d2: most_held is 1, and it holds 2"
         for member in (a, b, c):  # nothing was closed
             assert member.policy.lines()[0].startswith("number=0 ") and member.policy.holds() == 0
+
     three(scene)
 
 
@@ -197,6 +210,7 @@
     def some(name, life, payload, address):
         if passed(name, accord_word(payload)):
             heard(name, life, payload, address)
+
     channels[CHANNEL] = some
     return partial(channels.__setitem__, CHANNEL, heard)
 
@@ -204,6 +218,7 @@
 def test_a_proposal_over_which_its_process_stands_still_is_decided_all_the_same(three):
     """A stop of more than half a licence, as the last says that it can take it: its licence is as good as new
     once it was asked for again."""
+
     async def scene(a, b, c):
         left = {"d0", "d2"}
 
@@ -213,12 +228,14 @@
                 if not left:
                     b.even.stand_still(0.3)
             return True
+
         hears(b, last)
         b.policy.propose(b.write(TOPICS % "1s"))
         await b.until(lambda: not b.policy.lines()[2].startswith("last=-"))
         assert b.policy.lines()[2] == "last=1 outcome=decided by=d1 why=-" and not left
         for member in (a, b, c):
             await member.in_force(1)
+
     three(scene)
 
 
@@ -237,6 +254,7 @@
         b.policy.propose(name)
         for member in (a, b, c):
             await member.in_force(1)
+
     three(scene)
 
 
@@ -253,6 +271,7 @@
         assert any("not proposed" in text for event, text in a.lines if event == "policy")
         await trio.sleep(0.2)
         assert [member.node.owner.in_force for member in (a, b, c)] == [1, 1, 1]
+
     three(scene)
 
 
@@ -275,6 +294,7 @@
         b.kill()
         await a.until(lambda: a.policy.unready())
         assert await a.offered("a2") == (503, None) and "a1" in a.node.ledger.owed
+
     three(scene, started=1)
 
 
@@ -285,12 +305,14 @@
         def slow():
             flush()
             a.policy.holds = lambda: None
+
         a.node.ledger.flush = slow
         assert (await a.offered("a1"))[0] == 503 and "retry-after" in a.headers
         a.node.ledger.flush, a.policy.holds = flush, holds
         assert not a.node.ledger.owed and not owner.held and not a.far.got
         assert await a.offered("a1") == (202, "0")
         await a.until(lambda: len(a.far.got) == 1)
+
     three(scene)
 
 
@@ -303,18 +325,27 @@
             carry_out()
             if took:
                 a.policy.holds = lambda: None
+
         a.node.owner.carry_out = released
         assert await a.offered("a1", "order") == (202, "0")  # its push has begun: a no would be untrue
         assert await a.offered("a2", "order") == (503, None)
         assert [*a.node.ledger.owed] == ["a1"]
+
     three(scene)
 
 
 # ---- the folder
 
 
-@pytest.mark.parametrize("spoil", [lambda data: data[:-3], lambda data: b"", lambda data: b"x" * 200,
-                                   lambda data: data[:-1] + bytes([data[-1] ^ 1])])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda data: data[:-3],
+        lambda data: b"",
+        lambda data: b"x" * 200,
+        lambda data: data[:-1] + bytes([data[-1] ^ 1]),
+    ],
+)
 def test_a_spoilt_record_counts_as_none_and_the_others_tell_what_it_was(three, spoil):
     async def scene(a, b, c):
         a.policy.propose(a.write(TOPICS % "1s"))
@@ -328,6 +359,7 @@
         assert any("counts as nothing" in text for _, text in c.lines)
         await c.until(lambda: c.policy.accord.voter.cleared)
         await c.until(lambda: Folder(Files(), c.folder / "state", c.log).read(KEPT, Kept()).number == 1)
+
     three(scene)
 
 
@@ -345,6 +377,7 @@
         b.files.full = ""
         await b.in_force(1)
         await b.until(lambda: b.policy.written.number == 1)
+
     three(scene)
 
 
@@ -359,6 +392,7 @@
         b.files.full = ""
         await b.in_force(1)
         assert await b.offered("b1") == (202, "1")
+
     three(scene)
 
 
@@ -396,11 +430,25 @@
 
 def test_every_fault_of_a_document_is_told_at_once():
     with pytest.raises(Unfit) as caught:
-        read(b'include = ["/etc/passwd"]\nx = 1\nroster = [3]\n[holding]\nslots = "many"\ntick = "5ms"\n'
-             b'[sites]\ncrossing = {east = 1.0}\nshare = {east = 2.0}\n[shards]\nmost = "1B"\n'
-             + (TOPICS % "21s").encode() + PLAIN.encode(), "a.toml")
-    for word in ("include: found an unknown key", "a.toml: x", "roster", "holding.slots", "holding.tick",
-                 "sites.crossing", "sites.share", "shards.most", "topic news.objective", '"news" twice'):
+        read(
+            b'include = ["/etc/passwd"]\nx = 1\nroster = [3]\n[holding]\nslots = "many"\ntick = "5ms"\n'
+            b'[sites]\ncrossing = {east = 1.0}\nshare = {east = 2.0}\n[shards]\nmost = "1B"\n'
+            + (TOPICS % "21s").encode()
+            + PLAIN.encode(),
+            "a.toml",
+        )
+    for word in (
+        "include: found an unknown key",
+        "a.toml: x",
+        "roster",
+        "holding.slots",
+        "holding.tick",
+        "sites.crossing",
+        "sites.share",
+        "shards.most",
+        "topic news.objective",
+        '"news" twice',
+    ):
         assert word in str(caught.value), word
     for text in (b"", b"\xff", b"x" * 70_000, b"crossing_price = 1.0"):
         with pytest.raises(Unfit):
@@ -409,11 +457,16 @@
 
 def test_a_document_changes_what_it_names_and_leaves_the_rest():
     own = {"slots": 5, "tick": 7, "topic_types": []}
-    found = read(b'roster = ["a"]\ncrossing_price = 0.5\n[holding]\nmost_held = 9\n[clients]\n'
-                 b'most_again_in = "1s"\n' + PLAIN.encode())
+    found = read(
+        b'roster = ["a"]\ncrossing_price = 0.5\n[holding]\nmost_held = 9\n[clients]\n'
+        b'most_again_in = "1s"\n' + PLAIN.encode()
+    )
     told = found.settings(own)
     assert found.roster == {"a"} and [topic["name"] for topic in told.pop("topic_types")] == [
-        "news", "order", "pay"]
+        "news",
+        "order",
+        "pay",
+    ]
     assert told == {"slots": 5, "tick": 7, "crossing_price": 0.5, "most_held": 9, "most_again_in": SEC}
 
 
@@ -424,6 +477,7 @@
 
         def refused(text, memory=1 << 30, sockets=99, disk=1 << 20):
             return document.refusal(text.encode(), own, node.owner, node.ledger, memory, sockets, disk)
+
         assert refused(PLAIN) == ""
         assert "pay is missing" in refused(PLAIN.replace('"pay"', '"else"'))
         assert "else is unknown" in refused(PLAIN.replace('"pay"', '"else"'))
@@ -433,6 +487,7 @@
         assert "sockets for 99" in refused("[holding]\nslots = 100\n" + PLAIN)
         assert await site.submit("a1") == 202 and await site.submit("a2") == 202
         assert "it holds 2" in refused("[holding]\nmost_held = 1\n" + PLAIN)
+
     site.run(scene, lambda *message: "late")
 
 
@@ -445,7 +500,7 @@
     key, said = b"k" * 32, words.Aside("f", "d1", 77, payload)
     data = words.aside(1, said, key)
     assert words.on_channel(data) == 1 and words.decoded_aside(data, key, "f") == said
-    spoilt = data[:at % len(data)] + bytes([data[at % len(data)] ^ 1]) + data[at % len(data) + 1:]
+    spoilt = data[: at % len(data)] + bytes([data[at % len(data)] ^ 1]) + data[at % len(data) + 1 :]
     for wrong in (spoilt, data[:-1]):
         with pytest.raises(words.Noise):
             words.decoded_aside(wrong, key, "f")
@@ -461,17 +516,20 @@
 VOTERS = '["a@127.0.0.1:5", "b@127.0.0.1:6", "c@127.0.0.1:7"]'
 
 
-@pytest.mark.parametrize("text, word", [
-    (f"enabled = true\nvoters = {VOTERS}", None),
-    (f"voters = {VOTERS}", "enabled = true"),
-    ("enabled = true", "found 0 voters, expected 3, 5 or 7"),
-    (f"enabled = true\nvoters = {VOTERS.replace('b@', 'a@')}", "one name twice"),
-    (f"enabled = true\nvoters = {VOTERS.replace(':6', ':7')}", "one address twice"),
-    (f"enabled = true\nvoters = {VOTERS.replace('a@127.0.0.1:5', 'a@127.0.0.1:9')}", "our own address"),
-    (f"enabled = true\nvoters = {VOTERS.replace('c@', '')}", "policy.voters"),
-    (f'enabled = true\nvoters = {VOTERS}\nlicence = "100ms"', "500ms to 60s"),
-    (f'enabled = true\nvoters = {VOTERS}\ndrift = 0.06', "policy.drift"),
-])
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        (f"enabled = true\nvoters = {VOTERS}", None),
+        (f"voters = {VOTERS}", "enabled = true"),
+        ("enabled = true", "found 0 voters, expected 3, 5 or 7"),
+        (f"enabled = true\nvoters = {VOTERS.replace('b@', 'a@')}", "one name twice"),
+        (f"enabled = true\nvoters = {VOTERS.replace(':6', ':7')}", "one address twice"),
+        (f"enabled = true\nvoters = {VOTERS.replace('a@127.0.0.1:5', 'a@127.0.0.1:9')}", "our own address"),
+        (f"enabled = true\nvoters = {VOTERS.replace('c@', '')}", "policy.voters"),
+        (f'enabled = true\nvoters = {VOTERS}\nlicence = "100ms"', "500ms to 60s"),
+        (f"enabled = true\nvoters = {VOTERS}\ndrift = 0.06", "policy.drift"),
+    ],
+)
 def test_half_told_it_is_refused_in_words(tmp_path, text, word):
     (tmp_path / "key").write_text("k" * 40)
     (tmp_path / "key").chmod(0o600)
@@ -495,10 +553,15 @@
 
     async def scene(site):
         site.config()
+
     site.run(scene)
     environ = os.environ | site.environ | {"EDGE_POLICY": "true", "EDGE_POLICY_ENABLED": "true"}
-    process = subprocess.Popen([sys.executable, "-X", "importtime", "-m", "juniperlanding", "serve"],
-                               env=environ, stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-X", "importtime", "-m", "juniperlanding", "serve"],
+        env=environ,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     try:
         heard = ""
         while "start" not in heard.rpartition("| ")[2]:
--- a/tests/test_policy_rig.py
+++ b/tests/test_policy_rig.py
@@ -29,9 +29,13 @@
     return History(
         orders=[order(at, member, at // 20) for at in (2, 9, 22, 30, 42, 50) for member in ("d00", "d01")],
         polls=at_old + [poll(at, member, at // 20) for at in (25, 28, 45, 55) for member in ("d00", "d01")],
-        proposals=[Proposal(10, 11, "d00", "t1", "ACK", 1), Proposal(31, 32, "d01", "t2", "ACK", 2),
-                   Proposal(60, 61, "d01", "t9", "NAK unfit", 3)],
-        changes=[change(1, 10, 27), change(2, 31, 47, 2, 1), change(2, 60, 67, 3, 2)])
+        proposals=[
+            Proposal(10, 11, "d00", "t1", "ACK", 1),
+            Proposal(31, 32, "d01", "t2", "ACK", 2),
+            Proposal(60, 61, "d01", "t9", "NAK unfit", 3),
+        ],
+        changes=[change(1, 10, 27), change(2, 31, 47, 2, 1), change(2, 60, 67, 3, 2)],
+    )
 
 
 BREACHES = {
@@ -42,7 +46,8 @@
     "two texts": lambda h: h.polls.append(poll(26, "d01", 1, "other")),
     "denied": lambda h: h.changes.__setitem__(2, change(1, 60, 67, 3, 1)),
     "denied, said by a leader": lambda h: h.polls.append(
-        poll(56, "d00", 2)._replace(step="decided", proposal=3, proposed="t3")),
+        poll(56, "d00", 2)._replace(step="decided", proposal=3, proposed="t3")
+    ),
     "came back": lambda h: h.polls.append(poll(80, "d00", 3, "t9")),
     "not settled": lambda h: h.changes.__setitem__(2, change(2, 60, UNKNOWN, 3, 2)),
     "no number told": lambda h: h.orders.append(order(58, "d00", UNKNOWN)),
@@ -67,12 +72,20 @@
     assert breach.partition(",")[0] in policy_verdict.judge(history)[0]
 
 
-@pytest.mark.parametrize("number, digest, answer, fate", [
-    (2, "t1", "ACK", "kept"), (2, "t7", "ACK", "lost"), (1, "t1", "ACK", "nowhere"),
-    (1, "t1", "", "unheard")])
+@pytest.mark.parametrize(
+    "number, digest, answer, fate",
+    [
+        (2, "t1", "ACK", "kept"),
+        (2, "t7", "ACK", "lost"),
+        (1, "t1", "ACK", "nowhere"),
+        (1, "t1", "", "unheard"),
+    ],
+)
 def test_what_became_of_a_text_that_nobody_took_up(number, digest, answer, fate):
-    history = History(proposals=[Proposal(10, 11, "d00", "t9", answer, 1)],
-                      changes=[change(number, 10, 27, before=1, digest=digest)])
+    history = History(
+        proposals=[Proposal(10, 11, "d00", "t9", answer, 1)],
+        changes=[change(number, 10, 27, before=1, digest=digest)],
+    )
     assert [found for _, found in policy_verdict.fates(history)] == [fate]
 
 
@@ -83,6 +96,7 @@
     async def whole(rig):
         with trio.fail_after(100):
             await policy.play(rig, names, outcome)
+
     trio.run(rig.run, whole)
     return rig, outcome
 
@@ -91,8 +105,10 @@
     rig, outcome = played(tmp_path, ["calm", "stopped", "halves", "proposer killed", "two at once", "unfit"])
     assert not outcome.breaches, json.dumps(outcome.breaches, indent=1)
     assert not outcome.faults
-    fates = [(rig.policies.changes[proposal.change - 1].fault, fate)
-             for proposal, fate in policy_verdict.fates(rig.policies)]
+    fates = [
+        (rig.policies.changes[proposal.change - 1].fault, fate)
+        for proposal, fate in policy_verdict.fates(rig.policies)
+    ]
     assert fates[0] == ("calm", "decided") and fates[-1] == ("unfit", "refused")
     assert len(rig.policies.changes) == 6 and rig.number >= 2 and outcome.notifications > 200
     assert not [member.name for member in rig.members if "fault part=" in member.log()]
@@ -116,6 +132,7 @@
             await trio.sleep(1)
         faults = await rig.ends()
         assert not faults, faults
+
     trio.run(rig.run, scene)
 
 
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -88,23 +88,47 @@
     """seed, limit (calls a second), load (its part that comes as traffic), how (hang, silent, refused, shut),
     uneven (a few carry most), restarts (so many begin anew about the return), down (seconds)."""
 
-    def __init__(self, seed, count=30, limit=12.0, load=0.6, how="hang", uneven=False, restarts=0, down=15.0,
-                 before=60.0, **settings):
+    def __init__(
+        self,
+        seed,
+        count=30,
+        limit=12.0,
+        load=0.6,
+        how="hang",
+        uneven=False,
+        restarts=0,
+        down=15.0,
+        before=60.0,
+        **settings,
+    ):
         self.seed, self.limit, self.how, self.now, self.events, self.serial = seed, limit, how, SEC, [], 0
-        topics = [{"kind": "repeatable", "objective": 2 * SEC, "ttl": 25 * SEC},
-                  {"kind": "collapsible", "objective": 2 * SEC, "ttl": 25 * SEC, "window": 10 * SEC},
-                  {"kind": "once-only", "objective": 2 * SEC, "ttl": 25 * SEC}]
+        topics = [
+            {"kind": "repeatable", "objective": 2 * SEC, "ttl": 25 * SEC},
+            {"kind": "collapsible", "objective": 2 * SEC, "ttl": 25 * SEC, "window": 10 * SEC},
+            {"kind": "once-only", "objective": 2 * SEC, "ttl": 25 * SEC},
+        ]
         self.settings = {
-            "dispatchers": count, "tick": 5 * MS, "scale_kind": "nominal", "slots": 30, "most_held": 500,
-            "most_pushes": 8, "may_cancel": True, "start_capacity": 0.2, "warm_within": 10 * SEC,
-            "overload_factor": 2.0, "fall_within": 2 * SEC, "topic_types": topics} | settings
+            "dispatchers": count,
+            "tick": 5 * MS,
+            "scale_kind": "nominal",
+            "slots": 30,
+            "most_held": 500,
+            "most_pushes": 8,
+            "may_cancel": True,
+            "start_capacity": 0.2,
+            "warm_within": 10 * SEC,
+            "overload_factor": 2.0,
+            "fall_within": 2 * SEC,
+            "topic_types": topics,
+        } | settings
         self.random = Random(f"{seed}/fleet")
         self.down_at, self.up_at = int((1 + before) * SEC), int((1 + before + down) * SEC)
         self.until = self.up_at + self.settings["warm_within"] + 5 * SEC
         self.came = []  # (when, whether by one that had been told) since the return
         self.members = [Member(self, rank) for rank in range(count)]
-        weights = [self.random.paretovariate(1.0) if uneven else self.random.uniform(0.5, 1.5)
-                   for _ in self.members]
+        weights = [
+            self.random.paretovariate(1.0) if uneven else self.random.uniform(0.5, 1.5) for _ in self.members
+        ]
         for member, weight in zip(self.members, weights, strict=True):
             member.rate = limit * load * weight / sum(weights)
             self.arrive(member)
@@ -171,7 +195,7 @@
                 break
             while self.came[first][0] <= at - fall:
                 first += 1
-            window = self.came[first:last + 1]
+            window = self.came[first : last + 1]
             since = max(self.up_at, at - fall)
             found.append((len(window), sum(told for _, told in window), self.allowed(since, since + fall)))
         return found
@@ -179,8 +203,11 @@
     def worst(self):
         """By how many calls the worst window passes N + 2 sqrt(N) + 2, and whether one of these falls has
         over two thirds of its calls from dispatchers that had been told of the outage."""
-        rooms = [(count - room, count > room and told * 3 > count * 2)
-                 for count, told, n in self.windows() for room in [n + 2 * sqrt(n) + 2]]
+        rooms = [
+            (count - room, count > room and told * 3 > count * 2)
+            for count, told, n in self.windows()
+            for room in [n + 2 * sqrt(n) + 2]
+        ]
         return max((over for over, _ in rooms), default=0.0), any(broken for _, broken in rooms)
 
 
@@ -193,8 +220,19 @@
     ("little-hung", 20, {"limit": 6.0, "how": "hang"}),
     ("little-silent", 20, {"limit": 6.0, "how": "silent"}),
     ("little-shut", 20, {"limit": 6.0, "how": "shut"}),
-    ("twenty-refused", 12, {"count": 20, "limit": 12.0, "how": "refused", "start_capacity": 0.3,
-                            "overload_factor": 1.5, "warm_within": 8 * SEC, "fall_within": 3 * SEC}),
+    (
+        "twenty-refused",
+        12,
+        {
+            "count": 20,
+            "limit": 12.0,
+            "how": "refused",
+            "start_capacity": 0.3,
+            "overload_factor": 1.5,
+            "warm_within": 8 * SEC,
+            "fall_within": 3 * SEC,
+        },
+    ),
     ("restarted-hung", 12, {"limit": 20.0, "how": "hang", "restarts": 30}),
     ("restarted-refused", 12, {"limit": 20.0, "how": "refused", "restarts": 30}),
     ("some-restarted-refused", 4, {"limit": 60.0, "how": "refused", "restarts": 15}),
@@ -212,8 +250,9 @@
 ]
 
 
-@pytest.mark.parametrize(("seeds", "scene"), [scene[1:] for scene in SCENES],
-                         ids=[name for name, *_ in SCENES])
+@pytest.mark.parametrize(
+    ("seeds", "scene"), [scene[1:] for scene in SCENES], ids=[name for name, *_ in SCENES]
+)
 def test_what_all_send_to_a_cold_endpoint_stays_within_its_budget(seeds, scene):
     over = {}
     for seed in range(seeds):
@@ -250,10 +289,15 @@
     assert bed.endpoint().down
 
 
-@pytest.mark.parametrize(("run", "down", "gone", "left"), [
-    (2, False, 6, 8),  # one reset: back for a third of the 6 s
-    (2, False, 120, 20 / 3),  # two thirds of the ramp at least, however long nothing went there
-    (2, True, 6, 10), (3, False, 6, 10)])  # set aside, or more outcomes: all of it
+@pytest.mark.parametrize(
+    ("run", "down", "gone", "left"),
+    [
+        (2, False, 6, 8),  # one reset: back for a third of the 6 s
+        (2, False, 120, 20 / 3),  # two thirds of the ramp at least, however long nothing went there
+        (2, True, 6, 10),
+        (3, False, 6, 10),
+    ],
+)  # set aside, or more outcomes: all of it
 def test_a_return_that_few_outcomes_tell_of_is_taken_as_sooner(run, down, gone, left):
     """Else one lost call of one of many costs its destination the whole ramp, after its whole pause."""
     bed = Bed(dispatchers=200, start_capacity=0.25, warm_within=10 * SEC, fall_within=2 * SEC)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -52,6 +52,7 @@
 
 # ---- untried
 
+
 def test_untried_with_all_places_taken_each_get_a_call(site):
     """Nine in ten places is where what is worth least is thrown out; it would be these, and unseen."""
     names = [f"a{number}" for number in range(10)]
@@ -66,6 +67,7 @@
         await opened(site, node)
         await site.until(lambda: not node.ledger.owed)
         assert sorted(set(sent(site))) == names and not site.platform.notices
+
     site.run(scene)
 
 
@@ -81,6 +83,7 @@
         await opened(site, node)
         await site.until(lambda: not node.ledger.owed)
         assert sorted(list(dict.fromkeys(sent(site)))[:3]) == ["a0", "a1", "a2"]
+
     site.run(scene)
 
 
@@ -197,14 +200,18 @@
 
     async def scene(site):
         await taken_and_killed(site, names)
-        site.told["known"] = {"revision": 1, "complete": True,
-                              "members": [member(8, site.far.address, kind="m2", cell=8)]}
+        site.told["known"] = {
+            "revision": 1,
+            "complete": True,
+            "members": [member(8, site.far.address, kind="m2", cell=8)],
+        }
         node = await site.start()
         await site.until(lambda: not node.ledger.owed)
         assert set(said(site)) == set(names) and not site.platform.notices
 
     def answer(first, headers, body):
         return http(200, ended(body) if "batch" in first else b"")
+
     site.run(scene, answer)
 
 
@@ -244,8 +251,10 @@
 @pytest.fixture
 def narrow(site):
     """A site whose collapsible topic may be repeated for a second, and whose clock can be set."""
-    topics = [PAY | {"repeat_window_ns": WINDOW * SEC} if topic is PAY else topic
-              for topic in WIRE["request_classes"]]
+    topics = [
+        PAY | {"repeat_window_ns": WINDOW * SEC} if topic is PAY else topic
+        for topic in WIRE["request_classes"]
+    ]
     site.wire = WIRE | {"request_classes": topics}
     site.clock = Set()
     site.world = replace(site.world, clock=site.clock)
@@ -267,6 +276,7 @@
 @pytest.mark.parametrize("after, calls", [(0.5, 2), (0.95, 1), (-1, 1)])
 def test_a_window_of_1_s_goes_on_over_a_restart(narrow, after, calls):
     """Past it, less 5% for travel, nothing goes; nor where the clock was set back, and nobody knows."""
+
     async def scene(site):
         first = await pushed_and_killed(site)
         site.far.answer = lambda *message: http(200)
@@ -275,6 +285,7 @@
         await site.until(lambda: not node.ledger.owed)
         assert len(sent(site)) == calls
         assert [notice["outcome"] for notice in site.platform.notices] == ["given_up"] * (2 - calls)
+
     narrow.run(scene, silent)
 
 
@@ -306,6 +317,7 @@
         late.go.set()
         await site.until(lambda: not node.ledger.owed and node.owner.endpoints.settled())
         assert len(site.far.got) == 1 and [one["outcome"] for one in site.platform.notices] == ["given_up"]
+
     narrow.run(scene, silent)
 
 
@@ -318,11 +330,13 @@
         node = await site.start()
         await site.until(lambda: not node.ledger.owed)
         assert len(sent(site)) == 2 and [one["outcome"] for one in site.platform.notices] == ["given_up"]
+
     narrow.run(scene, silent)
 
 
 # ---- what never left
 
+
 def far_calls(site):
     return [message for message in site.far.got if message[0].startswith("POST /v1/")]
 
@@ -348,6 +362,7 @@
         node = await site.start()
         await site.until(lambda: node.owner.ready and not node.ledger.owed)
         assert len(far_calls(site)) == 1 and not site.platform.notices
+
     site.run(scene)
 
 
@@ -375,6 +390,7 @@
         node = await site.start()
         await site.until(lambda: not node.ledger.owed)
         assert len(far_calls(site)) == 1 and not site.platform.notices
+
     site.run(scene)
 
 
@@ -395,18 +411,27 @@
             assert node.owner.at.me.notifications["a"].pushes == 4 and node.counters["pushes_moot"] == 3
             assert owed(site)["a"].pushes == 1 and not owed(site)["a"].left
             site.kill()
+
     site.run(scene)
 
 
 def test_what_never_left_stays_so_through_a_rewrite_and_what_left_does_too(tmp_path):
     records = [["t", name, "news", 7, 5 * SEC, "", ""] for name in "abcde"] + [
         ["n", "a", 2],  # met nobody
-        ["p", "b", 0, 1, 5], ["n", "b", 0],  # an earlier version's, or one that was turned away
+        ["p", "b", 0, 1, 5],
+        ["n", "b", 0],  # an earlier version's, or one that was turned away
         ["p", "c", 1, 1, 5],
-        ["p", "d", 0, 1, 5], ["n", "d", 1]]
+        ["p", "d", 0, 1, 5],
+        ["n", "d", 1],
+    ]
     (tmp_path / "ledger").write_bytes(b"".join(map(line, records)))
-    wanted = {"a": (3, False, {}), "b": (1, True, {}), "c": (2, True, {1: (1, 5)}),
-              "d": (2, True, {0: (1, 5)}), "e": (0, False, {})}
+    wanted = {
+        "a": (3, False, {}),
+        "b": (1, True, {}),
+        "c": (2, True, {1: (1, 5)}),
+        "d": (2, True, {0: (1, 5)}),
+        "e": (0, False, {}),
+    }
     for _ in range(3):
         ledger = Ledger(tmp_path, 1 << 20)
         assert {one.id: (one.pushes, one.left, one.ran) for one in ledger.owed.values()} == wanted
@@ -415,6 +440,7 @@
 
 # ---- killed between any two steps of the ledger
 
+
 class Steps:
     """The files of a process, with a picture of the ledger kept after each step that changes it."""
 
@@ -467,6 +493,7 @@
         await site.until(lambda: len(sent(site)) == 4 and list(node.ledger.owed) == ["d1", "e1"])
         node.ledger.compact()
         site.kill()
+
     site.run(first, answer)
 
     async def later(site):
@@ -474,8 +501,10 @@
         found, over = dict(before.owed), dict(before.over)
         site.world = replace(site.world, files=steps.files)
         clock.set(begun[0] + 3 * SEC)
-        site.told["known"] = {"complete": True, "members": [member(1, site.far.address),
-                                                            member(8, site.far.address, cell=8)]}
+        site.told["known"] = {
+            "complete": True,
+            "members": [member(1, site.far.address), member(8, site.far.address, cell=8)],
+        }
         node = await site.start()
         await site.until(lambda: node.owner.ready and not node.ledger.owed)
         ran = {name for name, one in found.items() if one.ran}
@@ -505,8 +534,17 @@
 AFTER = [["t", "a2", "order", 7, 5 * SEC, "", ""]]
 
 
-@pytest.mark.parametrize("record", [["p", "a1", 0, 1, SENT_AT], ["x", "a1"], ["n", "a1", 0],
-                                    ["o", "a1", "given_up", 0], ["e", "a1"], ["k", "a1", "key"]])
+@pytest.mark.parametrize(
+    "record",
+    [
+        ["p", "a1", 0, 1, SENT_AT],
+        ["x", "a1"],
+        ["n", "a1", 0],
+        ["o", "a1", "given_up", 0],
+        ["e", "a1"],
+        ["k", "a1", "key"],
+    ],
+)
 @pytest.mark.parametrize("damage", [10, 0, 34, 48, 120, 255])
 def test_one_damaged_byte_costs_nothing(tmp_path, damage, record):
     """Wherever it is, also as the end of a record, or where it makes an end."""
@@ -515,7 +553,7 @@
     wanted = Books().load(tmp_path / "ledger")
     for at in range(len(whole)):
         if whole[at] != damage:
-            (tmp_path / "ledger").write_bytes(whole[:at] + bytes([damage]) + whole[at + 1:])
+            (tmp_path / "ledger").write_bytes(whole[:at] + bytes([damage]) + whole[at + 1 :])
             found = Books().load(tmp_path / "ledger")
             assert (found.owed.keys(), found.over) == (wanted.owed.keys(), wanted.over), at
             for name, one in wanted.owed.items():
@@ -532,6 +570,7 @@
 def test_a_record_that_is_lost_makes_nothing_run_twice(site, what, topic):
     """More of it is damaged than can be mended: which one was pushed, or taken back, nobody knows; so what
     was taken on before may have run, and what came since, or is known to have run, is as it was."""
+
     async def scene(site):
         site.config()
         now = CLOCK.now()
@@ -548,13 +587,15 @@
         assert sorted(sent(site)) == sorted({"a0", "a1", "a2"} - set(doubted))
         assert sorted(one["message"] for one in site.platform.notices) == doubted
         assert {one["outcome"] for one in site.platform.notices} <= {"given_up"}
+
     site.run(scene)
 
 
 def test_a_lost_record_leaves_what_is_known_as_it_is(tmp_path):
     known = ["p", "a0", 2, 1, SENT_AT]
-    (tmp_path / "ledger").write_bytes(b"".join(map(line, [*TAKEN, known])) + spoilt(["p", "a1", 0, 0, 5])
-                                      + b"".join(map(line, AFTER)))
+    (tmp_path / "ledger").write_bytes(
+        b"".join(map(line, [*TAKEN, known])) + spoilt(["p", "a1", 0, 0, 5]) + b"".join(map(line, AFTER))
+    )
     found = Books().load(tmp_path / "ledger")
     assert found.damaged == 1 and found.owed["a0"].ran == {2: (1, SENT_AT)} and not found.owed["a2"].ran
     assert min(at for _, at in found.owed["a1"].ran.values()) == 1 and not found.owed["a1"].pushes
@@ -576,6 +617,7 @@
     def mended(raw):
         tried.append(len(raw))
         return whole(raw)
+
     monkeypatch.setattr(ledgers, "mended", mended)
     (tmp_path / "ledger").write_bytes(b"".join(map(line, TAKEN)) + (b"x" * 1000 + b"\n") * 2000)
     assert Books().load(tmp_path / "ledger").damaged == 2000
@@ -588,8 +630,8 @@
     names = ["a0", "a1", "a2"]
     whole = b"".join(line(["t", name, "news", 7, 5 * SEC, "", ""]) for name in names)
     for at in range(len(whole)):
-        if whole[at:at + 1] == damage:
+        if whole[at : at + 1] == damage:
             continue
-        (tmp_path / "ledger").write_bytes(whole[:at] + damage + whole[at + 1:])
+        (tmp_path / "ledger").write_bytes(whole[:at] + damage + whole[at + 1 :])
         left = Books().load(tmp_path / "ledger").owed
         assert set(left) >= set(names) - {names[3 * at // len(whole)]}, at
--- a/tests/test_several.py
+++ b/tests/test_several.py
@@ -39,4 +39,5 @@
         ends = {told[0]: told[2] for told in outcomes}
         assert ends == {"short": "timeout", "middle": "delivered", "long": "delivered"}
         assert order == ["long", "middle", "short"]
+
     site.run(scene)
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -22,8 +22,10 @@
 
 def told(books):
     """id: what is owed of it, in a form that can be compared."""
-    return {one.id: (one.destination, one.pushes, tuple(sorted(one.ran)), one.notice)
-            for one in books.owed.values()}
+    return {
+        one.id: (one.destination, one.pushes, tuple(sorted(one.ran)), one.notice)
+        for one in books.owed.values()
+    }
 
 
 class Work:
@@ -187,7 +189,7 @@
         if n > 60 and n % 3:
             ledger.write("e", next(iter(ledger.owed)))
         if n % 40 == 20 and not ledger.rewrite:
-            old = ledger.shards[n % len(ledger.shards):][:1]
+            old = ledger.shards[n % len(ledger.shards) :][:1]
             middle = [] if old[0].high - old[0].low < 9000 else [(old[0].low + old[0].high) // 2]
             try:
                 ledger.begin(old, [old[0].low, *middle, old[0].high])
@@ -261,6 +263,7 @@
         with pytest.raises(StillSplit) as refused:
             await site.start()
         assert refused.value.code == "ledger-split" and "[shards]" in refused.value.told[0]
+
     site.run(scene)
     assert {"shards", "ledger.2", "ledger.3"} <= {*os.listdir(folder)}
     assert main(["owed", str(folder)]) == 0 and capsys.readouterr().out.count("dest=") == 9
@@ -378,6 +381,7 @@
 
 # ---- when a split is begun
 
+
 def grown(series, ended=lambda come: 0, live=0):
     """A `Growth` that was told what came in each second."""
     growth = Growth()
@@ -430,8 +434,10 @@
     assert planner().plan(views, 0).shard is views[0]
 
 
-@pytest.mark.parametrize("sample, count, why", [
-    (((7, 95), (9, 5)), 8, "destination"), (((7, 5),), 8, "destination"), (((7, 50), (9, 50)), 1, "count")])
+@pytest.mark.parametrize(
+    "sample, count, why",
+    [(((7, 95), (9, 5)), 8, "destination"), (((7, 5),), 8, "destination"), (((7, 50), (9, 50)), 1, "count")],
+)
 def test_where_no_split_helps_that_is_foretold_and_another_shard_is_still_split(sample, count, why):
     one, other = view(grown([1000] * 99), 0, 10, sample), view(grown([1000] * 98), 10, PLACES)
     found = planner(count=count).plan([one], 0)
@@ -475,6 +481,7 @@
 
 # ---- in a dispatcher
 
+
 def test_a_dispatcher_splits_beside_its_flow_and_starts_again_from_its_shards(site):
     async def scene(site):
         whole = site.config
@@ -482,7 +489,8 @@
         node = await site.start()
         part = node.parts[-1]
         part.planner.plan = lambda shards, now: (
-            Split(shards[0], 30_000, 0.0) if len(shards) == 1 and len(node.ledger.owed) > 10 else None)
+            Split(shards[0], 30_000, 0.0) if len(shards) == 1 and len(node.ledger.owed) > 10 else None
+        )
         for n in range(20):
             assert await site.submit(f"a{n}") == 202
         await site.until(lambda: len(node.ledger.shards) == 2)
@@ -496,6 +504,7 @@
         again = await site.start()
         assert again.ledger.owed.keys() == {"b", *(f"a{n}" for n in range(20))}
         assert len(again.ledger.shards) == 2
+
     site.run(scene, lambda *message: None)
 
 
