--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -26,9 +26,11 @@
 from juniperlanding.sites.project import Estimate, Member, project, spread_over
 
 SITES = ("east", "north", "west")
-TOPICS = [{"name": "news", "kind": "repeatable", "objective": SEC, "ttl": 4 * SEC, "benefit": 1.0},
-          {"name": "order", "kind": "once-only", "objective": SEC, "ttl": 4 * SEC, "benefit": 3.0},
-          {"name": "status", "kind": "collapsible", "objective": SEC, "ttl": 3 * SEC, "benefit": 2.0}]
+TOPICS = [
+    {"name": "news", "kind": "repeatable", "objective": SEC, "ttl": 4 * SEC, "benefit": 1.0},
+    {"name": "order", "kind": "once-only", "objective": SEC, "ttl": 4 * SEC, "benefit": 3.0},
+    {"name": "status", "kind": "collapsible", "objective": SEC, "ttl": 3 * SEC, "benefit": 2.0},
+]
 TAKEN = {"news": 5000, "order": 3000, "status": 2000}
 
 
@@ -36,15 +38,26 @@
     taken = TAKEN if taken is None else taken
     whole = sum(taken.values())
     answers = tuple((at, answer, miss, 60_000) for at in range(3))
-    return Figures(1, 20_000, SITES, tuple(Kind(name, rate, rate) for name, rate in sorted(taken.items())),
-                   tuple(Place(number, whole // len(places), order=order, answers=answers)
-                         for number in places), slots, 5000, 100_000, **more)
+    return Figures(
+        1,
+        20_000,
+        SITES,
+        tuple(Kind(name, rate, rate) for name, rate in sorted(taken.items())),
+        tuple(Place(number, whole // len(places), order=order, answers=answers) for number in places),
+        slots,
+        5000,
+        100_000,
+        **more,
+    )
 
 
 def fleet(each=1, **at):
     """Members of three sites; `at`: figures of a site's members that differ."""
-    return [Member(f"{site}{number}", site, True, at.get(site, figures())) for site in SITES
-            for number in range(each)]
+    return [
+        Member(f"{site}{number}", site, True, at.get(site, figures()))
+        for site in SITES
+        for number in range(each)
+    ]
 
 
 def refused(made):
@@ -55,11 +68,17 @@
 
 
 some_figures = st.builds(
-    figures, st.fixed_dictionaries({name: st.integers(0, 40_000) for name in TAKEN}),
-    st.sampled_from([(1,), (1, 2), (2, 3), (1, 2, 3)]), st.integers(0, 60), st.integers(1000, 3 * 10**6),
-    st.integers(0, 10**6), st.sampled_from([(0, 1, 2), (2, 0), (0,), (1,), ()]))
-members = st.lists(st.tuples(st.sampled_from(SITES), st.booleans(), st.none() | some_figures),
-                   max_size=6).map(lambda drawn: [Member(f"m{at}", *one) for at, one in enumerate(drawn)])
+    figures,
+    st.fixed_dictionaries({name: st.integers(0, 40_000) for name in TAKEN}),
+    st.sampled_from([(1,), (1, 2), (2, 3), (1, 2, 3)]),
+    st.integers(0, 60),
+    st.integers(1000, 3 * 10**6),
+    st.integers(0, 10**6),
+    st.sampled_from([(0, 1, 2), (2, 0), (0,), (1,), ()]),
+)
+members = st.lists(
+    st.tuples(st.sampled_from(SITES), st.booleans(), st.none() | some_figures), max_size=6
+).map(lambda drawn: [Member(f"m{at}", *one) for at, one in enumerate(drawn)])
 
 
 @settings(max_examples=150, deadline=None)
@@ -73,16 +92,21 @@
     for line in made.topics.values():
         assert 0 <= line.refused.least <= line.refused.value <= line.refused.most + 1e-9
         assert line.refused.value <= line.offered + 1e-6 and line.crossings.value <= line.offered + 1e-6
-    assert not made.load or all(share * made.load <= made.room[name] + 1e-6
-                                for name, share in made.shares.items())
+    assert not made.load or all(
+        share * made.load <= made.room[name] + 1e-6 for name, share in made.shares.items()
+    )
 
 
 @settings(max_examples=100, deadline=None)
 @given(some_figures, some_figures, st.integers(1, 60), st.sampled_from([0, 1]))
 def test_more_room_never_costs_more(one, other, more, at):
     answers = ((0, 300_000, 9000, 1), (1, 300_000, 9000, 1), (2, 300_000, 9000, 1))
-    same = [msgspec.structs.replace(f, places=tuple(msgspec.structs.replace(
-        p, answers=answers, order=(0, 1, 2)) for p in f.places)) for f in (one, other, figures())]
+    same = [
+        msgspec.structs.replace(
+            f, places=tuple(msgspec.structs.replace(p, answers=answers, order=(0, 1, 2)) for p in f.places)
+        )
+        for f in (one, other, figures())
+    ]
     before = project(fleet(east=same[0], north=same[1], west=same[2]), "west", TOPICS)
     same[at] = msgspec.structs.replace(same[at], slots=same[at].slots + more)
     after = project(fleet(east=same[0], north=same[1], west=same[2]), "west", TOPICS)
@@ -110,8 +134,10 @@
 @settings(max_examples=60, deadline=None)
 @given(st.permutations([0.5, 1.0, 2.0, 7.0]))
 def test_the_order_of_refusals_is_that_of_the_decisions(benefits):
-    topics = [{"name": f"t{at}", "benefit": worth, "objective": SEC, "ttl": 4 * SEC}
-              for at, worth in enumerate(benefits)]
+    topics = [
+        {"name": f"t{at}", "benefit": worth, "objective": SEC, "ttl": 4 * SEC}
+        for at, worth in enumerate(benefits)
+    ]
     host = Full()
     real = Dispatcher(host, {"topic_types": topics, "most_held": 40, "slots": 0}, "", SEC)
     for number in range(40):
@@ -149,8 +175,10 @@
 def test_all_of_a_destinations_endpoints_in_the_lost_site_are_named_and_all_of_it_is_refused():
     def with_only_west(**more):
         made = figures(**more)
-        return msgspec.structs.replace(made, places=(made.places[0], msgspec.structs.replace(
-            made.places[1], order=(2,))))
+        return msgspec.structs.replace(
+            made, places=(made.places[0], msgspec.structs.replace(made.places[1], order=(2,)))
+        )
+
     made = project(fleet(**{site: with_only_west() for site in SITES}), "west", TOPICS)
     assert made.stranded == [2]
     assert refused(made) == pytest.approx({"news": 7.5, "status": 3, "order": 4.5})  # half of three sites'
@@ -179,8 +207,12 @@
 
 def test_two_views_that_differ_each_say_what_they_rest_on():
     at, age = fleet(), 18 * SEC
-    old = [Member(m.name, m.site, True, msgspec.structs.replace(m.figures, slots=5), age)
-           if m.name == "east0" else m for m in at]
+    old = [
+        Member(m.name, m.site, True, msgspec.structs.replace(m.figures, slots=5), age)
+        if m.name == "east0"
+        else m
+        for m in at
+    ]
     one, other = project(at, "west", TOPICS), project(old, "west", TOPICS)
     assert (one.oldest, other.oldest) == (0, age) and one.shares["east0"] > other.shares["east0"]
 
@@ -209,9 +241,18 @@
     assert len(told.encoded(figures(places=(1, 2, 3)))) < 240
 
 
-@pytest.mark.parametrize("bad", [
-    {"version": 9}, {"rest": -1}, {"slots": 10**13}, {"kinds": (Kind("a", -5),)}, {"kinds": (Kind("a"),) * 2},
-    {"places": (Place(1, 1, order=(7,)),)}, {"places": (Place(1, 1, answers=((9, 1, 1, 1),)),)}])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"version": 9},
+        {"rest": -1},
+        {"slots": 10**13},
+        {"kinds": (Kind("a", -5),)},
+        {"kinds": (Kind("a"),) * 2},
+        {"places": (Place(1, 1, order=(7,)),)},
+        {"places": (Place(1, 1, answers=((9, 1, 1, 1),)),)},
+    ],
+)
 def test_figures_that_nobody_counts_are_not_believed(bad):
     assert told.decoded(told.ENCODER.encode(msgspec.structs.replace(figures(), **bad))) is None
     for data in (b"", b"\x93", os.urandom(50)):
@@ -220,8 +261,9 @@
 
 def test_each_figure_is_believed_for_its_own_time():
     made = figures()
-    made = msgspec.structs.replace(made, places=(msgspec.structs.replace(
-        made.places[0], answers=((0, 1, 1, 5000), (1, 1, 1, 30_000))),))
+    made = msgspec.structs.replace(
+        made, places=(msgspec.structs.replace(made.places[0], answers=((0, 1, 1, 5000), (1, 1, 1, 30_000))),)
+    )
     assert told.believed(made, 20 * SEC) and told.believed(made, 20 * SEC + 1) is None
     assert [a[0] for a in told.believed(made, 6 * SEC).places[0].answers] == [1]
 
@@ -258,8 +300,14 @@
     at.say(("h", 1), words.NEWS, news=[at.members["b"].record])
     (_, answer), (_, news) = at.out
     assert answer.source.figures == b"mine" and news.source.figures == b"" == news.news[0].figures
-    long = words.encoded(said("ping", record("x" * 128, site="y" * 64, figures=b"z" * words.MOST_FIGURES),
-                              *[record("w" * 60, site="v" * 60)] * 8), KEY)
+    long = words.encoded(
+        said(
+            "ping",
+            record("x" * 128, site="y" * 64, figures=b"z" * words.MOST_FIGURES),
+            *[record("w" * 60, site="v" * 60)] * 8,
+        ),
+        KEY,
+    )
     assert len(long) <= words.MOST + words.DIGEST and words.decoded(long, KEY, "f").source.figures
     with pytest.raises(words.Noise):
         words.decoded(words.encoded(said("ping", record("b", figures=b"z" * 700)), KEY), KEY, "f")
@@ -278,8 +326,10 @@
 
     from juniperlanding.accord.part import Policy
 
-    document = (b'[sites.crossing]\n"east>west" = 2.5\n[[topic]]\nname = "n"\nkind = "repeatable"\n'
-                b'objective = "1s"\nttl = "4s"\n')
+    document = (
+        b'[sites.crossing]\n"east>west" = 2.5\n[[topic]]\nname = "n"\nkind = "repeatable"\n'
+        b'objective = "1s"\nttl = "4s"\n'
+    )
     held = SimpleNamespace(accord=SimpleNamespace(document=document))
     assert Policy.crossings(held) == {("east", "west"): 2.5}
     assert Policy.crossings(SimpleNamespace(accord=None)) == {}
@@ -302,10 +352,14 @@
     all_live = fleet(**{s: figures(slots=30) for s in SITES})
     for now in (at, at + SEC):
         made.tick(all_live, {s: project(all_live, s, TOPICS, errors=made.error) for s in SITES}, now)
-    kinds = tuple(Kind(name, 2 * rate, rate, int(seen_refused * 1000 * (name == "news")))
-                  for name, rate in TAKEN.items())
-    during = [Member(m.name, m.site, m.site != "west", msgspec.structs.replace(m.figures, kinds=kinds))
-              for m in all_live]
+    kinds = tuple(
+        Kind(name, 2 * rate, rate, int(seen_refused * 1000 * (name == "news")))
+        for name, rate in TAKEN.items()
+    )
+    during = [
+        Member(m.name, m.site, m.site != "west", msgspec.structs.replace(m.figures, kinds=kinds))
+        for m in all_live
+    ]
     now = at + 2 * SEC
     for now in range(at + 2 * SEC, at + 2 * SEC + SETTLES + rounds * WINDOW, SEC):
         made.tick(during, {}, now)
@@ -367,8 +421,10 @@
     return made
 
 
-@pytest.mark.parametrize("state", [None, [], {"errors": {}}, {"errors": {"a/b": [1] * 20}, "windows": {}},
-                                   {"errors": [1], "windows": {}}])
+@pytest.mark.parametrize(
+    "state",
+    [None, [], {"errors": {}}, {"errors": {"a/b": [1] * 20}, "windows": {}}, {"errors": [1], "windows": {}}],
+)
 def test_what_another_version_hands_over_fails_no_replacement(part, state):
     part.taken(state)
     assert part.outages.errors == part.outages.windows == {} and part.lines_of[0][0] == "sites"
@@ -403,13 +459,14 @@
                 assert await rig.settled(groups, rig.now(), 20)
             faults = await rig.ends()
             assert not faults, faults
+
     trio.run(rig.run, whole)
     logs = [m.log() for m in rig.members if m.site != "north"]
     for log in logs:
         assert re.search(r"sites believed lost .*site=north load=[1-9].* rests_on=3 ", log)
         assert re.search(r"sites is back .*site=north .*seen_refused=", log)
         assert "fault part=" not in log
-    loss, = rig.judged()
+    (loss,) = rig.judged()
     assert loss.known == "3/3" and all(len(cell) == 6 for cell in loss.cells.values())
     assert any(cell[3] > 0 for name, cell in loss.cells.items() if name.startswith("crossings"))
 
@@ -427,10 +484,14 @@
 
     async def scene(site):
         site.config()
+
     site.run(scene)
-    process = subprocess.Popen([sys.executable, "-X", "importtime", "-m", "juniperlanding", "serve"],
-                               env=os.environ | site.environ | {"EDGE_SITES": "true"},
-                               stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [sys.executable, "-X", "importtime", "-m", "juniperlanding", "serve"],
+        env=os.environ | site.environ | {"EDGE_SITES": "true"},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
     try:
         heard = ""
         while "start" not in heard.rpartition("| ")[2]:
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -21,7 +21,7 @@
 
 ESTABLISHED = b"\x01"  # the first byte of TCP_INFO
 
-HALF = b"HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\n{\"revision\""
+HALF = b'HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\n{"revision"'
 
 
 def with_wait(seconds, mode="push"):
@@ -39,8 +39,10 @@
     return known and known.state
 
 
-@pytest.mark.parametrize("mode, came", [
-    ("push", None), ("ask", None), ("push", HALF[:20]), ("push", HALF), ("ask", HALF), ("ask", "poll")])
+@pytest.mark.parametrize(
+    "mode, came",
+    [("push", None), ("ask", None), ("push", HALF[:20]), ("push", HALF), ("ask", HALF), ("ask", "poll")],
+)
 def test_a_watch_that_falls_silent_is_begun_anew_2_s_after_its_wait(site, mode, came):
     """Nothing came, half a head, half a body; or nothing to a poll for the whole list, which may not wait."""
     site.wire, asked = with_wait(0.2, mode), []
@@ -56,6 +58,7 @@
         node = await site.start()
         await site.until(lambda: phase(node) == "draining")
         assert trio.current_time() - asked[0] < 0.2 * (came != "poll") + 2
+
     site.run(scene)
 
 
@@ -65,6 +68,7 @@
         node = await site.start()
         await site.until(lambda: phase(node) == "draining")
         assert not any(event == "list" for event, _ in site.lines)
+
     site.run(scene)
 
 
@@ -74,11 +78,15 @@
         assert await site.submit("a1") == 202
         await site.until(lambda: node.counters["pushes_throttled"])
         site.kill()
-        site.told["known"] = {"revision": 2, "complete": True,
-                              "members": [member(1, site.far.address, "terminating")]}
+        site.told["known"] = {
+            "revision": 2,
+            "complete": True,
+            "members": [member(1, site.far.address, "terminating")],
+        }
         node = await site.start()
         await trio.sleep(0.5)  # the rest after a throttling reply is 0.4 s at most
         assert list(node.ledger.owed) == ["a1"] and len(site.far.got) == 1
+
     site.run(scene, lambda *message: http(503))
 
 
@@ -95,6 +103,7 @@
         await site.start()
         await site.until(lambda: len(times) > len(answers))
         assert times[-1] - times[-2] < 0.5
+
     site.run(scene)
 
 
@@ -152,6 +161,7 @@
         assert await process.wait() == 0
         assert len(answered) > 200 and last[-1] - begun > 3.2 and set(answered) <= {202, 503}
         assert not silent
+
     site.run(scene)
 
 
@@ -159,10 +169,14 @@
 @pytest.mark.parametrize("kind", ["news", "order", "pay"])
 def test_a_destination_that_hangs_takes_no_place_from_the_others(site, kind, restart):
     """All places held for it, before a restart too: what comes for another one is taken on and delivered."""
+
     async def scene(site):
         site.other = await Far().open(site.nursery)
-        site.told["known"] = {"revision": 1, "complete": True, "members": [
-            member(1, site.far.address), member(2, site.other.address, cell=9)]}
+        site.told["known"] = {
+            "revision": 1,
+            "complete": True,
+            "members": [member(1, site.far.address), member(2, site.other.address, cell=9)],
+        }
         node = await site.start()
         for number in range(60):  # of 50 places
             await site.submit(f"a{number}", kind, ttl=9000)
@@ -176,6 +190,7 @@
         for number in range(12):
             assert await site.submit(f"b{number}", dest=9) == 202
             await site.until(lambda number=number: len(site.other.got) > number)
+
     site.run(scene, lambda *message: None)
 
 
@@ -193,6 +208,7 @@
         assert await site.submit("a1", "order") == 202
         await site.until(lambda: node.counters["pushes_delivered"] + node.counters["pushes_unreachable"])
         assert node.counters[f"pushes_{ending}"] == 1
+
     site.run(scene)
 
 
@@ -216,6 +232,7 @@
             await node.owner.tell(len, "")
         assert len(answers) == 60 and {status for status, _ in answers} <= {202, 503}
         assert any(headers.get("connection") == "close" for _, headers in answers)  # those over the limit
+
     site.run(scene)
 
 
@@ -233,6 +250,7 @@
         await node.owner.tell(len, "")
         with trio.fail_after(0.5):
             await site.until(lambda: node.counters["unheard"] and not node.ledger.owed)
+
     site.run(scene)
 
 
@@ -251,8 +269,11 @@
 
 def test_it_serves_where_no_program_may_be_started(site, monkeypatch):
     whole = trio.lowlevel.open_process
-    monkeypatch.setattr(trio.lowlevel, "open_process",
-                        lambda command, **more: whole([sys.executable, "-c", NO_PROGRAMS], **more))
+    monkeypatch.setattr(
+        trio.lowlevel,
+        "open_process",
+        lambda command, **more: whole([sys.executable, "-c", NO_PROGRAMS], **more),
+    )
 
     async def scene(site):
         process = await program(site)
@@ -261,6 +282,7 @@
         process.send_signal(signal.SIGHUP)
         process.terminate()
         assert await process.wait() == 0
+
     site.run(scene)
 
 
@@ -272,8 +294,9 @@
             os.write(log, b"x" * 4096)
     os.set_blocking(log, True)
     whole = trio.lowlevel.open_process
-    monkeypatch.setattr(trio.lowlevel, "open_process",
-                        lambda command, **more: whole(command, **more | {"stderr": log}))
+    monkeypatch.setattr(
+        trio.lowlevel, "open_process", lambda command, **more: whole(command, **more | {"stderr": log})
+    )
 
     async def scene(site):
         with trio.fail_after(4):
@@ -281,6 +304,7 @@
             assert await site.submit("a1") == 202
             process.terminate()
             assert await process.wait() == 0
+
     site.run(scene)
     os.close(unread)
     os.close(log)
--- a/tests/test_standing_bytes.py
+++ b/tests/test_standing_bytes.py
@@ -37,6 +37,7 @@
 
 # ---- 202 leaves before the delivery
 
+
 class Watched(seams.Network):
     """Looks, in the moment in which a call's last byte is handed to the system, whether `heard(id)`."""
 
@@ -56,6 +57,7 @@
                 name = fields[b"X-Trace-Id"].decode()
                 self.late += [] if self.heard(name) else [name]
             return await sendmsg(parts)
+
         if address == self.far.address:
             sock.sendmsg = watched
         return sock
@@ -65,8 +67,10 @@
 def test_a_yes_is_at_its_client_before_the_endpoint_has_the_whole_call(site, many, pieces):
     """Of all that one round takes on, however quick the endpoint."""
     site.limits = {"disk_mb": 3, "sockets": 1000}
-    site.wire = WIRE | {"permissions": WIRE["permissions"] | {"most_held": 500},
-                        "family_info": WIRE["family_info"] | {"batch_by_kind": [1, 1], "workers": 300}}
+    site.wire = WIRE | {
+        "permissions": WIRE["permissions"] | {"most_held": 500},
+        "family_info": WIRE["family_info"] | {"batch_by_kind": [1, 1], "workers": 300},
+    }
     socks = {}
 
     async def scene(site):
@@ -93,14 +97,20 @@
         text = handed(f"X-Trace-Id: {name}", "X-Expires-In-Ms: 9000", "Content-Length: 5", body=b"hello")
         size = PIECES if pieces else len(text)
         for at in range(0, len(text), size):
-            sock.send(text[at:at + size])
+            sock.send(text[at : at + size])
+
     site.run(scene)
 
 
 # ---- half a line from an endpoint, on a connection that is used again
 
-WORDS = [b"HTTP/1.1 4", b"HTTP/1.1 200 x\r\n", b"\r\n", b"\x93",
-         b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"]
+WORDS = [
+    b"HTTP/1.1 4",
+    b"HTTP/1.1 200 x\r\n",
+    b"\r\n",
+    b"\x93",
+    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+]
 
 
 @pytest.mark.parametrize("then", ["waits", "ends"])
@@ -127,10 +137,11 @@
             while sock.peek() is None:  # loopback: it is there at once
                 pass
         await readable(sock)
+
     monkeypatch.setattr(seams.Socket, "readable", crossed)
 
     async def scene(site):
-        listener, = await site.nursery.start(partial(trio.serve_tcp, elsewhere, 0, host="127.0.0.1"))
+        (listener,) = await site.nursery.start(partial(trio.serve_tcp, elsewhere, 0, host="127.0.0.1"))
         calls = await endpoints(site, outcomes)
         calls.book["s-1"] = listener.socket.getsockname()
         calls.start(site.nursery, "s-1", [send("a")])
@@ -140,6 +151,7 @@
         await site.until(lambda: not calls.out)
         assert [told[2] for told in outcomes] == ["delivered", "delivered"]
         assert [at for at, _ in site.far.got] == [1, 2] and not armed  # the first never got the whole of it
+
     site.run(scene)
 
 
@@ -147,10 +159,14 @@
 
 HEAD = b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n"
 ENDLESS = {
-    "interim": (b"", b"HTTP/1.1 103 x\r\n\r\n"), "line": (b"HTTP/1.1 503 ", b"x"),
-    "head": (b"HTTP/1.1 503 x\r\n", b"X: y\r\n"), "chunks": (HEAD, b"1\r\nx\r\n"),
-    "trailer": (HEAD + b"0\r\n", b"X: y\r\n"), "chunk's head": (HEAD, b"0"),
-    "body": (b"HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n", b"x")}
+    "interim": (b"", b"HTTP/1.1 103 x\r\n\r\n"),
+    "line": (b"HTTP/1.1 503 ", b"x"),
+    "head": (b"HTTP/1.1 503 x\r\n", b"X: y\r\n"),
+    "chunks": (HEAD, b"1\r\nx\r\n"),
+    "trailer": (HEAD + b"0\r\n", b"X: y\r\n"),
+    "chunk's head": (HEAD, b"0"),
+    "body": (b"HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n", b"x"),
+}
 
 
 @pytest.mark.parametrize("pause", [0.0, 0.1])
@@ -164,6 +180,7 @@
             return await receive(line)
         finally:
             kept.append(len(line.head))
+
     monkeypatch.setattr(Line, "receive", receives)
 
     async def elsewhere(stream):
@@ -176,7 +193,7 @@
         gone.append(True)
 
     async def scene(site):
-        listener, = await site.nursery.start(partial(trio.serve_tcp, elsewhere, 0, host="127.0.0.1"))
+        (listener,) = await site.nursery.start(partial(trio.serve_tcp, elsewhere, 0, host="127.0.0.1"))
         calls = await endpoints(site, outcomes)
         calls.book["s-1"] = listener.socket.getsockname()
         calls.start(site.nursery, "s-1", [send("a", 9 * SEC)])
@@ -185,6 +202,7 @@
         assert [told[2] for told in outcomes] == ["reset"]
         assert not calls.idle and calls.connection_limit.value == 8
         assert max(kept) < (64 << 10) + CHUNK
+
     site.run(scene)
 
 
@@ -194,13 +212,22 @@
 WAITS = "Expect: 100-continue"
 
 
-@pytest.mark.parametrize("text, status", [
-    (handed("Connection: close"), 202), (handed().replace(b"HTTP/1.1", b"HTTP/1.0"), 202),
-    (CHUNKED + b"0\r\n\r\n", 202), (handed("Connection: close", WAITS, "Content-Length: 1", body=b"x"), 202),
-    (handed("Connection: close", "X-Trace-Id: "), 400), (b"nonsense\r\n\r\n", 400),
-    (b"GET /_health HTTP/1.0\r\n\r\n", 200), (handed("Content-Length: 3000000000"), 413),
-    (handed()[:-2], 408), (handed(WAITS, "Content-Length: 1"), 408),
-    (b"GET / HTTP/1.1\r\nX: " + b"x" * 40000, 431)])
+@pytest.mark.parametrize(
+    "text, status",
+    [
+        (handed("Connection: close"), 202),
+        (handed().replace(b"HTTP/1.1", b"HTTP/1.0"), 202),
+        (CHUNKED + b"0\r\n\r\n", 202),
+        (handed("Connection: close", WAITS, "Content-Length: 1", body=b"x"), 202),
+        (handed("Connection: close", "X-Trace-Id: "), 400),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /_health HTTP/1.0\r\n\r\n", 200),
+        (handed("Content-Length: 3000000000"), 413),
+        (handed()[:-2], 408),
+        (handed(WAITS, "Content-Length: 1"), 408),
+        (b"GET / HTTP/1.1\r\nX: " + b"x" * 40000, 431),
+    ],
+)
 def test_a_byte_behind_the_last_request_does_not_take_its_answer_away(site, monkeypatch, text, status):
     """Old clients send a line end behind a body; a close over it would be a reset."""
     monkeypatch.setattr("juniperlanding.net.protocol.REQUEST_WITHIN", 0.3)
@@ -212,6 +239,7 @@
         while line.sock.peek() is None:  # loopback: it is there at once
             pass
         return await whole(clients, line, *fields, **named)
+
     monkeypatch.setattr(ends.Clients, "say", say)
 
     async def scene(site):
@@ -227,11 +255,13 @@
         while message := await read_message(stream, buffer):
             answers.append(int(message[0].split()[1]))
         assert [one for one in answers if one != 100] == [status]
+
     site.run(scene)
 
 
 # ---- half a request as its connection has to go
 
+
 @pytest.mark.parametrize("how", ["evicted", "drained"])
 @pytest.mark.parametrize("came", [1, 40, -2])
 def test_who_is_cut_off_within_a_request_is_told_to_come_again(site, monkeypatch, how, came):
@@ -250,6 +280,7 @@
         assert await stream.receive_some() == b""
         assert not stream.socket._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         assert not node.counters["handed_in"]
+
     site.run(scene)
 
 
@@ -275,9 +306,15 @@
     return answers
 
 
-@pytest.mark.parametrize("texts", [
-    each(range(200)), [*each(range(100)), BAD, b"nonsense\r\n\r\n", *each(range(100, 200))],
-    [*each([0]), each([1])[0][:40]], [*each([0]), b"\r\n"]])
+@pytest.mark.parametrize(
+    "texts",
+    [
+        each(range(200)),
+        [*each(range(100)), BAD, b"nonsense\r\n\r\n", *each(range(100, 200))],
+        [*each([0]), each([1])[0][:40]],
+        [*each([0]), b"\r\n"],
+    ],
+)
 @pytest.mark.parametrize("how", ["stays", "ends its sending", "goes", "resets"])
 def test_many_requests_in_one_write_are_refused_and_none_is_sent_on(site, texts, how):
     async def scene(site):
@@ -296,13 +333,22 @@
         assert not node.counters["handed_in"] and not node.counters["taken_on"] and not site.far.got
         limit = node.clients.most_open + ends.ROOM
         assert node.clients.connection_limit.value == limit - 1  # for who comes next
+
     site.run(scene)
 
 
-@pytest.mark.parametrize("then, answers", [
-    ("end", [202, 202]), ("nonsense", [202, 202, 400]), ("drain", [202, 202]), ("200 more", [202, 202, 400])])
+@pytest.mark.parametrize(
+    "then, answers",
+    [
+        ("end", [202, 202]),
+        ("nonsense", [202, 202, 400]),
+        ("drain", [202, 202]),
+        ("200 more", [202, 202, 400]),
+    ],
+)
 def test_of_requests_that_wait_for_no_answer_those_with_a_yes_are_sent_on_and_no_other(site, then, answers):
     """In pieces, each whole one with nothing behind it yet; then what is told."""
+
     async def scene(site):
         node, stream = await site.start(), await site.client()
         for number, text in enumerate(each(range(2))):
@@ -324,6 +370,7 @@
         await site.until(lambda: len(site.far.got) == 2 and not node.ledger.owed)
         assert [headers["x-trace-id"] for _, headers, _ in site.far.got] == ["a0", "a1"]
         assert node.counters["handed_in"] == 2
+
     site.run(scene)
 
 
@@ -353,8 +400,14 @@
             begun = trio.current_time()
         assert await process.wait() == 0
         assert set(answers) <= {202, 400, 503} and min(last) - begun > 3.4
-        sent = [one for first, headers, body in site.far.got for one in (
-            [part["id"] for part in json.loads(body)] if "batch" in first else [headers["x-trace-id"]])]
+        sent = [
+            one
+            for first, headers, body in site.far.got
+            for one in (
+                [part["id"] for part in json.loads(body)] if "batch" in first else [headers["x-trace-id"]]
+            )
+        ]
         ended = {notice["message"] for notice in site.platform.notices}
         assert set(sent) | set(owed(site)) <= set(yes) <= set(sent) | set(owed(site)) | ended
+
     site.run(scene)
--- a/tests/test_standing_lists.py
+++ b/tests/test_standing_lists.py
@@ -29,6 +29,7 @@
         if len(asked) == GOOD + 1:
             return silent
         return http(200, listing([member(1, site.far.address, "terminating")], revision=2))
+
     site.platform.answer = answer
     return asked
 
@@ -51,6 +52,7 @@
         at = await told(node)
         assert at - asked[GOOD] < max(wait + 2, 6)
         assert len(asked) >= GOOD + 2
+
     play(site, scene)
 
 
@@ -71,6 +73,7 @@
         node = await site.start()
         at = await told(node)
         assert 0 <= at - dropped[0] < 0.5
+
     play(site, scene)
 
 
@@ -81,11 +84,16 @@
     async def scene(site):
         def answer(first, *rest):
             polls.append(trio.current_time())
-            return None if len(polls) == 1 else http(
-                200, listing([member(1, site.far.address, "terminating")], 2, True))
+            return (
+                None
+                if len(polls) == 1
+                else http(200, listing([member(1, site.far.address, "terminating")], 2, True))
+            )
+
         site.platform.answer = answer
         site.told["known"] = {"complete": True, "members": [member(1, site.far.address)]}  # no revision
         node = await site.start()
         at = await told(node)
         assert at - polls[0] < 6 and "wait=" not in site.platform.got[0][1]
+
     play(site, scene)
--- a/tests/test_tables_choice.py
+++ b/tests/test_tables_choice.py
@@ -12,8 +12,17 @@
 
 from juniperlanding.choice import MS, SEC, benefit, known, usual
 
-TIMES = {"objective", "ttl", "window", "must_ask_in", "warm_within", "order_pause", "idle_closes",
-         "most_again_in", "tick"}
+TIMES = {
+    "objective",
+    "ttl",
+    "window",
+    "must_ask_in",
+    "warm_within",
+    "order_pause",
+    "idle_closes",
+    "most_again_in",
+    "tick",
+}
 KINDS = ["repeatable", "collapsible", "once-only", "ordered"]
 
 
@@ -40,8 +49,9 @@
     def do(self, step):
         word, *fields = step.split()
         named = dict(field.split("=") for field in fields if "=" in field)
-        getattr(self, f"do_{word}")(*[f for f in fields if "=" not in f],
-                                    **{name: plain(value) for name, value in named.items()})
+        getattr(self, f"do_{word}")(
+            *[f for f in fields if "=" not in f], **{name: plain(value) for name, value in named.items()}
+        )
 
     def do_take(self, kind="repeatable", n=1, dest=1, key=0, ttl=20):
         for _ in range(int(n)):
@@ -83,8 +93,10 @@
 
     def do_list(self, news, *entries):
         told = [entry.split(":") for entry in entries]
-        self.at.listed(news, [(int(e), int(d), 0, 50.0, int(zone[0]) if zone else 0, state)
-                              for e, d, state, *zone in told])
+        self.at.listed(
+            news,
+            [(int(e), int(d), 0, 50.0, int(zone[0]) if zone else 0, state) for e, d, state, *zone in told],
+        )
 
     def do_withdraw(self, ntf):
         self.at.withdrawn(self.bed.count if ntf == "-1" else int(ntf))
@@ -98,13 +110,25 @@
     def do_restart(self, kind, pushes=1, ran=None, zone=0):
         self.bed.count += 1
         now = self.at.now
-        self.at.notification(self.bed.count, KINDS.index(kind), 1, now + 20 * SEC, 0, int(pushes), int(zone),
-                             0 if ran is None else now - round(ran * SEC))
+        self.at.notification(
+            self.bed.count,
+            KINDS.index(kind),
+            1,
+            now + 20 * SEC,
+            0,
+            int(pushes),
+            int(zone),
+            0 if ran is None else now - round(ran * SEC),
+        )
 
     def do_be(self, what, **state):
         """Put a record into a state; names that end in _ago are times before now."""
-        record = {"me": self.me, "endpoint": self.bed.endpoint(), "route": self.bed.endpoint().route,
-                  "dest": self.at.destination(1)}[what]
+        record = {
+            "me": self.me,
+            "endpoint": self.bed.endpoint(),
+            "route": self.bed.endpoint().route,
+            "dest": self.at.destination(1),
+        }[what]
         for name, value in state.items():
             ago = name.endswith("_ago")
             value = self.at.now - round(value * SEC) if ago else value
@@ -116,28 +140,43 @@
         ep, dest, all_ = self.me.endpoints.get(10), self.at.destination(1), self.bed.host.all
         route, now, pushed = dest.route, self.at.now, self.bed.pushed
         return {
-            "pushes": lambda: len(pushed), "sent": lambda: [p[0] for p in pushed],
-            "timeout": lambda: pushed[-1][2] / SEC, "leave": lambda: pushed[-1][3] / SEC,
-            "to": lambda: pushed[-1][1], "order": lambda: self.letters([p[1] for p in pushed]),
+            "pushes": lambda: len(pushed),
+            "sent": lambda: [p[0] for p in pushed],
+            "timeout": lambda: pushed[-1][2] / SEC,
+            "leave": lambda: pushed[-1][3] / SEC,
+            "to": lambda: pushed[-1][1],
+            "order": lambda: self.letters([p[1] for p in pushed]),
             "calls": lambda: sorted(len(c.pushes) for e in self.me.endpoints.values() for c in e.calls),
             "throttled": lambda: [f[0] for f in all_("throttled")],
             "again": lambda: all_("throttled")[-1][1] / SEC,
             "expired": lambda: [f[0] for f in all_("expired")],
             "cancelled": lambda: [f[0] for f in all_("cancel")],
-            "closed": lambda: len(all_("close_idle")), "notes": lambda: [f[1].decode() for f in all_("note")],
-            "subscribed": lambda: len(all_("subscribe")), "timer": lambda: all_("timer")[-1][0] / SEC,
-            "said": lambda: [line.split(":")[0] for line, in all_("log")],
-            "forecast": lambda: dest.forecast / SEC, "miss": lambda: dest.miss / SEC,
+            "closed": lambda: len(all_("close_idle")),
+            "notes": lambda: [f[1].decode() for f in all_("note")],
+            "subscribed": lambda: len(all_("subscribe")),
+            "timer": lambda: all_("timer")[-1][0] / SEC,
+            "said": lambda: [line.split(":")[0] for (line,) in all_("log")],
+            "forecast": lambda: dest.forecast / SEC,
+            "miss": lambda: dest.miss / SEC,
             "samples": lambda: dest.samples,
-            "pace": lambda: route.pace, "limit": lambda: known(route), "left": lambda: route.left,
-            "wait": lambda: (route.wait_until - now) / SEC, "tokens": lambda: route.tokens,
-            "down": lambda: ep.down, "run": lambda: ep.run, "warming": lambda: bool(ep.back_at),
-            "trial": lambda: (ep.trial_at - now) / SEC, "loss": lambda: self.me.loss,
+            "pace": lambda: route.pace,
+            "limit": lambda: known(route),
+            "left": lambda: route.left,
+            "wait": lambda: (route.wait_until - now) / SEC,
+            "tokens": lambda: route.tokens,
+            "down": lambda: ep.down,
+            "run": lambda: ep.run,
+            "warming": lambda: bool(ep.back_at),
+            "trial": lambda: (ep.trial_at - now) / SEC,
+            "loss": lambda: self.me.loss,
             "slice": lambda: ep.trial_at // (300 * MS) % self.me.dispatchers,
-            "share": lambda: self.at.health.budget(ep, 0), "first_part": lambda: ep.tokens,
+            "share": lambda: self.at.health.budget(ep, 0),
+            "first_part": lambda: ep.tokens,
             "half_warm": lambda: self.at.health.budget(ep, 5 * SEC),
-            "usual": lambda: usual(dest, now), "slots": lambda: self.me.slots_out,
-            "held": lambda: len(self.me.notifications), "endpoints": lambda: sorted(self.me.endpoints),
+            "usual": lambda: usual(dest, now),
+            "slots": lambda: self.me.slots_out,
+            "held": lambda: len(self.me.notifications),
+            "endpoints": lambda: sorted(self.me.endpoints),
             "worth_in_4": lambda: benefit(self.me.notifications[self.bed.count], now + 4 * SEC),
             "worth_in_20": lambda: benefit(self.me.notifications[self.bed.count], now + 20 * SEC),
         }[name]()
--- a/tests/test_tables_fleet.py
+++ b/tests/test_tables_fleet.py
@@ -40,7 +40,7 @@
             self.at.heard(said("ack", record(source or name, life=9), number=number), self.now)
 
     def do_nack(self, times):
-        for helper in "cde"[:int(times)]:
+        for helper in "cde"[: int(times)]:
             self.at.heard(said("nack", record(helper, life=9), number=self.at.probe.number), self.now)
 
     def do_enter(self, phase):
@@ -61,15 +61,25 @@
         if member in ("b", "m0"):
             known = self.at.members.get(member)
             state = words.STATES[known.state] if known else "unknown"
-            return {"": lambda: state, "not": lambda: state, "inc": lambda: known.record.inc,
-                    "by": lambda: known.by, "until": lambda: (known.until - known.began) / SEC}[what]()
+            return {
+                "": lambda: state,
+                "not": lambda: state,
+                "inc": lambda: known.record.inc,
+                "by": lambda: known.by,
+                "until": lambda: (known.until - known.began) / SEC,
+            }[what]()
         kinds = [message.kind for _, message in self.at.out]
-        return {"inc": lambda: self.at.me.inc, "doubt": lambda: self.at.doubt, "twin": lambda: self.at.twin,
-                "sure": self.at.sure, "changes": lambda: len(self.at.changes),
-                "asked": lambda: kinds.count("ask"),
-                "suspects": lambda: sum(m.state == words.SUSPECT for m in self.at.members.values()),
-                "said": lambda: kinds[0] if kinds else "",
-                "told": lambda: [(r.name, words.STATES[r.state]) for r in self.at.out[0][1].news][0]}[name]()
+        return {
+            "inc": lambda: self.at.me.inc,
+            "doubt": lambda: self.at.doubt,
+            "twin": lambda: self.at.twin,
+            "sure": self.at.sure,
+            "changes": lambda: len(self.at.changes),
+            "asked": lambda: kinds.count("ask"),
+            "suspects": lambda: sum(m.state == words.SUSPECT for m in self.at.members.values()),
+            "said": lambda: kinds[0] if kinds else "",
+            "told": lambda: [(r.name, words.STATES[r.state]) for r in self.at.out[0][1].news][0],
+        }[name]()
 
 
 @pytest.mark.parametrize("row", rows("fleet"))
--- a/tests/test_tables_wire.py
+++ b/tests/test_tables_wire.py
@@ -28,7 +28,7 @@
             calls.start(site.nursery, "s-1", [send("before")])
             await site.until(lambda: not calls.out and outcomes)
             outcomes.clear()
-        sends = [send(name, SEC // 5) for name in "ab"[:row.get("sends", 1)]]
+        sends = [send(name, SEC // 5) for name in "ab"[: row.get("sends", 1)]]
         for each in sends if "leave" in row else ():
             each.leave_by += int(row["leave"] * SEC) - SEC // 5
         calls.start(site.nursery, "s-1", sends)
@@ -40,6 +40,7 @@
         elif event == "recall":
             calls.recall({"s-1"})
         await site.until(lambda: len(outcomes) == len(sends))
+
     site.run(scene, lambda *message: answers.pop() if answers else answer_of(row))
     delivered = row["want"][0] == "delivered"
     assert [told[2] for told in outcomes] == row["want"]
@@ -52,8 +53,13 @@
     if "raw" in row:
         return row["raw"].encode() + b"x" * row.get("fill", 0)
     body = row.get("body", "").encode() + b"x" * row.get("fill", 0)
-    lines = {"X-Trace-Id": "a", "X-Qos": "news", "X-Expires-In-Ms": "900", "X-Addressing": "dest=7",
-             "Content-Length": "0"} | dict(line.split(": ") for line in row.get("lines", []))
+    lines = {
+        "X-Trace-Id": "a",
+        "X-Qos": "news",
+        "X-Expires-In-Ms": "900",
+        "X-Addressing": "dest=7",
+        "Content-Length": "0",
+    } | dict(line.split(": ") for line in row.get("lines", []))
     lines.pop(row.get("without"), None)
     text = ["POST /api HTTP/1.1", "Host: x", *map(": ".join, lines.items()), *row.get("more", [])]
     for size in (256, 257):
@@ -70,6 +76,7 @@
         with trio.fail_after(1):
             await site.until(lambda: not node.ledger.owed)
         assert len(site.far.got) == (row["want"] == 202)
+
     site.run(scene)
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -33,6 +33,7 @@
     async def run(task_status):
         with scope:
             await made.run(task_status)
+
     site.address = await site.nursery.start(run)
     made.scope = scope
     await site.until(lambda: made.owner.ready)
@@ -71,6 +72,7 @@
 
 # ---- what goes over
 
+
 def test_a_call_out_at_the_hand_over_is_answered_at_the_new_process_and_runs_once(site):
     async def scene(site):
         old = await first(site)
@@ -85,6 +87,7 @@
         assert len(site.far.got) == 3 and site.far.connections == 3 and not site.platform.notices
         succeeded = [new.counters[f"svc.results.{topic}.succeeded"] for topic in ("order", "news", "pay")]
         assert succeeded == [1, 1, 1]
+
     site.run(scene, late)
 
 
@@ -97,8 +100,10 @@
         await first(site)
         kept, half, fresh = [await site.client() for _ in range(3)]
         assert await site.submit("a1", stream=kept) == 202
-        text = (b"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: a2\r\nX-Qos: news\r\n"
-                b"X-Expires-In-Ms: 5000\r\nX-Addressing: dest=7\r\nContent-Length: 5\r\n\r\nhello")
+        text = (
+            b"POST /api HTTP/1.1\r\nHost: api\r\nX-Trace-Id: a2\r\nX-Qos: news\r\n"
+            b"X-Expires-In-Ms: 5000\r\nX-Addressing: dest=7\r\nContent-Length: 5\r\n\r\nhello"
+        )
         await half.send_all(text[:60])
         await trio.sleep(0.05)
         new = await replace(site)
@@ -106,6 +111,7 @@
         assert [await site.submit("a3", stream=kept), await site.submit("a4", stream=fresh)] == [202, 202]
         await site.until(lambda: not new.ledger.owed)
         assert {headers["x-trace-id"] for _, headers, _ in site.far.got} == {"a1", "a2", "a3", "a4"}
+
     site.run(scene)
 
 
@@ -121,6 +127,7 @@
         other = new.owner.at.me.endpoints["s-1"]
         assert (other.down, other.run, other.route.wait_until) == (True, 5, until) and other is not endpoint
         assert new.owner.held.keys() == {"a1"} and len(site.far.got) == 1
+
     site.run(scene, lambda *message: http(429, b"", "Retry-After: 3"))
 
 
@@ -135,6 +142,7 @@
         await site.until(lambda: site.platform.notices)  # it may have run
         assert new.counters["svc.results.order.aborted"] == 1
         assert await site.submit("a2", stream=stream) == 202
+
     site.run(scene, lambda *message: None)
 
 
@@ -147,11 +155,13 @@
             await replace(site)
         await site.until(lambda: not site.node.ledger.owed)
         assert len(site.far.got) == 3 and site.far.connections == 1
+
     site.run(scene)
 
 
 # ---- what fails
 
+
 @pytest.mark.parametrize("word", ["dies", "noise", "stalls", "refuses the offer"])
 def test_the_old_process_serves_on_when_nobody_takes_over(site, monkeypatch, word):
     monkeypatch.setattr(steps, "LOAD_WITHIN", SEC // 5)
@@ -179,6 +189,7 @@
         assert [headers["x-trace-id"] for _, headers, _ in site.far.got] == ["a1", "a2"]
         await replace(site)  # and the next attempt works
         assert await site.submit("a3", stream=stream) == 202
+
     site.run(scene, late)
 
 
@@ -191,6 +202,7 @@
         await site.until(lambda: not old.replaced and old.owner.ready and "a1" in old.owner.held)
         site.address = old.listener.address
         assert await site.submit("a2") == 202
+
     site.run(scene)
 
 
@@ -199,14 +211,20 @@
         old = await first(site)
         path = str(site.folder / "state" / channel.FILE)
         assert os.stat(path).st_mode & 0o777 == 0o600
-        for noise in (b"", b"\x00" * 10, b"JLH1\xff\xff\xff\xff\xff\xff", frames.pack("hello")[:-3],
-                      frames.HEAD.pack(frames.MARK, 2, 0) + b"[]"):
+        for noise in (
+            b"",
+            b"\x00" * 10,
+            b"JLH1\xff\xff\xff\xff\xff\xff",
+            frames.pack("hello")[:-3],
+            frames.HEAD.pack(frames.MARK, 2, 0) + b"[]",
+        ):
             with socket.socket(socket.AF_UNIX) as stranger:
                 stranger.connect(path)
                 stranger.sendall(noise)
                 stranger.shutdown(socket.SHUT_WR)
                 await trio.to_thread.run_sync(stranger.recv, 1)
         assert not old.owner.frozen and await site.submit("a1") == 202
+
     site.run(scene)
 
 
@@ -220,6 +238,7 @@
         other = await hello(site)
         assert (await other.hear())[0]["why"] == "another replacement is under way"
         one.close()
+
     site.run(scene)
 
 
@@ -237,6 +256,7 @@
             end.close()
         await site.until(lambda: not old.succession.callers)
         assert not old.owner.frozen and await site.submit("a1") == 202
+
     site.run(scene)
 
 
@@ -251,6 +271,7 @@
         with trio.fail_after(2 * succession.HELLO_WITHIN):
             assert [await end.sock.recv(1) for end in mute] == [b""] * steps.MOST_CALLERS
         await replace(site)
+
     site.run(scene)
 
 
@@ -262,6 +283,7 @@
             with pytest.raises(AddressTaken, match="in use"):
                 await replace(site)
         assert not any("takes over" in text for _, text in site.lines) and not old.owner.frozen
+
     site.run(scene)
 
 
@@ -272,6 +294,7 @@
         assert await site.submit("a1", stream=stream) == 202
         await site.until(lambda: not old.ledger.owed)
         if fails == "to load":
+
             def make(offer):
                 if offer:
                     raise OSError(5, "input/output error", "ledger")
@@ -290,6 +313,7 @@
         assert sum("takes over" in text for _, text in site.lines) == 1
         assert sum("code=hand-over-failed" in text for _, text in site.lines) == 1
         assert len(os.listdir("/proc/self/fd")) <= before + 1  # the watch asked anew
+
     site.run(scene)
 
 
@@ -301,6 +325,7 @@
 def test_a_record_that_cannot_be_written_down_costs_the_module_and_not_the_process(site, monkeypatch):
     def fails(me):
         raise TypeError("odd")
+
     monkeypatch.setattr(carry, "taken_from", fails)
 
     async def scene(site):
@@ -310,6 +335,7 @@
         new = await replace(site)
         assert await site.submit("a2", stream=stream) == 202
         assert "a1" in new.owner.held and any("begins from the ledger" in text for _, text in site.lines)
+
     site.run(scene)
 
 
@@ -321,18 +347,21 @@
 
         def fails():
             raise OSError(28, "no space left on device")
+
         old.ledger.flush = fails
         assert await site.submit("a2", dest=8) == 503
         new = []
 
         async def take_over():
             new.append(await replace(site))
+
         site.nursery.start_soon(take_over)
         await trio.sleep(0.3)
         assert not new and not old.replaced
         old.ledger.flush = whole
         await site.until(lambda: new)
         assert list(new[0].owner.held) == ["a1"] and await site.submit("a3", dest=8, stream=stream) == 202
+
     site.run(scene)
 
 
@@ -354,6 +383,7 @@
         old.reload(site.reread)  # while it stands by
         new.reload(site.reread)
         assert await site.submit("a1") == 202
+
     site.run(scene)
 
 
@@ -368,11 +398,13 @@
             if len(tries) < 3:
                 raise OSError(5, "input/output error")
             build(offer)
+
         old.build = fails
         gone(site)
         await site.until(lambda: len(tries) == 3 and not old.replaced and old.owner.ready)
         site.address = old.listener.address
         assert await site.submit("a1") == 202
+
     site.run(scene)
 
 
@@ -383,6 +415,7 @@
         await first(site)
         assert await site.submit("a1") == 202
         assert sum("nobody can take over here" in text for _, text in site.lines) == 1
+
     site.run(scene)
 
 
@@ -394,11 +427,13 @@
         old = await first(site)
         await replace(site)
         await site.until(lambda: old.replaced)
+
     site.run(scene)
 
 
 # ---- who owns, whatever is lost
 
+
 class Between(RuleBasedStateMachine):
     """Both machines with a channel between them that may end at any moment, and either process with it."""
 
@@ -407,8 +442,11 @@
         self.now, self.giver, self.taker, self.words, self.open = 0, steps.Giver(), None, [], False
         self.giver_lives, self.free = True, False
 
-    @precondition(lambda self: not self.open and self.giver_lives and (
-        self.taker is None or self.taker.state == steps.ASKING))
+    @precondition(
+        lambda self: not self.open
+        and self.giver_lives
+        and (self.taker is None or self.taker.state == steps.ASKING)
+    )
     @rule()
     def ask(self):
         self.taker = self.taker or steps.Taker(self.now)
@@ -491,6 +529,7 @@
 
 # ---- the module's records
 
+
 def test_the_module_goes_on_as_if_nothing_had_been(bed):
     """The same events after carrying over give the same requests as without."""
     bed.deliver(5)
@@ -512,8 +551,16 @@
     assert bed.host.asked[asked:] == other.host.asked and other.host.all("push")
 
 
-@pytest.mark.parametrize("told", [{}, {"records": [[99]], "instance": []}, {"records": [], "instance": [1]},
-                                  {"records": [[0, 1, 2, 3]], "instance": []}, {"records": 5, "instance": 5}])
+@pytest.mark.parametrize(
+    "told",
+    [
+        {},
+        {"records": [[99]], "instance": []},
+        {"records": [], "instance": [1]},
+        {"records": [[0, 1, 2, 3]], "instance": []},
+        {"records": 5, "instance": 5},
+    ],
+)
 def test_records_that_cannot_be_read_leave_the_module_as_it_was(bed, told):
     before = bed.at.me.endpoints
     with pytest.raises(carry.Unknown):
@@ -523,6 +570,7 @@
 
 # ---- real processes
 
+
 def test_a_process_is_replaced_under_load_and_sigterm_ends_the_old_one(tmp_path):
     (tmp_path / "state").mkdir()
     port = free(socket.SOCK_STREAM)
@@ -530,13 +578,19 @@
         f'[instance]\nlisten = "127.0.0.1:{port}"\ndiscovery = "127.0.0.1:1"\nstate = "state"\n'
         '[[kind]]\nname = "shop"\n'
         '[[topic]]\nname = "news"\nkind = "repeatable"\nobjective = "2s"\nttl = "20s"\n'
-        '[[endpoint]]\nid = "e-1"\naddress = "127.0.0.1:1"\ndestination = 7\nkind = "shop"\n')
-    text = ("POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {}\r\nX-Qos: news\r\nX-Expires-In-Ms: 9000\r\n"
-            "X-Addressing: dest=7\r\nContent-Length: 0\r\n\r\n")
+        '[[endpoint]]\nid = "e-1"\naddress = "127.0.0.1:1"\ndestination = 7\nkind = "shop"\n'
+    )
+    text = (
+        "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {}\r\nX-Qos: news\r\nX-Expires-In-Ms: 9000\r\n"
+        "X-Addressing: dest=7\r\nContent-Length: 0\r\n\r\n"
+    )
 
     def run():
-        return subprocess.Popen([sys.executable, "-m", "juniperlanding", "serve", str(tmp_path / "a.toml")],
-                                text=True, stderr=subprocess.PIPE)
+        return subprocess.Popen(
+            [sys.executable, "-m", "juniperlanding", "serve", str(tmp_path / "a.toml")],
+            text=True,
+            stderr=subprocess.PIPE,
+        )
 
     def until(process, word):
         while word not in (line := process.stderr.readline()):
@@ -568,7 +622,8 @@
 def test_a_hung_old_process_that_is_killed_leaves_the_folder_to_the_one_that_waits(tmp_path):
     (tmp_path / "state").mkdir()
     (tmp_path / "a.toml").write_text(
-        '[instance]\nlisten = "127.0.0.1:0"\ndiscovery = "127.0.0.1:1"\nstate = "state"\n')
+        '[instance]\nlisten = "127.0.0.1:0"\ndiscovery = "127.0.0.1:1"\nstate = "state"\n'
+    )
     command = [sys.executable, "-m", "juniperlanding", "serve", str(tmp_path / "a.toml")]
     old = subprocess.Popen(command, text=True, stderr=subprocess.PIPE)
     new = None
