A stepped wall clock changes no deadline, window or turn, across a restart too

Cause: Clock.now took its base from the wall clock at each start, while the ledger keeps ttl_at, sent_at and the ids that are over as Unix times of the process before. Change: a record c (boot id, epoch, reading) at the head of each ledger file and once a second behind; the next process goes on with that clock (ground/clock.py). After a machine start, or where it cannot be told, what is owed keeps what it had left at the last reading and windows count as over. Earlier ledgers are read as before. The same mistake elsewhere: turns after an outage go by the wall clock of now, not of the start; the log's stamps show the wall clock and its limit counts by the steady one; hand-over times are steady. up_since_ms is read nowhere; waits, retry times and watches are spans of trio's clock.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -343,7 +343,10 @@
         pause = self.pause(endpoint)
         at = self.at.now + max(ASIDE + int(ASIDE_RANDOM * self.at.chance(endpoint.id)), pause // 2)
         turn = min(TURN_SLICE, max(ASIDE, pause) // self.me.dispatchers)
-        endpoint.trial_at = max(at, (at // turn + (self.me.rank - at // turn) % self.me.dispatchers) * turn)
+        # Turns lie apart only by a time that all dispatchers share; ours goes on over steps of the clock.
+        turns_gone = (at + self.at.wall_clock_ahead) // turn
+        own_turn = turns_gone + (self.me.rank - turns_gone) % self.me.dispatchers
+        endpoint.trial_at = max(at, own_turn * turn - self.at.wall_clock_ahead)
         self.at.wake_at(endpoint.trial_at)
 
     def overdue(self, push):
@@ -482,6 +485,7 @@
 
     def __init__(self, host, settings, seed, now):
         self.host, self.now = host, now
+        self.wall_clock_ahead = 0  # of `now`: what all machines' clocks agree on is the sum of both
         self.me = Instance(settings, seed, settings.get("rank", 0), max(1, settings.get("dispatchers", 1)))
         self.stages = [stage(self) for stage in (Ttl, Order, Slots, Waits, Health, Rate, Pick, Timeout)]
         self.ttl, self.order, _, _, self.health, _, self.pick, self.timeout = self.stages
--- a/juniperlanding/emulator/clock.py
+++ b/juniperlanding/emulator/clock.py
@@ -6,6 +6,8 @@
 import trio
 from trio.testing import MockClock
 
+from juniperlanding.ground.clock import Clock
+
 SEC = 1_000_000_000
 EPOCH = 1_700_000_000 * SEC  # Unix time at which every emulated run begins
 
@@ -30,8 +32,7 @@
 
 
 class HostClock:
-    """A host's Unix time.  `skew` is what its system clock is off by; the seam's clock, as in production,
-    takes the system clock once at the start of a process and goes by the steady one from then on."""
+    """A host's Unix time.  `skew` is what its system clock is off by."""
 
     def __init__(self):
         self.skew, self.stopped_at = 0, None
@@ -40,17 +41,18 @@
         return EPOCH + elapsed() + self.skew
 
     def process_clock(self):
-        return ProcessClock(self.system() - elapsed())
-
+        return ProcessClock(self)
 
-class ProcessClock:
-    """The seam: Unix nanoseconds that never run backwards while the process lives."""
 
-    def __init__(self, base):
-        self.base = base
+class ProcessClock(Clock):
+    """The seam, on one host that comes up once: production's rules over emulated clocks."""
 
-    def now(self):
-        return self.base + elapsed()
+    def __init__(self, host):
+        self.host, self.boot_id = host, "emulated"
+        self.epoch = self.wall() - self.steady()
 
     def steady(self):
         return elapsed()
+
+    def wall(self):
+        return self.host.system()
--- a/juniperlanding/emulator/faults.py
+++ b/juniperlanding/emulator/faults.py
@@ -324,8 +324,6 @@
     for one in dispatchers(world, fault.target):
         step = int(fault.amount) * SEC * (-1 if int(fault.amount) % 2 else 1)
         one.clock.skew += step
-        # A TTL is Unix time in the ledger: held over a restart on a clock set back, it lasts longer by that.
-        one.set_back = max(one.set_back, one.set_back - step)
 
 
 # ---- the list
--- a/juniperlanding/emulator/process.py
+++ b/juniperlanding/emulator/process.py
@@ -58,7 +58,7 @@
         self.mount, self.reach, self.draining = None, None, False
         self.ready_at = self.last_ready = 0
         self.seen_ready = False  # whether `ready_at` is this process's already, and not the one's before
-        self.over, self.set_back = True, 0  # set_back: how far its clock was set back since it began, in ns
+        self.over = True
         self.slots = told["settings"]["family_info"]["workers"]
 
     def replace(self, **more):
--- a/juniperlanding/ground/log.py
+++ b/juniperlanding/ground/log.py
@@ -67,13 +67,20 @@
 
 
 class Limit:
-    """So many lines a second for each event; the next one says how many were held back."""
+    """So many lines a second for each event; the next one says how many were held back.
 
-    def __init__(self, now, lines):
-        self.now, self.lines, self.seen = now, lines, {}  # event: [start of its second, written, held back]
+    The second is one of the steady clock: counted by a wall clock that is set back, an event would be silent
+    until the old time is reached again."""
+
+    def __init__(self, clock, lines):
+        self.clock, self.lines, self.seen = (
+            clock,
+            lines,
+            {},
+        )  # event: [start of its second, written, held back]
 
     def __call__(self, _logger, _method, line):
-        now, event = self.now(), line["event"]
+        now, event = self.clock.steady(), line["event"]
         if event not in self.seen and len(self.seen) >= MOST_EVENTS:
             self.seen.pop(next(iter(self.seen)))
         entry = self.seen.setdefault(event, [now, 0, 0])
@@ -86,7 +93,7 @@
         held, entry[2] = entry[2], 0
         if held:
             line["held_back"] = held
-        line["at"] = now
+        line["at"] = self.clock.wall()
         return line
 
 
@@ -163,11 +170,11 @@
     ).bind(instance=name)
 
 
-def to(name, now, form=PLAIN, sink=None, lines=LINES):
+def to(name, clock, form=PLAIN, sink=None, lines=LINES):
     """A log of one instance: call it with an event, at will a text, and figures as fields.
 
-    `now` tells Unix nanoseconds; `form` is one of FORMS; `sink` a text file (standard error); `lines` how
-    many
-    of one event may be written within a second.  It never raises for what it is handed, nor for the pipe."""
-    limit, pipe = Limit(now, lines), Pipe(sink)
+    `clock` is a `ground.clock.Clock`; `form` is one of FORMS; `sink` a text file (standard error); `lines`
+    how many of one event may be written within a second.  It never raises for what it is handed, nor for the
+    pipe."""
+    limit, pipe = Limit(clock, lines), Pipe(sink)
     return Plain(name, limit, pipe) if form == PLAIN else by_structlog(name, limit, pipe, form)
--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -9,35 +9,18 @@
 import socket
 import stat
 import struct
-import time
 from contextlib import suppress
 from dataclasses import dataclass
 
 import trio
 
+from juniperlanding.ground.clock import Clock
 from juniperlanding.ground.errors import Trouble
 from juniperlanding.ground.lock import Lock
 
 BACKLOG = 1024
 MOST_FILE = 256 << 20  # bytes of a file that is read whole
 MOST_DATAGRAM = 2048
-STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
-
-
-class Clock:
-    """Unix time in nanoseconds that never runs backwards while the process lives."""
-
-    def __init__(self):
-        self.base = time.time_ns() - time.monotonic_ns()
-
-    def now(self):
-        return self.base + time.monotonic_ns()
-
-    def steady(self):
-        """Nanoseconds of a clock that nobody sets and that goes on while the machine sleeps.
-
-        Threat: a licence that stood still with its machine, and the others have gone on without it."""
-        return time.clock_gettime_ns(STEADY)
 
 
 class Socket:
--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -12,6 +12,12 @@
     e id                                                 over, and remembered until its TTL
     x id                                                 over as if it had never been taken on
     d id ttl_at                                          over before this file was written, and remembered
+    c boot epoch now                                     the clock of these times, and its reading then
+
+Times are readings of one clock (`ground.clock`), which the next process goes on with.  Where the machine
+itself came up again nobody knows how long it was down: what is owed keeps the time that it had left at the
+last reading on file, so that a wrong wall clock ends nothing early and keeps nothing for longer than its TTL;
+a window for repeats counts as over.
 """
 
 import errno
@@ -22,6 +28,7 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
+from juniperlanding.ground.clock import ClockStamp
 from juniperlanding.ground.errors import Trouble
 from juniperlanding.ground.seams import Files
 
@@ -31,7 +38,12 @@
 OVER = 16  # of the disk, one part in so many may hold ids that are over
 REMEMBERED = 64  # bytes beside its id that one which is over takes until its TTL
 MORE = 512  # bytes beside its first record that one notification's pushes and end will add
-DOUBT = -1, (0, 1)  # a push that a lost record may have told of: at an unknown place, and longest ago
+STAMP_EVERY = 1_000_000_000  # ns between readings of the clock on file; so much may a dead machine give back
+LONGEST_AGO = 1  # when a push began of which nobody knows when
+DOUBT = (
+    -1,
+    (0, LONGEST_AGO),
+)  # a push that a lost record may have told of: at an unknown place, and longest ago
 MOST_MENDED = 1 << 20  # bytes of damaged lines that are looked at byte by byte
 ERRORS = {crc32(bytes([error])) ^ crc32(b"\0"): error for error in range(256)}  # what each does to a checksum
 BAD = ValueError, TypeError, KeyError, IndexError  # what reading a damaged or a foreign record raises
@@ -143,6 +155,7 @@
         self.owed, self.owed_size, self.skipped, self.damaged = {}, 0, 0, 0
         # id: TTL.  Threat: one that is over comes again after a restart, and runs twice.
         self.over, self.over_size, self.most_over = {}, 0, 1 << 62
+        self.stamp = None  # the latest reading of the clock that these times are of
 
     def load(self, path):
         try:
@@ -203,6 +216,8 @@
 
     def apply(self, record, size=0):
         kind, number, *rest = record
+        if kind == "c":
+            return self.read(ClockStamp(number, *map(int, rest)))
         if kind == "d":
             return self.remember(number, int(rest[0]))
         if kind == "t":
@@ -229,6 +244,32 @@
             else:
                 self.forget(number)
 
+    def read(self, stamp):
+        """A reading of the clock; where it is of another one, what was read before moves to it.
+
+        A process that cannot rewrite the file at its start writes on behind what another clock timed."""
+        if self.stamp and (self.stamp.boot_id, self.stamp.epoch) != (stamp.boot_id, stamp.epoch):
+            self.move(stamp.now - self.last_reading())
+        self.stamp = stamp
+
+    def last_reading(self):
+        """The latest time that the records tell of."""
+        pushed = [at for owed in self.owed.values() for _, at in owed.ran.values()]
+        return max(self.stamp.now, *pushed, 0)
+
+    def resume(self, clock):
+        """Make a clock show the times on file: go on with the one that they were written by, or, where the
+        machine came up again since, move the times to it."""
+        if clock and self.stamp and not clock.resume(self.stamp):
+            self.move(clock.now() - self.last_reading())
+
+    def move(self, span):
+        """Add a span to all deadlines; when a push began is not known any more."""
+        for owed in self.owed.values():
+            owed.ttl_at += span
+            owed.ran = {number: (zone, LONGEST_AGO) for number, (zone, _) in owed.ran.items()}
+        self.over = {number: ttl_at + span for number, ttl_at in self.over.items()}
+
     def remember(self, number, ttl_at):
         """Bounded: when there is no room for more, the one that has been over longest is forgotten."""
         self.forget(number)
@@ -252,17 +293,42 @@
         raise Split(errno.EBUSY, "the ledger is in several files, and shards are off", path)
 
 
+class Stamps:
+    """Readings of a clock for files: one at the head of each, then one a second while something is written.
+
+    clock: the process's; None: files without readings, as versions before them wrote."""
+
+    def __init__(self, clock):
+        self.clock, self.due_at = clock, 0
+
+    def line(self):
+        """The present reading as a record; nothing where the clock cannot tell the machine's start."""
+        stamp = self.clock.stamp() if self.clock else None
+        return line(["c", stamp.boot_id, stamp.epoch, stamp.now]) if stamp else b""
+
+    def due(self):
+        """As `line`, once a second."""
+        if self.clock is None or self.clock.now() < self.due_at:
+            return b""
+        self.due_at = self.clock.now() + STAMP_EVERY
+        return self.line()
+
+
 class Ledger(Books):
-    """`inherited`: another process of ours wrote it to the end, and may take it back; nothing is changed."""
+    """`inherited`: another process of ours wrote it to the end, and may take it back; nothing is changed.
+
+    `clock`: goes on with the one that the file was written by."""
 
-    def __init__(self, folder, disk, files=None, inherited=False):
+    def __init__(self, folder, disk, files=None, inherited=False, clock=None):
         super().__init__(files)
+        self.stamps = Stamps(clock)
         self.path = f"{folder}/{FILE}"
         self.most_owed, self.most_file = disk * FULL // 8, disk * WASTE // 8
         self.most_over = disk // OVER
         self.pending, self.file, self.file_size = [], -1, 0
         self.torn = False  # half a record may stand at the file's end
         self.load(self.path)
+        self.resume(clock)
         if inherited:
             self.file, self.file_size = self.files.open(self.path), self.files.size(self.path)
         else:
@@ -284,7 +350,7 @@
         """Write what gathered; on an error it stays gathered, and the file is as before."""
         if not self.pending:
             return
-        data = b"".join(self.pending)
+        data = self.stamps.due() + b"".join(self.pending)
         if self.file_size + len(data) > self.most_file:
             self.compact()  # what is pending is applied already, so it is in there
         else:
@@ -321,6 +387,8 @@
         fresh, size = self.path + ".new", 0
         file = self.files.open(fresh, fresh=True)
         try:
+            if self.owed or self.over:
+                size += self.append(file, self.stamps.line())
             for owed in self.owed.values():
                 size += self.append(file, b"".join(map(line, owed.records())))
             over = b"".join(line(["d", *entry]) for entry in self.over.items())
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -44,7 +44,7 @@
     def __init__(self, told, world, log=None, offer=None):
         self.config, self.world, self.offer, self.before = told, world, offer, None
         self.counters = Counters(topic.get("name") for topic in told.settings["topic_types"])
-        self.log = log or logs.to(told.name, world.clock.now, **told.log)
+        self.log = log or logs.to(told.name, world.clock, **told.log)
         self.rereads, self.reread_after, self.replaced = trio.CancelScope(), REREAD, False
         self.listener = self.lock = self.door = None
         self.stops_at = 0
@@ -75,8 +75,8 @@
     def build(self, offer=None):
         """The parts that serve, from what the folder holds."""
         told, world, common = self.config, self.world, (self.counters, self.log)
-        self.ledger = parts.books(told, world.files, bool(offer))
-        self.owner = owner = Owner(told, world.clock.now, self.ledger, *common)
+        self.ledger = parts.books(told, world.files, bool(offer), world.clock)
+        self.owner = owner = Owner(told, world.clock, self.ledger, *common)
         most_clients, self.most_calls = bounds(told)
         ended = partial(owner.tell, owner.finished)
         owner.endpoints = Endpoints(told, world, self.most_calls, ended, *common, owner.on_file)
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -20,6 +20,7 @@
 SETTLE = 0.005  # seconds between looks at whether all has come to rest
 STOOD_STILL = SEC // 4  # without a round; one of an idle process costs no more than a look or two
 WRITE_AGAIN = SEC // 20  # until a ledger that could not be written is tried again
+CLOCK_STEP = MS  # a wall clock that is off by less has not been stepped
 LAST_CALL = SEC // 5  # after its TTL, what the module has not ended is ended here, with a round between
 
 
@@ -35,8 +36,10 @@
 class Owner:
     """The module's host on sockets."""
 
-    def __init__(self, config, now, ledger, counters, log):
-        self.config, self.ledger, self.counters, self.log_line, self.now = config, ledger, counters, log, now
+    def __init__(self, config, clock, ledger, counters, log):
+        self.config, self.ledger, self.counters, self.log_line = config, ledger, counters, log
+        self.clock = clock
+        self.now = clock.now
         self.batches = config.settings.get("batch_by_kind", [])
         self.held = {}  # what the module has not ended, with its client's answer; the ledger has the rest
         self.taken = set()  # ids until their TTL; threat: one that is over comes again, and would run twice
@@ -48,7 +51,7 @@
         self.watch = None  # a part that counts what is handed in and answered
         self.stuck, self.write_at = False, 0  # the ledger cannot be written; when it is tried again
         self.stuck_at, self.said = 0, None
-        self.at = Dispatcher(self, config.settings, config.seed, now())
+        self.at = Dispatcher(self, config.settings, config.seed, self.now())
         # None: nothing binds us.  Else `holds()` is the number under which new work may be taken on, or None.
         self.licence, self.in_force = None, 0
         self.terms = {}  # number: topic types of each that something owed was taken on under; off, none
@@ -179,6 +182,7 @@
         while not (self.frozen and self.settled()):
             events = await self.gather()
             self.at.now = now = self.now()
+            self.follow_wall_clock()
             for what, fields in events:
                 self.guarded(what, *fields)
             while self.timers and self.timers[0][0] <= now:
@@ -190,6 +194,14 @@
             if self.parked.is_set():
                 await trio.sleep_forever()  # `hear_out` takes what still comes
 
+    def follow_wall_clock(self):
+        """Tell the module how far the machine's wall clock is ahead of ours, where that has changed.
+
+        Dispatchers take turns by the time that their machines agree on; ours is kept from all steps."""
+        ahead = self.clock.wall() - self.at.now
+        if abs(ahead - self.at.wall_clock_ahead) >= CLOCK_STEP:
+            self.at.wall_clock_ahead = ahead
+
     def park(self):
         """Take no round after this one.  Threat: an event in the hand of a task that is ended is lost."""
         self.parked.set()
--- a/juniperlanding/net/parts.py
+++ b/juniperlanding/net/parts.py
@@ -27,14 +27,14 @@
     return parts
 
 
-def books(told, files, inherited):
+def books(told, files, inherited, clock):
     """The ledger of a folder: one file, or shards; `Split` for one that is split while shards are off."""
     if told.shards:
         from juniperlanding.shards.books import Sharded
 
-        return Sharded(told.state, told.disk, files, inherited)
+        return Sharded(told.state, told.disk, files, inherited, clock)
     whole(files, told.state)
-    return Ledger(told.state, told.disk, files, inherited)
+    return Ledger(told.state, told.disk, files, inherited, clock)
 
 
 def merged(parts, what, before):
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -224,7 +224,7 @@
                     listen = "{}:{}".format(*self.config.listen)
                     if heard[0].get("listen") != listen:
                         why = f"it listens at {listen}"
-                    elif self.giver.hello(self.world.clock.now()):
+                    elif self.giver.hello(self.world.clock.steady()):
                         self.channel = channel
                         self.log("upgrade", "another process takes over", pid=channel.peer()[0])
                     else:
@@ -242,9 +242,9 @@
 
     async def give(self, offer):
         """Whether the other process owns everything now; else we go on with the offer ourselves."""
-        self.giver.frozen(self.world.clock.now())
+        self.giver.frozen(self.world.clock.steady())
         try:
-            with trio.move_on_after((self.giver.until - self.world.clock.now()) / SEC):
+            with trio.move_on_after((self.giver.until - self.world.clock.steady()) / SEC):
                 await self.channel.say(frames.OFFER, offer.files(), state=offer.state)
                 heard = await self.channel.hear()
                 if heard and heard[0]["say"] == frames.READY and self.giver.ready():
@@ -295,7 +295,7 @@
     """The node of a process that owns its folder: at once, or from the process that has it now.
 
     `make(offer)` builds it.  Raises OSError when the folder is kept from us, by words or by silence."""
-    taker = steps.Taker(world.clock.now())
+    taker = steps.Taker(world.clock.steady())
     while True:
         try:
             return make(None)
@@ -307,7 +307,7 @@
         except (frames.Noise, OSError) as error:
             if isinstance(error, Trouble):
                 raise
-        if steps.END in taker.lost(world.clock.now()):
+        if steps.END in taker.lost(world.clock.steady()):
             raise refused
         await trio.sleep(AGAIN)
 
@@ -326,7 +326,7 @@
         raise system(error) from None
     channel, node = world.network.call(told.state), None
     try:
-        with trio.move_on_after((taker.until - world.clock.now()) / SEC):
+        with trio.move_on_after((taker.until - world.clock.steady()) / SEC):
             await channel.say(frames.HELLO, listen="{}:{}".format(*told.listen))
             heard = await channel.hear(whole=True)
             if heard and heard[0]["say"] == frames.REFUSED:
--- a/juniperlanding/shards/books.py
+++ b/juniperlanding/shards/books.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from juniperlanding.ground.errors import Trouble
-from juniperlanding.net.ledger import FILE, FULL, MANIFEST, OVER, WASTE, Books, Ledger, Owed, line
+from juniperlanding.net.ledger import FILE, FULL, MANIFEST, OVER, WASTE, Books, Ledger, Owed, Stamps, line
 
 PLACES = 1 << 16
 BLOCK = 512  # a file takes its room in whole ones
@@ -134,8 +134,9 @@
 
     `inherited`: another process of ours wrote them to the end, and may take them back; nothing is changed."""
 
-    def __init__(self, folder, disk, files=None, inherited=False):
+    def __init__(self, folder, disk, files=None, inherited=False, clock=None):
         super().__init__(files)
+        self.stamps = Stamps(clock)
         self.folder, self.disk = folder, disk
         self.most_owed, self.most_file = disk * FULL // 8, disk * WASTE // 8
         self.most_over, self.most = disk // OVER, disk - disk // SPARE
@@ -145,6 +146,7 @@
         self.last = 0
         self.enter([Shard(self.files, *told) for told in ranges(self.files, folder)])
         self.join(held(self.files, folder))
+        self.resume(clock)
         listed = self.files.list(folder)
         self.last = max(map(number, listed), default=0)
         if inherited:
@@ -180,6 +182,8 @@
                 self.owed[owed.id] = owed
                 self.owed_size += owed.size
                 shard.has(owed)
+            stamps = [one for one in (self.stamp, books.stamp) if one]
+            self.stamp = max(stamps, key=lambda stamp: stamp.now, default=None)
             over += [(ttl_at, one, shard.low) for one, ttl_at in books.over.items()]
         for ttl_at, one, low in sorted(over):
             if one not in self.owed:
@@ -277,7 +281,8 @@
             rewrite = self.concerned(key)
             if rewrite and one in rewrite.copied:
                 mirrors.setdefault(rewrite.place(key), []).append(raw)
-        parts = {shard: b"".join(lines) for shard, lines in parts.items()}
+        stamp = self.stamps.due()
+        parts = {shard: stamp + b"".join(lines) for shard, lines in parts.items()}
         mirrors = {shard: b"".join(lines) for shard, lines in mirrors.items()}
         grown = sum(map(len, parts.values()))
         if self.file_size + grown > self.most_file:
@@ -356,6 +361,8 @@
         try:
             for shard in new:
                 shard.file = self.files.open(self.path(shard), fresh=True)
+                if self.owed or self.over:
+                    shard.file_size += shard.added(self.stamps.line())
         except OSError as error:
             self.give_up(error.strerror or str(error))
             raise
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -4,12 +4,15 @@
 
 import pytest
 import trio
-from conftest import WIRE
+from conftest import WIRE, Bed
 from test_restart import PAY, opened, pushed_and_killed, sent, taken_and_killed
 
 from juniperlanding.choice import SEC
+from juniperlanding.ground.clock import Clock
 from juniperlanding.ground.seams import system
+from juniperlanding.net.ledger import Ledger, line
 from juniperlanding.net.protocol import GIVEN_UP
+from juniperlanding.shards.books import Sharded
 from juniperlanding.standins.peers import http
 
 HOUR = 3600 * SEC
@@ -114,3 +117,139 @@
         assert sent(site) == ["a0"] and outcomes(site) == {"a0": GIVEN_UP}
 
     site.run(scene, lambda *message: None)
+
+
+# ---- the clock and the ledger alone
+
+
+class Machine(Clock):
+    """A clock over restarts of the process and of the machine."""
+
+    def __init__(self, boot_id="boot 1", steady=0, wall=HOUR):
+        self.boot_id, self.at, self.wall_at = boot_id, steady, wall
+        self.epoch = self.wall() - self.steady()
+
+    def steady(self):
+        return self.at
+
+    def wall(self):
+        return self.wall_at
+
+
+def written(folder, clock, ttl=20 * SEC):
+    """A ledger that owes `a` untried and `b` pushed, both taken on now, and remembers `c`."""
+    ledger = Ledger(folder, 1 << 20, clock=clock)
+    for name in "abc":
+        ledger.take(name, "news", 7, clock.now() + ttl, "", b"")
+    ledger.write("p", "b", 0, 1, clock.now())
+    ledger.write("e", "c")
+    ledger.flush()
+    ledger.close()
+
+
+def test_the_next_process_goes_on_with_the_clock_of_the_file(tmp_path):
+    written(tmp_path, Machine(steady=5 * SEC))
+    clock = Machine(steady=8 * SEC, wall=9 * HOUR)
+    ledger = Ledger(tmp_path, 1 << 20, clock=clock)
+    left = {name: owed.ttl_at - clock.now() for name, owed in ledger.owed.items()}
+    assert left == {"a": 17 * SEC, "b": 17 * SEC}
+    assert ledger.owed["b"].ran == {0: (1, clock.now() - 3 * SEC)}
+    assert ledger.over["c"] - clock.now() == 17 * SEC
+
+
+@pytest.mark.parametrize("wall", [0, HOUR, 9 * HOUR])
+@pytest.mark.parametrize("boot_id, steady", [("boot 2", 8 * SEC), ("boot 1", SEC), ("", 8 * SEC)])
+def test_after_the_machine_came_up_again_each_keeps_the_time_it_had_left(tmp_path, boot_id, steady, wall):
+    """Or where that cannot be told.  A window for repeats counts as over."""
+    written(tmp_path, Machine(steady=5 * SEC))
+    for _ in range(2):  # and the times are moved once only
+        clock = Machine(boot_id, steady, wall)
+        ledger = Ledger(tmp_path, 1 << 20, clock=clock)
+        assert {owed.ttl_at - clock.now() for owed in ledger.owed.values()} == {20 * SEC}
+        assert ledger.owed["b"].ran == {0: (1, 1)} and ledger.over["c"] - clock.now() == 20 * SEC
+        ledger.close()
+
+
+def test_what_is_owed_over_machine_starts_is_not_kept_for_ever(tmp_path):
+    """Each start takes off what passed until the last reading on file."""
+    written(tmp_path, Machine())
+    for start in range(2, 6):
+        clock = Machine(f"boot {start}")
+        ledger = Ledger(tmp_path, 1 << 20, clock=clock)
+        clock.at += 4 * SEC
+        ledger.take(f"d{start}", "news", 7, clock.now() + SEC, "", b"")
+        ledger.flush()
+        ledger.close()
+    clock = Machine("boot 6")
+    assert Ledger(tmp_path, 1 << 20, clock=clock).owed["a"].ttl_at - clock.now() == 4 * SEC
+
+
+def test_a_ledger_of_an_earlier_version_goes_by_the_wall_clock(tmp_path):
+    written(tmp_path, NoReadings(steady=5 * SEC))
+    before = (tmp_path / "ledger").read_bytes()
+    assert b'["c"' not in before
+    clock = Machine(steady=8 * SEC, wall=HOUR + 3 * SEC)
+    ledger = Ledger(tmp_path, 1 << 20, clock=clock)
+    assert {owed.ttl_at - clock.now() for owed in ledger.owed.values()} == {17 * SEC}
+
+
+class NoReadings(Machine):
+    """Of a process whose version writes no readings."""
+
+    def stamp(self):
+        return None
+
+
+def test_the_files_of_shards_carry_the_clock_too(tmp_path):
+    clock = Machine(steady=5 * SEC)
+    ledger = Sharded(str(tmp_path), 1 << 20, clock=clock)
+    ledger.take("a", "news", 7, clock.now() + 20 * SEC, "", b"")
+    ledger.flush()
+    ledger.close()
+    for later, left in ((Machine(steady=8 * SEC, wall=0), 17), (Machine("boot 2", wall=0), 17)):
+        again = Sharded(str(tmp_path), 1 << 20, clock=later)
+        assert again.owed["a"].ttl_at - later.now() == left * SEC
+        again.close()
+
+
+def test_turns_after_an_outage_are_of_the_time_that_the_machines_agree_on():
+    """Ours was started an hour off, and its machine's clock was set right since."""
+    trials = []
+    for ahead in (0, HOUR + SEC // 7):
+        bed = Bed()
+        bed.at.me.rank, bed.at.me.dispatchers = 3, 200
+        bed.at.now -= ahead
+        bed.at.wall_clock_ahead = ahead
+        endpoint = bed.endpoint()
+        endpoint.down, endpoint.run = True, 9
+        bed.at.health.aside(endpoint)
+        trials.append(endpoint.trial_at + ahead)
+    assert trials[0] == trials[1]
+
+
+def test_a_step_of_the_wall_clock_is_told_to_the_module(site, wall_clock):
+    async def scene(site):
+        node = await site.start()
+        await site.submit("a0")
+        assert abs(node.owner.at.wall_clock_ahead) < SEC
+        wall_clock.ahead += HOUR
+        await site.submit("a1")
+        assert abs(node.owner.at.wall_clock_ahead - HOUR) < SEC
+
+    site.run(scene)
+
+
+def test_a_file_that_two_clocks_wrote_is_read_by_both(tmp_path):
+    """The second process could not rewrite it, and wrote on behind the first one's records."""
+    written(tmp_path, Machine(steady=5 * SEC))
+    second = Machine("boot 2", steady=SEC, wall=0)
+    with (tmp_path / "ledger").open("ab") as file:
+        file.write(line(["c", second.boot_id, second.epoch, second.now()]))
+        file.write(line(["t", "e", "news", 7, second.now() + 9 * SEC, "", ""]))
+    third = Machine("boot 2", steady=3 * SEC, wall=HOUR)
+    owed = Ledger(tmp_path, 1 << 20, clock=third).owed
+    assert {name: one.ttl_at - third.now() for name, one in owed.items()} == {
+        "a": 18 * SEC,
+        "b": 18 * SEC,
+        "e": 7 * SEC,
+    }
