--- /dev/null
+++ b/tests/test_system_errors.py
@@ -0,0 +1,147 @@
+"""System calls that fail as Linux documents: what that costs the clients of this process."""
+
+import errno
+import os
+from dataclasses import replace
+from random import Random
+
+import trio
+from test_net import owed
+from test_restart import opened, sent, taken_and_killed
+
+from juniperlanding.ground import seams
+from juniperlanding.standins.peers import read_message
+
+FAILURES = [errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EMFILE, errno.EPROTO]
+SHARE_FAILING = 0.3
+ANSWER_WITHIN = 1.0  # seconds
+
+
+class FailingListener:
+    """A listener of which a share of the accepts fails: in turn each error, by a seeded chance.
+
+    As in Linux, the connection stays in the backlog where the process has no room for it, and is gone
+    where the error was the connection's own."""
+
+    def __init__(self, listener, errors=FAILURES, share=SHARE_FAILING):
+        self.listener, self.errors, self.share = listener, list(errors), share
+        self.chance, self.failed = Random("accept"), 0
+
+    def __getattr__(self, name):
+        return getattr(self.listener, name)
+
+    async def accept(self):
+        await trio.lowlevel.wait_readable(self.listener.raw)
+        if self.chance.random() < self.share:
+            number = self.errors[self.failed % len(self.errors)]
+            self.failed += 1
+            await trio.lowlevel.checkpoint()
+            raise OSError(number, os.strerror(number))
+        return await self.listener.accept()
+
+
+class FailingNetwork(seams.Network):
+    def __init__(self, wrap):
+        self.wrap, self.listener = wrap, None
+
+    def bind(self, address):
+        self.listener = self.wrap(super().bind(address))
+        return self.listener
+
+
+async def asked(site, answers):
+    with trio.move_on_after(ANSWER_WITHIN):
+        stream = await site.client()
+        await stream.send_all(b"GET /_health HTTP/1.1\r\nHost: api\r\n\r\n")
+        answer = await read_message(stream, bytearray())
+        answers.append(answer and answer[0])
+
+
+def test_failing_accepts_keep_no_client_from_its_answer(site):
+    """100 new connections a second, of whose accepts three in ten fail: each is answered within a second."""
+    network = FailingNetwork(FailingListener)
+    site.world = replace(site.world, network=network)
+
+    async def scene(site):
+        await site.start()
+        answers = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(200):
+                nursery.start_soon(asked, site, answers)
+                await trio.sleep(0.01)
+        assert network.listener.failed >= 50
+        assert len(answers) == 200, f"{200 - len(answers)} of 200 got no answer in time"
+
+    site.run(scene)
+
+
+class FailingConnects(seams.Network):
+    """The first connects to one address fail with an error of this machine."""
+
+    def __init__(self, number, times):
+        self.number, self.left, self.to = number, times, None
+
+    async def connect(self, address):
+        if address == self.to and self.left:
+            self.left -= 1
+            await trio.lowlevel.checkpoint()
+            raise OSError(self.number, os.strerror(self.number))
+        return await super().connect(address)
+
+
+LOCAL = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH]
+
+
+def test_connects_that_fail_for_want_of_our_own_means_strike_no_endpoint(site):
+    """Six in a row, of each kind: the call is made in the end, its endpoint in no doubt, its try not used."""
+    network = FailingConnects(0, 0)
+    site.world = replace(site.world, network=network)
+
+    async def scene(site):
+        node = await site.start()
+        network.to = site.far.address
+        for number in LOCAL:
+            name = errno.errorcode[number]
+            network.number, network.left = number, 6
+            node.owner.endpoints.close_idle("s-1")
+            assert await site.submit(name) == 202
+            await site.until(lambda: not node.ledger.owed)
+            endpoint = node.owner.at.me.endpoints["s-1"]
+            assert not endpoint.run and not endpoint.trouble and not network.left, name
+        assert len(site.far.got) == len(LOCAL) and not site.platform.notices
+
+    site.run(scene)
+
+
+class FailingDisk(seams.Files):
+    """Writes fail while `failing` is set: all of them, or a share by a seeded chance."""
+
+    def __init__(self, share=1.0, number=errno.EIO):
+        self.failing, self.share, self.number = False, share, number
+        self.chance, self.failed = Random("disk"), 0
+
+    def write(self, file, data):
+        if self.failing and self.chance.random() < self.share:
+            self.failed += 1
+            raise OSError(self.number, os.strerror(self.number))
+        return super().write(file, data)
+
+
+def test_a_start_while_the_disk_fails_serves_what_is_owed_once_it_writes_again(site):
+    files = FailingDisk()
+
+    async def scene(site):
+        await taken_and_killed(site, ["a0", "a1"])
+        site.world = replace(site.world, files=files)
+        files.failing = True
+        node = await site.start()
+        await opened(site, node)
+        await trio.sleep(0.2)
+        assert not sent(site) and len(node.ledger.owed) == 2  # nothing leaves unwritten
+        files.failing = False
+        await site.until(lambda: not node.ledger.owed)
+        assert sorted(sent(site)) == ["a0", "a1"] and not site.platform.notices
+        site.kill()
+        assert not owed(site)
+
+    site.run(scene)
