Accept and connect errors by whom they concern; a start goes on while the disk fails

A connect that lacks something of ours is waited for as a place is; no way there counts after 0.3 s. A start that cannot rewrite the ledger writes on behind it.

--- a/juniperlanding/ground/errors.py
+++ b/juniperlanding/ground/errors.py
@@ -41,13 +41,13 @@
 
 
 class DiskFull(Trouble, OSError):
-    """A write found no room: a start ends there; later, new work is refused until a write succeeds."""
+    """A write found no room: new work is refused until a write succeeds."""
 
     code, remedy = "disk-full", "Free room on the disk with the state folder; what waits goes on by itself."
 
 
 class DiskFailing(Trouble, OSError):
-    """The disk failed at a read or write: a start ends there; later, new work is refused while it lasts."""
+    """The disk failed: a start that cannot read ends there; else new work is refused while it lasts."""
 
     code, remedy = "disk-failing", "Look at the disk with the state folder; replace it if it goes on failing."
 
--- a/juniperlanding/ground/lock.py
+++ b/juniperlanding/ground/lock.py
@@ -3,6 +3,7 @@
 import errno
 import fcntl
 import os
+from contextlib import suppress
 
 from juniperlanding.ground.errors import Trouble
 
@@ -52,8 +53,10 @@
         """Write down which process has the folder.
 
         Threat: a file that is cut to nothing and written again is flushed by some systems, for 50 ms in which
-        nobody is answered; so it keeps its length."""
-        os.pwrite(self.file, b"%-20d\n" % os.getpid(), 0)
+        nobody is answered; so it keeps its length.  The lock holds without the name: a disk that fails for a
+        moment must not end a start."""
+        with suppress(OSError):
+            os.pwrite(self.file, b"%-20d\n" % os.getpid(), 0)
 
     def close(self):
         if self.file >= 0:
--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -9,7 +9,6 @@
 import socket
 import stat
 import struct
-from contextlib import suppress
 from dataclasses import dataclass
 
 import trio
@@ -113,7 +112,7 @@
         self.raw.listen(BACKLOG)
 
     async def accept(self):
-        """The next connection and who is at its other end; OSError when there is no descriptor for it."""
+        """The next connection and who is at its other end; OSError as accept(2) has them."""
         while True:
             await trio.lowlevel.wait_readable(self.raw)
             try:
@@ -123,10 +122,12 @@
             return Socket(raw), peer
 
     def waiting(self):
-        """As `accept`, of one that has connected already; None if there is none, or no descriptor for it."""
-        with suppress(OSError):
+        """As `accept`, of one that has connected already; None if there is none."""
+        try:
             raw, peer = self.raw.accept()
-            return Socket(raw), peer
+        except BlockingIOError:
+            return None
+        return Socket(raw), peer
 
     def close(self):
         self.raw.close()
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -10,12 +10,15 @@
 from juniperlanding.net.counters import DECLINED
 from juniperlanding.net.line import GONE, Line
 from juniperlanding.net.owner import Answer
+from juniperlanding.net.system_errors import AcceptErrors, Concerns, concerns, name
 
 TURNED_AWAY = ("closed_by_us", "silent")  # ends of connections on which no answer is owed
 ROOM = 8  # connections over the limit; they make others give way, and are closed after their answer
 # Seconds in which a new connection's request, or the rest of one, still comes as the connection gives way to
 # another one, and as the process ends.
 REST_WITHIN, LAST_REST_WITHIN = 0.02, 0.1
+MAKE_ROOM_EVERY = 0.05  # seconds between two idle connections that are closed because accepting fails
+LAST_ACCEPTS = 0.05  # seconds for those in the backlog, as the process ends and accepting fails
 
 
 class Clients:
@@ -29,6 +32,7 @@
         # Once frozen, whoever is between answers is carried over to the process that takes over.
         self.frozen, self.carried, self.leaving, self.accepting = False, [], set(), trio.CancelScope()
         self.accepts_nobody = trio.Event()
+        self.accept_errors, self.made_room_at = AcceptErrors(), float("-inf")
 
     async def listen(self, listener, nursery):
         self.nursery = nursery
@@ -45,10 +49,22 @@
         number: a crash; who came since its last look stands in the backlog, and the close resets it."""
         self.accepting.cancel()
         await self.accepts_nobody.wait()
-        while self.connection_limit.value and (come := listener.waiting()):
+        with trio.move_on_after(LAST_ACCEPTS):
+            await self.accept_backlog(listener)
+        listener.close()
+
+    async def accept_backlog(self, listener):
+        """Take on who has connected already.  One that failed must not have the others reset."""
+        while self.connection_limit.value:
+            try:
+                come = listener.waiting()
+            except OSError as error:
+                await self.accept_failed(error)
+                continue
+            if not come:
+                break
             self.connection_limit.acquire_nowait()
             self.take(*come)
-        listener.close()
 
     def inherit(self, nursery, lines):
         """Go on with another process's clients, (line, seconds left for its request) each; no more than there
@@ -81,7 +97,6 @@
         self.nursery.start_soon(self.attend, Line(sock, h11.SERVER), peer)
 
     async def accept(self, listener):
-        said = None
         while True:
             if not self.connection_limit.value and self.turned_away:
                 next(iter(self.turned_away.values())).cancel()  # it is owed nothing, and the next one waits
@@ -89,18 +104,38 @@
             await self.connection_limit.acquire()
             try:
                 come = await listener.accept()
-                said = None
             except trio.Cancelled:
                 self.connection_limit.release()
                 raise
             except OSError as error:
                 self.connection_limit.release()
-                if said != (said := described(error)):
-                    self.log("accept", why=said, **system(error).fields)
-                await trio.sleep(0.05)  # threat: out of descriptors, which passes
+                await self.accept_failed(error)
                 continue
+            self.accept_errors.succeeded()
             self.take(*come)
 
+    async def accept_failed(self, error):
+        """Count and log a failed accept, make room where that helps, and wait until the next may succeed."""
+        self.counters[f"accept_errors_{name(error)}"] += 1
+        if self.accept_errors.is_news(error, trio.current_time()):
+            self.log("accept", why=described(error), **system(error).fields)
+        if concerns(error) is Concerns.RESOURCES:
+            self.make_room()
+        await trio.sleep(self.accept_errors.pause(error))
+
+    def make_room(self):
+        """The process or machine has nothing left for one more connection: an idle one goes, now and then.
+
+        Failures that come and go would otherwise close all that are kept."""
+        now = trio.current_time()
+        if now < self.made_room_at + MAKE_ROOM_EVERY:
+            return
+        self.made_room_at = now
+        if self.turned_away:
+            next(iter(self.turned_away.values())).cancel()
+        elif not self.owner.endpoints.evict():
+            self.evict()
+
     def crowded(self):
         return self.open - len(self.turned_away) > self.most_open
 
--- a/juniperlanding/net/door.py
+++ b/juniperlanding/net/door.py
@@ -8,6 +8,7 @@
 from juniperlanding.ground.errors import Trouble, system
 from juniperlanding.ground.log import described, field, where
 from juniperlanding.net.line import GONE, linger
+from juniperlanding.net.system_errors import AcceptErrors
 
 PLACES = 8  # callers at once
 MOST_LINE = 128  # bytes of a call
@@ -36,15 +37,15 @@
 
     async def listen(self, nursery):
         self.listener.listen()
-        said = None
+        errors = AcceptErrors()
         while True:
             try:
                 sock, peer = await self.listener.accept()
-                said = None
+                errors.succeeded()
             except OSError as error:
-                if said != (said := described(error)):
-                    self.log("door", "cannot accept", why=said, **system(error).fields)
-                await trio.sleep(0.05)  # threat: out of descriptors, which passes
+                if errors.is_news(error, trio.current_time()):
+                    self.log("door", "cannot accept", why=described(error), **system(error).fields)
+                await trio.sleep(errors.pause(error))
                 continue
             # Threat: callers that never finish their line keep an operator out.
             if len(self.unfinished) >= PLACES:
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -14,7 +14,9 @@
 from juniperlanding.net import protocol
 from juniperlanding.net.counters import FORWARDS
 from juniperlanding.net.line import GONE, connect
+from juniperlanding.net.system_errors import NETWORK_ERRORS, RESOURCE_ERRORS, Backoff, is_local, name
 
+NO_ROUTE_WITHIN = 0.3  # seconds for which a connect that finds no way there is tried again
 LAST_READ = 0.05  # seconds to take in what came of an answer before its call was ended
 
 
@@ -262,16 +264,39 @@
             self.evict()
         # Threat: a call that finds no socket here is no fault of the endpoint's.
         await self.connection_limit.acquire()
-        call.tried = True
         try:
-            with trio.fail_after(self.connect_within):
-                line = await connect(self.network, self.book[endpoint])
+            line = await self.connected(call)
         except BaseException:
             self.connection_limit.release()
             raise
         self.counters["connections_opened"] += 1
         return line
 
+    async def connected(self, call):
+        """A new connection to a call's endpoint.
+
+        What this machine lacks is waited for, as a place is: each call that ended for want of it would use up
+        a try.  Where there is no way to the endpoint for longer than a moment, another one may have one."""
+        backoff, until = Backoff(), trio.current_time() + NO_ROUTE_WITHIN
+        while True:
+            call.tried = True
+            try:
+                with trio.fail_after(self.connect_within):
+                    return await connect(self.network, self.book[call.endpoint])
+            except OSError as error:
+                no_route = error.errno in NETWORK_ERRORS and trio.current_time() > until
+                if no_route or not is_local(error):
+                    raise
+                self.local_trouble(call, error)
+            await trio.sleep(backoff.failed())
+
+    def local_trouble(self, call, error):
+        """A connect failed for want of something of this machine's."""
+        call.tried = False
+        self.counters[f"connect_errors_{name(error)}"] += 1
+        if error.errno in RESOURCE_ERRORS:
+            self.evict()
+
     async def answered(self, call):
         """Read the answer, and tell what it proves.
 
@@ -365,11 +390,12 @@
             self.drop(endpoint, line, "asked")
 
     def evict(self):
-        """Threat: idle connections use up the sockets; the one idle longest goes."""
+        """Close the connection that is idle longest, as sockets run out; False when there is none."""
         idle = [(lines[0].used_at, endpoint) for endpoint, lines in self.idle.items() if lines]
         if idle:
             _, endpoint = min(idle)
             self.drop(endpoint, self.idle[endpoint].pop(0), "no_sockets")
+        return bool(idle)
 
     async def sweep(self):
         """Idle connections that ended, or will soon, go."""
--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -156,6 +156,8 @@
         # id: TTL.  Threat: one that is over comes again after a restart, and runs twice.
         self.over, self.over_size, self.most_over = {}, 0, 1 << 62
         self.stamp = None  # the latest reading of the clock that these times are of
+        self.whole_size = 0  # bytes of the file without half a record at its end
+        self.not_rewritten = None  # the OSError that kept a start from rewriting the file
 
     def load(self, path):
         try:
@@ -165,6 +167,7 @@
         except OSError as error:
             raise Unreadable(error.errno, error.strerror or str(error), str(path)) from None
         lines, spent = content.split(b"\n"), 0
+        self.whole_size = len(content) - len(lines[-1])
         left = iter(enumerate(lines, 1))
         for at, raw in left:
             try:
@@ -307,11 +310,12 @@
         return line(["c", stamp.boot_id, stamp.epoch, stamp.now]) if stamp else b""
 
     def due(self):
-        """As `line`, once a second."""
-        if self.clock is None or self.clock.now() < self.due_at:
-            return b""
-        self.due_at = self.clock.now() + STAMP_EVERY
-        return self.line()
+        """As `line`, once a second has passed since the last that was `written`."""
+        return self.line() if self.clock and self.clock.now() >= self.due_at else b""
+
+    def written(self):
+        if self.clock and self.clock.now() >= self.due_at:
+            self.due_at = self.clock.now() + STAMP_EVERY
 
 
 class Ledger(Books):
@@ -330,9 +334,19 @@
         self.load(self.path)
         self.resume(clock)
         if inherited:
-            self.file, self.file_size = self.files.open(self.path), self.files.size(self.path)
-        else:
+            self.go_on()
+            return
+        try:
             self.compact()
+        except OSError as error:
+            self.not_rewritten = error
+            self.go_on()
+
+    def go_on(self):
+        """Write on behind what the file holds; half a record at its end is cut off before the next one."""
+        self.file, self.file_size = self.files.open(self.path), self.files.size(self.path)
+        self.torn = self.whole_size < self.file_size
+        self.file_size = min(self.whole_size, self.file_size)
 
     def take(self, *fields, under=0):
         owed = Owed(*fields, under=under)
@@ -355,6 +369,7 @@
             self.compact()  # what is pending is applied already, so it is in there
         else:
             self.file_size += self.added(data)
+            self.stamps.written()
         self.pending.clear()
 
     def added(self, data):
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -127,6 +127,10 @@
             owed=len(self.ledger.owed),
             torn_records=self.ledger.skipped,
         )
+        if self.ledger.not_rewritten:
+            error = self.ledger.not_rewritten
+            fields = system(error).fields
+            self.log("ledger", "not rewritten at the start, goes on", why=described(error), **fields)
         if self.ledger.damaged:
             self.log("ledger", "records cannot be read", records=self.ledger.damaged, **Damaged().fields)
         async with trio.open_nursery() as nursery:
--- a/juniperlanding/shards/books.py
+++ b/juniperlanding/shards/books.py
@@ -142,25 +142,38 @@
         self.most_over, self.most = disk // OVER, disk - disk // SPARE
         self.pending, self.places, self.rewrite, self.old = [], {}, None, []
         self.given_up = 0
-        self.shards, self.lows = [], []
+        self.shards, self.lows, self.whole_sizes = [], [], {}
         self.last = 0
         self.enter([Shard(self.files, *told) for told in ranges(self.files, folder)])
         self.join(held(self.files, folder))
         self.resume(clock)
         listed = self.files.list(folder)
         self.last = max(map(number, listed), default=0)
-        if inherited:
-            for shard in self.shards:
-                path = self.path(shard)
-                shard.file, shard.file_size = self.files.open(path), self.files.size(path)
-            return
         try:
-            self.clean(listed)
-            self.compact()
+            if not inherited:
+                self.clean(listed)
+                self.rewrite_all()
+            if self.shards[0].file < 0:
+                self.go_on()
         except BaseException:
             self.close_files()
             raise
 
+    def rewrite_all(self):
+        """All shards anew, if the disk lets us."""
+        try:
+            self.compact()
+        except OSError as error:
+            self.not_rewritten = error
+
+    def go_on(self):
+        """Write on behind what the files hold; half a record at an end is cut off before the next one."""
+        for shard in self.shards:
+            path = self.path(shard)
+            shard.file, size = self.files.open(path), self.files.size(path)
+            shard.file_size = min(self.whole_sizes.get(shard.low, 0), size)
+            shard.torn = shard.file_size < size
+
     place = staticmethod(place)
 
     def path(self, shard):
@@ -176,6 +189,7 @@
         """Take in what the files have; of what is over the bound lets go first what ends first."""
         over = []
         for shard, books in zip(self.shards, found, strict=True):
+            self.whole_sizes[shard.low] = books.whole_size
             self.skipped += books.skipped
             self.damaged += books.damaged
             for owed in books.owed.values():
@@ -302,6 +316,7 @@
                 with suppress(OSError):
                     shard.cut_off()
             raise
+        self.stamps.written()
         for shard, data in parts.items():
             shard.file_size += len(data)
             shard.written += len(data)
--- a/tests/test_system_errors.py
+++ b/tests/test_system_errors.py
@@ -5,11 +5,19 @@
 from dataclasses import replace
 from random import Random
 
+import pytest
 import trio
 from test_net import owed
 from test_restart import opened, sent, taken_and_killed
 
 from juniperlanding.ground import seams
+from juniperlanding.net.system_errors import (
+    FIRST_PAUSE,
+    MOST_PASSED_OVER,
+    MOST_PAUSE,
+    UNKNOWN_PAUSE,
+    AcceptErrors,
+)
 from juniperlanding.standins.peers import read_message
 
 FAILURES = [errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EMFILE, errno.EPROTO]
@@ -145,3 +153,75 @@
         assert not owed(site)
 
     site.run(scene)
+
+
+@pytest.mark.parametrize("number", [errno.ECONNABORTED, errno.ENFILE])
+def test_who_stands_in_the_backlog_at_the_end_is_answered_though_an_accept_fails(site, number):
+    """One connection's error would have ended the last look, and the close reset all behind it."""
+
+    class Once(FailingListener):
+        def waiting(self):
+            if not self.failed:
+                self.failed = 1
+                raise OSError(number, os.strerror(number))
+            return self.listener.waiting()
+
+    network = FailingNetwork(lambda listener: Once(listener, share=0.0))
+    site.world = replace(site.world, network=network)
+
+    async def scene(site):
+        node = await site.start()
+        node.clients.accepting.cancel()
+        await node.clients.accepts_nobody.wait()
+        streams = [await site.client() for _ in range(3)]
+        for stream in streams:
+            await stream.send_all(b"GET /_health HTTP/1.1\r\nHost: api\r\n\r\n")
+        await node.clients.close(node.listener)
+        for stream in streams:
+            assert (await read_message(stream, bytearray()))[0].startswith("HTTP/1.1 200")
+
+    site.run(scene)
+
+
+def test_errors_of_accept_are_told_apart():
+    errors = AcceptErrors()
+    assert errors.pause(OSError(errno.ECONNABORTED, "")) == 0
+    assert errors.pause(OSError(errno.EPERM, "")) == 0
+    pauses = [errors.pause(OSError(errno.EMFILE, "")) for _ in range(12)]
+    assert pauses[0] == FIRST_PAUSE and pauses[1] == 2 * FIRST_PAUSE and pauses[-1] == MOST_PAUSE
+    errors.succeeded()
+    assert errors.pause(OSError(errno.ENFILE, "")) == FIRST_PAUSE
+    assert errors.pause(OSError(errno.EBADF, "")) == UNKNOWN_PAUSE
+    storm = [errors.pause(OSError(errno.EPROTO, "")) for _ in range(MOST_PASSED_OVER + 1)]
+    assert storm[0] == 0 and storm[-1] == UNKNOWN_PAUSE
+
+
+def test_each_kind_of_failed_accept_is_logged_once_a_minute_and_counted_each_time(site):
+    network = FailingNetwork(lambda listener: FailingListener(listener, [errno.EMFILE], 0.5))
+    site.world = replace(site.world, network=network)
+
+    async def scene(site):
+        node = await site.start()
+        for _ in range(20):
+            await asked(site, [])
+        assert node.counters["accept_errors_EMFILE"] == network.listener.failed > 3
+        assert len([1 for event, _ in site.lines if event == "accept"]) == 1
+
+    site.run(scene)
+
+
+def test_a_way_that_is_not_there_for_long_is_the_endpoint_s_trouble(site):
+    """Another endpoint may have one; only for a moment it is waited for."""
+    network = FailingConnects(errno.ENETUNREACH, 1 << 30)
+    site.world = replace(site.world, network=network)
+
+    async def scene(site):
+        node = await site.start()
+        network.to = site.far.address
+        assert await site.submit("a0") == 202
+        await site.until(lambda: node.owner.at.me.endpoints["s-1"].run)
+        network.left = 0
+        await site.until(lambda: not node.ledger.owed)
+        assert len(site.far.got) == 1
+
+    site.run(scene)
