One place that says yes or no, violations counted, ids followed, a fault soak of real processes

What no path may let through is counted (svc.violations, at the door once there is one) and logged with its id; every scene on the site fixture, the emulator's watch and the soak fail with one. The last look also ends a crossing: a process that stood still before the last byte of a call of several sent what had ended meanwhile. test_emulator.py: that mutant's drain is stopped before it reaches its endpoint, so the rule that finds it is 'checked send'.

--- a/juniperlanding/cli/__init__.py
+++ b/juniperlanding/cli/__init__.py
@@ -31,6 +31,7 @@
     "init": ("init", "write an operators' file with every key explained"),
     "owed": ("owed", "list what a state folder still owes, without changing it"),
     "emulate": ("emulate", "run a scenario in simulated time, with the watch over it"),
+    "soak": ("soak", "play a fault soak of real processes on loopback, and judge its history"),
     "reference": ("reference", "print the page on every key of the operators' file, or on every error"),
     "completion": ("completion", "print the completion for bash"),
     "version": ("version", "print the version"),
--- a/juniperlanding/emulator/invariants.py
+++ b/juniperlanding/emulator/invariants.py
@@ -82,6 +82,10 @@
             line = f"{self.now()} {dispatcher.name} {event} {text} {fields}"
             self.digest_lines.append(line)
             self.log_lines.append(line)
+            if event == "violation":
+                self.broke(
+                    f"checked {text}", f"{dispatcher.name} counted itself: {text} {fields}", fields["id"]
+                )
             if event == "fault" and fields.get("part") is not None:
                 self.broke(
                     "alive", f"{dispatcher.name} logged a fault: {text} {fields}", fields.get("notification")
--- a/juniperlanding/ground/log.py
+++ b/juniperlanding/ground/log.py
@@ -13,6 +13,7 @@
 
 SEC = 1_000_000_000
 LINES = 20  # of one event within a second
+TRACE = "trace"  # the event that follows single messages: off unless asked for, and whole then
 MOST_TEXT = 2048  # characters of one field
 MOST_EVENTS = 256  # names whose lines are counted apart; there are some dozens
 SECRETS = frozenset(
@@ -86,7 +87,7 @@
         entry = self.seen.setdefault(event, [now, 0, 0])
         if now - entry[0] >= SEC:
             entry[0], entry[1] = now, 0
-        if entry[1] >= self.lines:
+        if entry[1] >= self.lines and event != TRACE:
             entry[2] += 1
             return None
         entry[1] += 1
--- a/juniperlanding/ground/sections.py
+++ b/juniperlanding/ground/sections.py
@@ -61,6 +61,7 @@
         Literal["plain", "json", "console"], "One line of words, one JSON object, or aligned for people."
     ) = "plain"
     lines: told(Count, "Lines of one event within a second; what is over is counted on the next.") = 20
+    trace: told(bool, "Whether each message and connection is followed, a line for each step.") = False
 
 
 class Holding(Section):
--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -3,6 +3,7 @@
 import h11
 import trio
 
+from juniperlanding import rules
 from juniperlanding.choice import SEC
 from juniperlanding.ground.errors import system
 from juniperlanding.ground.log import described, where
@@ -13,6 +14,18 @@
 from juniperlanding.net.system_errors import AcceptErrors, Concerns, concerns, name
 
 TURNED_AWAY = ("closed_by_us", "silent")  # ends of connections on which no answer is owed
+ENDED_BY_US = (
+    *TURNED_AWAY,
+    "closed",
+    "fault",
+    "ended",
+    "process_ends",
+    "malformed",
+    "slow",
+    "too_long",
+    "ambiguous",
+    "too_late",
+)
 ROOM = 8  # connections over the limit; they make others give way, and are closed after their answer
 # Seconds in which a new connection's request, or the rest of one, still comes as the connection gives way to
 # another one, and as the process ends.
@@ -25,6 +38,7 @@
     def __init__(self, config, clock, most_open, owner, counters, log):
         self.now = clock.now
         self.owner, self.counters, self.log, self.most_open = owner, counters, log, most_open
+        self.attended = {}  # open connections with who is at their other end
         self.open, self.waiting, self.draining = 0, {}, False  # waiting: the scope of each wait for a request
         self.came = 0  # connections accepted
         self.turned_away, self.closing = {}, False  # turned away: the scope in which it is still listened to
@@ -178,6 +192,7 @@
 
     async def attend(self, line, peer, within=protocol.REQUEST_WITHIN):
         reason, served, line.until = "closed", 0, trio.current_time() + within
+        self.attended[line] = peer
         try:
             while reason == "closed":
                 reason = "carried" if self.frozen else await self.one(line, line.until)
@@ -191,6 +206,9 @@
                     ):
                         self.turned_away[line].cancel()  # as in `accept`, which waits by now
                     await line.finish()
+        except trio.Cancelled:
+            reason = "process_ends"  # `count_unanswered` has looked before
+            raise
         except GONE as error:
             reason = type(error).__name__
         except Exception as error:  # threat: one odd client must not end the program
@@ -202,11 +220,28 @@
             else:
                 self.turned_away.pop(line, None)
                 self.leaving.discard(line)
+                self.attended.pop(line, None)
                 self.open -= 1
                 self.connection_limit.release()
+                if reason != "process_ends":
+                    self.check_end(line, peer, reason)
                 line.close()
                 self.log("conn", client=f"{peer[0]}:{peer[1]}", end=reason, requests=served)
 
+    def check_end(self, line, peer, reason):
+        """Count a connection that we end while the answer to a whole request is due.
+
+        Not ours: it broke, its client reads nothing, or the process itself ends."""
+        facts = rules.CloseFacts(is_request_whole=line.is_request_whole, is_answered=line.is_answered)
+        if reason in ENDED_BY_US and not rules.may_close(facts).is_allowed:
+            client = "{}:{}".format(*peer)
+            self.owner.trace.violation(rules.Rule.CLOSED_UNANSWERED, client, end=reason)
+
+    def count_unanswered(self):
+        """The process ends now: whoever waits for the answer to a whole request is counted."""
+        for line, peer in self.attended.items():
+            self.check_end(line, peer, "process_ends")
+
     async def begin(self, line, until):
         """Wait for the first bytes of a request; the reason why none will be read, or None.
 
@@ -221,7 +256,7 @@
         if scope.cancelled_caught:
             if self.frozen:
                 return "carried"
-            if not line.waiting():
+            if rules.may_close(rules.CloseFacts(has_unread=bool(line.waiting()))).is_allowed:
                 return "closed_by_us" if gave_way else "silent"
             came = await line.begin()
         # Threat: half a request, or a byte now and then, and its error is due.
@@ -321,10 +356,19 @@
             return await self.respond(line, 400)
         answer = Answer(ntf_id)
         # Threat: we stood still, and the client has left and hands it in elsewhere.
-        unfit = not self.owner.ready or self.owner.stuck or self.closing or line.waiting() == b""
-        if unfit or not self.owner.tell_now(
-            self.owner.submit, topic, destination, ttl_at, key, body, answer, *keys
-        ):
+        verdict = rules.may_take_on(
+            rules.TakeOnFacts(
+                is_ready=self.owner.ready,
+                is_writable=not self.owner.stuck,
+                is_stopping=self.closing,
+                has_client_left=line.waiting() == b"",
+            )
+        )
+        event = self.owner.submit, topic, destination, ttl_at, key, body, answer, *keys
+        if verdict.is_allowed and not self.owner.tell_now(*event):
+            verdict = rules.Verdict(rules.Reason.NO_PLACE)  # in the queue
+        if not verdict.is_allowed:
+            self.owner.trace.refused(ntf_id, verdict.reason)
             self.counters.ended(topic, DECLINED)
             return await self.respond(line, 503)
         await answer.ready.wait()
--- a/juniperlanding/net/config.py
+++ b/juniperlanding/net/config.py
@@ -66,6 +66,7 @@
     policy: object = None  # their `Policy`, in the same way
     shards: object = None  # their `Shards`, in the same way
     sites: bool = False  # whether the cost of losing a site is foretold; the operators' file alone says so
+    trace: bool = False  # whether the log follows single messages; the operators' file alone says so
 
     @property
     def disk(self):
@@ -120,6 +121,7 @@
         connect_within=(wire.get("permissions") or {}).get("connect_timeout_ns") or ours.connect_within,
         report=report,
         log=ours.log,
+        trace=ours.trace,
         fleet=ours.fleet,
         policy=ours.policy,
         shards=ours.shards,
@@ -160,6 +162,7 @@
     policy: object = None
     shards: object = None
     sites: bool = False
+    trace: bool = False
 
     def __post_init__(self):
         for name in ("limits", "known", "settings", "report", "log"):
@@ -211,6 +214,7 @@
         connect_within=int(get("connections.connect_within")),
         report=dict(get("reports")),
         log={"form": get("log.form"), "lines": get("log.lines")},
+        trace=bool(get("log.trace")),
         fleet=fleet(get),
         policy=policy(get),
         shards=shards(get),
--- a/juniperlanding/net/counters.py
+++ b/juniperlanding/net/counters.py
@@ -7,6 +7,7 @@
 SUCCEEDED, DECLINED, ABORTED = "succeeded", "declined", "aborted"
 FORWARDS = "svc.forwards"
 SVC = "svc."
+VIOLATIONS = "svc.violations"  # rules broken; stands among the operators' figures once there is one
 
 
 def result(topic, how):
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -51,8 +51,8 @@
 
 
 class Endpoints:
-    def __init__(self, config, world, most_open, told, counters, log, on_file=lambda sends: True):
-        self.on_file = on_file  # whether it is written that these pushes may have run
+    def __init__(self, config, world, most_open, told, counters, log, may_leave=lambda endpoint, sends: True):
+        self.may_leave = may_leave  # whether the last byte of a call with these may leave
         self.now, self.network = world.clock.now, world.network
         self.connection_limit = trio.Semaphore(most_open)
         self.told, self.counters, self.log = told, counters, log
@@ -204,7 +204,7 @@
         one is given up with no call made."""
         if call.scope.cancel_called:
             return  # called off in this very moment; nothing more leaves
-        if not self.on_file(call.sends):
+        if not self.may_leave(call.endpoint, call.sends):
             for send in call.sends:
                 send.cancelled = True
             call.scope.cancel()
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -154,6 +154,16 @@
         """Whether nothing came on an idle connection: bytes that nobody asked for, or its end, spoil it."""
         return self.waiting() is None
 
+    @property
+    def is_request_whole(self):
+        """Whether a client's present request was read to its last byte."""
+        return self.http.their_state in (h11.DONE, h11.MUST_CLOSE)
+
+    @property
+    def is_answered(self):
+        """Whether the whole answer to it went to the kernel."""
+        return self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY)
+
     def more(self):
         """Whether more came than the message that was read."""
         return bool(self.http.trailing_data[0] or self.waiting())
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -79,7 +79,7 @@
         self.owner = owner = Owner(told, world.clock, self.ledger, *common)
         most_clients, self.most_calls = bounds(told)
         ended = partial(owner.tell, owner.finished)
-        owner.endpoints = Endpoints(told, world, self.most_calls, ended, *common, owner.on_file)
+        owner.endpoints = Endpoints(told, world, self.most_calls, ended, *common, owner.may_leave)
         owner.notices = Notices(world.network, told.discovery, partial(owner.tell, owner.end), *common)
         owner.discovery = Discovery(told, world.network, partial(owner.tell, owner.listed), self.log)
         self.clients = owner.clients = Clients(told, world.clock, most_clients, owner, *common)
@@ -305,6 +305,7 @@
         """The end; whether all that is owed could be written down."""
         self.enter("leaving")
         if not self.replaced and not self.owner.frozen:
+            self.clients.count_unanswered()
             self.owner.hear_out()
         try:
             self.ledger.close()
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -8,22 +8,27 @@
 
 import trio
 
-from juniperlanding import carry
-from juniperlanding.choice import MS, NEVER_RAN, SEC, Dispatcher
+from juniperlanding import carry, rules
+from juniperlanding.choice import MS, NEVER_RAN, SEC, Dispatcher, repeats_until
 from juniperlanding.ground.errors import system
 from juniperlanding.ground.log import described, where
 from juniperlanding.net import protocol
 from juniperlanding.net.counters import ABORTED, DECLINED, SUCCEEDED
 from juniperlanding.net.endpoints import Send
+from juniperlanding.net.trace import Trace
 
 ROUND = 256  # events taken together at most
 SETTLE = 0.005  # seconds between looks at whether all has come to rest
 STOOD_STILL = SEC // 4  # without a round; one of an idle process costs no more than a look or two
 WRITE_AGAIN = SEC // 20  # until a ledger that could not be written is tried again
 CLOCK_STEP = MS  # a wall clock that is off by less has not been stepped
+MOST_LATE = 300 * MS  # after its TTL an end is due
 LAST_CALL = SEC // 5  # after its TTL, what the module has not ended is ended here, with a round between
 
 
+FULL = (rules.Reason.NO_PLACE, rules.Reason.NO_DISK)
+
+
 class Answer:
     """What a client waits for."""
 
@@ -44,6 +49,8 @@
         self.held = {}  # what the module has not ended, with its client's answer; the ledger has the rest
         self.taken = set()  # ids until their TTL; threat: one that is over comes again, and would run twice
         self.timers, self.sequence, self.entries = [], 0, {}
+        self.trace = Trace(log, counters, config.trace)
+        self.told_waits = {}  # endpoint: until when it, or a mate on its route, told us to wait
         self.calls, self.cancels, self.answers, self.notices_due = {}, [], [], []
         self.queue, self.inbox = trio.open_memory_channel(ROUND * 4)
         self.endpoints = self.notices = self.discovery = self.clients = None
@@ -188,7 +195,7 @@
             while self.timers and self.timers[0][0] <= now:
                 self.guarded(*heapq.heappop(self.timers)[2:])
             if not self.frozen:
-                self.guarded(self.at.turn, not self.stuck)
+                self.guarded(self.at.turn, rules.may_start(not self.stuck, self.frozen).is_allowed)
             self.write()
             self.carry_out()
             if self.parked.is_set():
@@ -247,9 +254,39 @@
                 self.log_line("ledger", "cannot write", why=said, **system(error).fields)
             self.counters["ledger_errors"] += 1
 
+    def may_leave(self, endpoint, sends):
+        """Between rounds: whether the last byte of a call may leave, now that it stands written.
+
+        Writing may take long, and the process may have stood still since the call began; so the time of the
+        verdict is read last."""
+        if not self.on_file(sends):
+            return False
+        now = self.now()
+        verdicts = [rules.may_send(self.send_facts(endpoint, send), now) for send in sends]
+        for send, verdict in zip(sends, verdicts, strict=True):
+            if not verdict.is_allowed:
+                self.trace.withheld(send.id, send.number, verdict.reason)
+                if verdict.reason in rules.BROKEN_BY_A_PATH:
+                    self.trace.violation(rules.Rule.SEND, send.id, reason=verdict.reason, endpoint=endpoint)
+        return all(verdict.is_allowed for verdict in verdicts)
+
+    def send_facts(self, endpoint, send):
+        """What `rules.may_send` asks of one message of a call."""
+        notification = self.at.me.notifications.get(send.id)
+        entry = self.entries.get(endpoint)
+        return rules.SendFacts(
+            is_owed=send.id in self.held and notification is not None and not send.over,
+            deadline=send.ttl_at,
+            may_have_run=notification is not None and notification.may_have_run is not None,
+            is_once_only=notification is not None and notification.topic.get("kind") == "once-only",
+            repeats_until=repeats_until(notification) if notification else 0,
+            is_in_service=entry is not None and entry[-1] == "ready",
+            wait_until=self.told_waits.get(endpoint, 0),
+        )
+
     def on_file(self, sends):
-        """Between rounds: the last byte of a call is to leave.  Whether it is written that these pushes may
-        have run; a ledger that cannot be written lets nothing leave."""
+        """Whether it is written that these pushes may have run; a ledger that cannot be written lets nothing
+        leave."""
         now = self.now()
         if not self.stuck:
             for send in sends:
@@ -395,6 +432,7 @@
         self.at.listed(news, [entry for entry, _ in members])
         for gone in self.entries.keys() - self.at.me.endpoints.keys():
             del self.endpoints.book[gone], self.entries[gone]
+            self.told_waits.pop(gone, None)
 
     def submit(self, topic, destination, ttl_at, key, body, answer, turn="", tenant=""):
         ntf_id = answer.ntf_id
@@ -405,14 +443,20 @@
         if self.licence is not None and not self.licensed(self.in_force):
             answer.again_in = self.licence.again_in()
             self.counters["unlicensed"] += 1
+            self.trace.refused(ntf_id, rules.Reason.UNLICENSED)
             return self.counters.ended(topic, DECLINED)
-        if self.stuck or destination not in self.at.me.destinations:
-            return self.counters.ended(topic, DECLINED)  # 503: no disk, or the list is behind
-        if self.watch:
+        facts = rules.TakeOnFacts(
+            is_writable=not self.stuck,
+            is_destination_known=destination in self.at.me.destinations,  # else the list is behind
+            has_place=len(self.held) < self.at.me.settings.get("most_held", 1 << 30),
+            has_disk=self.ledger.room(len(body)),
+        )
+        verdict = rules.may_take_on(facts)
+        if self.watch and facts.is_writable and facts.is_destination_known:
             self.watch.handed_in(topic, destination)
-        full = len(self.held) >= self.at.me.settings.get("most_held", 1 << 30)
-        if full or not self.ledger.room(len(body)):
-            self.counters["turned_away_full"] += 1
+        if not verdict.is_allowed:
+            self.trace.refused(ntf_id, verdict.reason)
+            self.counters["turned_away_full"] += verdict.reason in FULL
             return self.counters.ended(topic, DECLINED)
         self.ledger.take(ntf_id, topic, destination, ttl_at, key, body, under=self.in_force)
         if turn:
@@ -429,6 +473,7 @@
         self.taken.add(ntf_id)
         self.counters["taken_on"] += 1
         answer.status, answer.took, answer.under = 202, True, self.in_force
+        self.trace.event(ntf_id, "taken", topic=topic, destination=destination)
 
     def overdue(self, ntf_id, looked=False):
         """Threat: the module failed at an event, and what it concerned would never end."""
@@ -473,8 +518,11 @@
                 self.end(ntf_id)
             elif ending in NEVER_RAN:
                 self.never_ran(ntf_id, number, ending)
+            self.trace.event(ntf_id, ending, number=number, endpoint=endpoint, over=over, wait_ms=wait // MS)
             if wait and endpoint in self.at.me.endpoints:
-                self.endpoints.recall(self.mates(endpoint))
+                mates = self.mates(endpoint)
+                self.told_waits.update(dict.fromkeys(mates, heard + wait))
+                self.endpoints.recall(mates)
             self.at.outcome(ntf_id, number, ending, latency=latency, wait=wait, over=over, report=report)
 
     def never_ran(self, ntf_id, number, ending):
@@ -507,6 +555,7 @@
         leave_by = now + leave_within if leave_within else until
         kind, _, zone = self.entries[endpoint_id][2:5]
         send = Send(ntf_id, number, owed.key, owed.body, until, owed.ttl_at, leave_by, zone)
+        self.trace.event(ntf_id, "sending", number=number, endpoint=endpoint_id)
         most = self.batches[kind] if kind < len(self.batches) else 1
         part = 0
         while len(self.calls.setdefault((endpoint_id, part), [])) >= max(most, 1):
@@ -524,6 +573,8 @@
 
     def conclude(self, ntf_id, outcome, status, again_in):
         """In the client's own answer while that is still to come, else by a notice."""
+        if ntf_id not in self.held:
+            return self.trace.violation(rules.Rule.ANSWERED_TWICE, ntf_id, outcome=outcome)
         answer = self.held.pop(ntf_id)
         how = DECLINED if outcome == protocol.HANDED_BACK else ABORTED
         self.counters.ended(self.ledger.owed[ntf_id].topic, how)
@@ -534,6 +585,10 @@
         self.give_notice(ntf_id, outcome, again_in)
 
     def give_notice(self, ntf_id, outcome, again_in):
+        late = self.at.now - self.ledger.owed[ntf_id].ttl_at
+        if self.ready and late > MOST_LATE:
+            self.trace.violation(rules.Rule.LATE_END, ntf_id, late_ms=late // MS)
+        self.trace.event(ntf_id, outcome, again_in_ms=again_in // MS)
         self.ledger.write("o", ntf_id, outcome, again_in // MS)
         self.counters["notices_due"] += 1
         self.notices_due.append((ntf_id, outcome, again_in // MS))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -271,6 +271,7 @@
         self.folder, self.limits, self.wire = folder, {"disk_mb": 3, "sockets": 256}, WIRE
         self.told = {}  # further keys of the platform's file
         self.lines, self.world = [], system()
+        self.violations = 0  # that a scene with a defect put in wants to see
 
     def log(self, event, text="", **fields):
         self.lines.append((event, " ".join([text, *(f"{name}={value}" for name, value in fields.items())])))
@@ -288,6 +289,8 @@
                     nursery.cancel_scope.cancel()
 
         trio.run(main, instruments=[even])
+        violations = [text for event, text in self.lines if event == "violation"]
+        assert len(violations) == self.violations, violations
 
     def config(self):
         known = {
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -609,7 +609,7 @@
 
     async def scene(site):
         calls = await endpoints(site, outcomes)
-        calls.on_file = asked.append
+        calls.may_leave = lambda endpoint, sends: asked.append(sends)
         called_off(monkeypatch, calls, how)
         calls.start(site.nursery, "s-1", [send("a", 8 * SEC)])
         await site.until(lambda: outcomes and calls.connection_limit.value == 8)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -371,7 +371,8 @@
 
 
 @pytest.mark.parametrize(
-    "file, name, seed, rule", [("handshakes", "calls_not_recalled", 2, "drain"), ("unheard", "", 9, None)]
+    "file, name, seed, rule",
+    [("handshakes", "calls_not_recalled", 2, "checked send"), ("unheard", "", 9, None)],
 )
 def test_what_still_connects_is_called_back_and_the_unheard_takes_back_nothing(file, name, seed, rule):
     found = scenario.read(f"scenarios/{file}.toml", Files())
--- a/tests/test_endings_drain.py
+++ b/tests/test_endings_drain.py
@@ -309,6 +309,7 @@
     """The last round is taken, and what connects is called back, whatever clients do; who was accepted with a
     request has its answer."""
     soon(monkeypatch)
+    site.violations = how == "read nothing"  # its answer never gets as far as the kernel
     monkeypatch.setattr("juniperlanding.net.node.LAST_WORDS", 2.2)  # they would be waited for for 2.5 s
     monkeypatch.setattr("juniperlanding.net.node.LAST_ANSWERED", 1.0, raising=False)
     monkeypatch.setattr(ends, "LAST_REST_WITHIN", 60.0)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,221 @@
+"""The one place that says yes or no: its verdicts, the paths that ask it, and defects that it finds."""
+
+import time
+from dataclasses import replace
+
+import pytest
+import trio
+from test_crossings import got
+from test_endings_endpoint import Held
+from test_net import owed
+from test_restart import sent
+
+from juniperlanding import rules
+from juniperlanding.choice import SEC
+from juniperlanding.net import protocol
+from juniperlanding.net.clients import Clients
+from juniperlanding.net.counters import VIOLATIONS
+from juniperlanding.net.endpoints import Endpoints
+from juniperlanding.net.line import Line
+from juniperlanding.rules import CloseFacts, Reason, SendFacts, TakeOnFacts
+from juniperlanding.standins.peers import http, member
+
+SENDS = SendFacts(
+    is_owed=True,
+    deadline=10,
+    may_have_run=False,
+    is_once_only=False,
+    repeats_until=5,
+    is_in_service=True,
+    wait_until=0,
+)
+
+
+@pytest.mark.parametrize(
+    "changed, now, reason",
+    [
+        ({}, 9, Reason.ALLOWED),
+        ({"is_owed": False}, 1, Reason.ENDED),
+        ({}, 10, Reason.EXPIRED),
+        ({"may_have_run": True}, 4, Reason.ALLOWED),
+        ({"may_have_run": True}, 5, Reason.WINDOW_OVER),
+        ({"is_once_only": True}, 9, Reason.ALLOWED),
+        ({"is_once_only": True, "may_have_run": True}, 1, Reason.RAN_ONCE),
+        ({"is_in_service": False}, 1, Reason.NOT_IN_SERVICE),
+        ({"wait_until": 4}, 3, Reason.TOLD_TO_WAIT),
+        ({"wait_until": 4}, 4, Reason.ALLOWED),
+    ],
+)
+def test_what_may_be_sent(changed, now, reason):
+    verdict = rules.may_send(replace(SENDS, **changed), now)
+    assert verdict.reason is reason and verdict.is_allowed == (reason is Reason.ALLOWED)
+
+
+@pytest.mark.parametrize(
+    "facts, reason",
+    [
+        (CloseFacts(), Reason.ALLOWED),
+        (CloseFacts(has_unread=True), Reason.REQUEST_UNREAD),
+        (CloseFacts(is_request_whole=True), Reason.REQUEST_UNANSWERED),
+        (CloseFacts(is_request_whole=True, is_answered=True), Reason.ALLOWED),
+    ],
+)
+def test_what_may_be_closed(facts, reason):
+    assert rules.may_close(facts).reason is reason
+
+
+@pytest.mark.parametrize(
+    "changed, reason",
+    [
+        ({}, Reason.ALLOWED),
+        ({"is_ready": False}, Reason.STARTING),
+        ({"is_stopping": True}, Reason.STOPPING),
+        ({"has_client_left": True}, Reason.CLIENT_LEFT),
+        ({"is_licensed": False}, Reason.UNLICENSED),
+        ({"is_writable": False}, Reason.NOT_WRITABLE),
+        ({"is_destination_known": False}, Reason.UNKNOWN_DESTINATION),
+        ({"has_place": False}, Reason.NO_PLACE),
+        ({"has_disk": False}, Reason.NO_DISK),
+    ],
+)
+def test_what_may_be_taken_on(changed, reason):
+    assert rules.may_take_on(replace(TakeOnFacts(), **changed)).reason is reason
+
+
+def test_calls_start_while_their_records_can_be_written_and_nobody_takes_over():
+    assert rules.may_start(is_writable=True, is_frozen=False).is_allowed
+    assert rules.may_start(is_writable=False, is_frozen=False).reason is Reason.NOT_WRITABLE
+    assert rules.may_start(is_writable=True, is_frozen=True).reason is Reason.HANDED_OVER
+
+
+def test_a_process_that_stands_still_before_the_last_byte_sends_nothing_past_its_deadline(site, monkeypatch):
+    """Its time is up between the look at the clock and the write, with no step of the scheduler between."""
+    send_in_two = Line.send_in_two
+
+    async def held(line, *events, leaves):
+        def late():
+            time.sleep(0.5)
+            leaves()
+
+        await send_in_two(line, *events, leaves=late)
+
+    async def scene(site):
+        node = await site.start()
+        assert await site.submit("a0", "order", dest=8, ttl=400) == 202
+        assert await site.submit("a1", "order", dest=8) == 202
+        monkeypatch.setattr(Line, "send_in_two", held)
+        found = protocol.entries([member(9, site.far.address, cell=8, kind="m2")], ["m1", "m2"], ["a"])
+        await node.owner.tell(node.owner.listed, "changes", found)
+        await site.until(lambda: site.platform.notices and node.counters["withheld_expired"])
+        monkeypatch.setattr(Line, "send_in_two", send_in_two)
+        await site.until(lambda: not node.ledger.owed)
+        assert sent(site) == ["a1"] and len(got(site.far)) == 1
+        assert [notice["message"] for notice in site.platform.notices] == ["a0"]
+
+    site.run(scene)
+
+
+# ---- defects put in on purpose
+
+
+@pytest.mark.parametrize("how", ["drain", "wait"])
+def test_a_call_that_no_path_calls_back_is_withheld_and_counted(site, monkeypatch, how):
+    """Defect: `recall` does nothing, so a call that still connects outlives the news that binds it."""
+    monkeypatch.setattr(Endpoints, "recall", lambda self, endpoints: None)
+    site.violations = 1
+
+    async def scene(site):
+        held = Held(site.far)
+        site.world = replace(site.world, network=held)
+        node = await site.start()
+        assert await site.submit("a0", ttl=3000) == 202
+        await site.until(lambda: held.began)
+        if how == "drain":
+            entries = [(node.owner.entries["s-1"][:-1] + ("draining",), site.far.address)]
+            await node.owner.tell(node.owner.listed, "changes", entries)
+            await site.until(lambda: node.owner.entries["s-1"][-1] == "draining")
+        else:
+            node.owner.told_waits["s-1"] = node.owner.now() + 30 * SEC
+            node.owner.at.me.endpoints["s-1"].route.wait_until = node.owner.now() + 30 * SEC
+        held.go.set()
+        await site.until(lambda: node.counters[VIOLATIONS])
+        await trio.sleep(0.05)
+        assert not sent(site) and "a0" in owed(site)
+        assert any(line.startswith("svc.violations:1") for line in node.figures())
+
+    site.run(scene)
+
+
+def test_a_connection_that_is_closed_over_a_whole_request_is_counted(site, monkeypatch):
+    """Defect: the answer is decided and never written."""
+
+    async def unanswered(self, line, status, headers=(), payload=b"", reason="closed"):
+        return "closed_by_us"
+
+    site.violations = 1
+
+    async def scene(site):
+        node = await site.start()
+        monkeypatch.setattr(Clients, "respond", unanswered)
+        stream = await site.client()
+        await stream.send_all(b"GET /_health HTTP/1.1\r\nHost: api\r\n\r\n")
+        assert await stream.receive_some() == b""
+        await site.until(lambda: node.counters["violations_closed_unanswered"])
+
+    site.run(scene)
+
+
+def test_a_second_end_is_counted_and_not_told(site):
+    """Defect: the module ends twice what it has ended already."""
+    site.violations = 1
+
+    async def scene(site):
+        node = await site.start()
+        assert await site.submit("a0", dest=8, ttl=300) == 202
+        await site.until(lambda: site.platform.notices)
+        node.owner.expired("a0")
+        assert node.counters["violations_answered_twice"] == 1 and len(site.platform.notices) == 1
+
+    site.run(scene)
+
+
+def test_an_end_that_comes_late_is_counted(site, monkeypatch):
+    """Defect: the module holds an end back, and the owner's own look comes too late."""
+    monkeypatch.setattr("juniperlanding.net.owner.LAST_CALL", SEC)
+    site.violations = 1
+
+    async def scene(site):
+        node = await site.start()
+        monkeypatch.setattr(node.owner.at, "give_up", lambda ntf: ntf.destination.waiting.remove(ntf))
+        assert await site.submit("a0", dest=8, ttl=300) == 202
+        await site.until(lambda: site.platform.notices)
+        assert node.counters["violations_late_end"] == 1
+
+    site.run(scene)
+
+
+# ---- following one id
+
+
+def test_one_id_can_be_followed_from_its_yes_to_its_end(site):
+    async def scene(site):
+        node = await site.start()
+        node.owner.trace.is_on = True
+        assert await site.submit("a0") == 202
+        await site.until(lambda: not node.ledger.owed)
+        assert await site.submit("a1", dest=99) == 503
+        steps = [text for event, text in site.lines if event == "trace"]
+        assert [text.split()[0] for text in steps if "id=a0" in text] == ["taken", "sending", "delivered"]
+        assert any(text.startswith("refused id=a1 reason=unknown_destination") for text in steps)
+
+    site.run(scene, lambda *message: http(200))
+
+
+def test_nothing_is_followed_unless_asked_for(site):
+    async def scene(site):
+        node = await site.start()
+        assert await site.submit("a0") == 202
+        await site.until(lambda: not node.ledger.owed)
+        assert not [1 for event, _ in site.lines if event == "trace"]
+
+    site.run(scene)
