--- a/juniperlanding/soak/parties.py
+++ b/juniperlanding/soak/parties.py
@@ -13,6 +13,7 @@
 HALVES = (b"POST /api HT", b"POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf")
 HALF_WITHIN = 3.0 + 0.5  # seconds until half a request is answered or closed, and a margin for a held process
 CONNECT_WITHIN = 1.0
+KEEPS_ONE_IN = 3  # requests; after the others the connection is closed, and the next one makes its own
 NEARLY = 0.8  # of a client's patience; what ends sooner was ended with the run
 
 
@@ -71,6 +72,10 @@
             if is_new:
                 self.history.unanswered.append((self.instance, begun, self.now()))
             self.used.discard(stream)
+        elif stream in self.idle and self.count % KEEPS_ONE_IN:
+            self.idle.remove(stream)
+            self.used.discard(stream)
+            stream.socket.close()
         return answer
 
     @property
--- a/juniperlanding/soak/verdict.py
+++ b/juniperlanding/soak/verdict.py
@@ -109,10 +109,14 @@
 
 
 def untried(history, record, calls):
-    """A message that was given up early, and no call was made for it, nor lost on its way."""
+    """A message that was given up early, and no call was made for it, nor lost on its way.
+
+    Behind its proxy an endpoint that is down takes connections, and what is written to them is lost."""
     for outcome, at in record.notices:
         if any(link_met(history, endpoint, record.handed_at, at) for endpoint in history.links):
             continue
+        if any(span.meets(record.handed_at, at) for spans in history.outages.values() for span in spans):
+            continue
         if outcome == "given_up" and not calls and at < record.handed_at + record.ttl * EARLY:
             yield Finding("given up untried", record.id, f"{seconds(at - record.handed_at)} after its yes")
 
