Failing tests: the same id twice at the same time loses what one client heard yes for

By reading Owner.conclude and Owner.unheard. Two of one id in a round that ends it at once: the first hears 503, the second 202, and nothing is owed. The first's connection gone as its yes comes: it is taken back, although the second heard yes.

--- /dev/null
+++ b/tests/test_same_id.py
@@ -0,0 +1,51 @@
+"""The same id twice at the same time: each client hears what holds for both."""
+
+import trio
+
+from juniperlanding.net.owner import Answer
+
+
+def handed_in(owner, name, ttl_at):
+    answer = Answer(name)
+    assert owner.tell_now(owner.submit, "news", 8, ttl_at, "", b"x", answer)
+    return answer
+
+
+def test_two_of_one_id_in_one_round_are_refused_together(site):
+    """The second would hear yes for what was refused in the same round, and nobody would owe it an end."""
+
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.owner.ready)
+        soon = node.owner.now() + 1_000_000  # too late to arrive: ended in the round that takes it on
+        answers = [handed_in(node.owner, "a0", soon) for _ in range(2)]
+        for answer in answers:
+            await answer.ready.wait()
+        assert [answer.status for answer in answers] == [503, 503] and not node.ledger.owed
+
+    site.run(scene)
+
+
+def test_a_yes_that_one_of_two_heard_is_not_taken_back_for_the_other(site, monkeypatch):
+    """The first one's connection is gone as its answer comes; the second one's is not."""
+
+    async def scene(site):
+        node = await site.start()
+        owner, respond = node.owner, node.clients.respond
+
+        async def gone(line, status, *rest, **more):
+            monkeypatch.setattr(node.clients, "respond", respond)
+            assert await site.submit("a0", dest=8, ttl=600) == 202  # the same once more, elsewhere
+            raise trio.BrokenResourceError
+
+        monkeypatch.setattr(node.clients, "respond", gone)
+        stream = await site.client()
+        await stream.send_all(
+            b"POST /api HTTP/1.1\r\nHost: a\r\nX-Trace-Id: a0\r\nX-Qos: news\r\nX-Expires-In-Ms: 600\r\n"
+            b"X-Addressing: dest=8\r\nContent-Length: 1\r\n\r\nx"
+        )
+        await site.until(lambda: site.platform.notices)
+        assert [notice["message"] for notice in site.platform.notices] == ["a0"]
+        assert not owner.counters["unheard"]
+
+    site.run(scene)
