--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -36,6 +36,7 @@
     def __init__(self, ntf_id):
         self.ntf_id, self.ready, self.status, self.again_in = ntf_id, trio.Event(), 503, 0
         self.took = False  # whether it is this request that was taken on, and not the same id before
+        self.is_shared = False  # whether another request of the same id was told yes, too
         self.under = 0  # the number in force then
 
 
@@ -454,6 +455,8 @@
         self.answers.append(answer)
         if ntf_id in self.taken or ntf_id in self.ledger.owed:
             answer.status = 202  # the same once more on a new connection, or by another client
+            if first := self.held.get(ntf_id):
+                first.is_shared = True
             return
         if self.licence is not None and not self.licensed(self.in_force):
             answer.again_in = self.licence.again_in()
@@ -594,7 +597,8 @@
         how = DECLINED if outcome == protocol.HANDED_BACK else ABORTED
         self.counters.ended(self.ledger.owed[ntf_id].topic, how)
         if answer in self.answers:
-            answer.status, answer.again_in = status, again_in
+            for same in [one for one in self.answers if one.ntf_id == ntf_id]:
+                same.status, same.again_in = status, again_in
             self.taken.discard(ntf_id)
             return self.ledger.write("x", ntf_id)
         self.give_notice(ntf_id, outcome, again_in)
