--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -379,6 +379,6 @@
             return await self.respond(line, answer.status, more)
         except GONE:
             # Threat: the same id once more, unheard, takes back what the first client was told yes for.
-            if answer.took and answer.status == 202 and not answer.is_shared:
-                await self.owner.tell(self.owner.unheard, ntf_id)
+            if answer.took and answer.status == 202:
+                await self.owner.tell(self.owner.unheard, answer)
             raise
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -505,9 +505,11 @@
             self.at.withdrawn(ntf_id)
             self.expired(ntf_id)
 
-    def unheard(self, ntf_id):
-        """The client left before it was told: nothing is owed."""
-        self.take_back(ntf_id)
+    def unheard(self, answer):
+        """The client left before it was told: nothing is owed, unless another heard yes for the same id."""
+        if answer.is_shared:
+            return
+        self.take_back(answer.ntf_id)
         self.counters["unheard"] += 1
 
     def take_back(self, ntf_id):
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -4,6 +4,7 @@
 import trio
 
 from juniperlanding.net import door
+from juniperlanding.net.owner import Answer
 from juniperlanding.standins.peers import http
 
 
@@ -113,7 +114,9 @@
         for stream in flood:
             await stream.send_all(b"POST /api HTTP/1.1\r\nHo")
         assert await site.submit("a1") == 503
-        while node.owner.tell_now(node.owner.unheard, "none"):  # the owner stands, so its queue fills up
+        while node.owner.tell_now(
+            node.owner.unheard, Answer("none")
+        ):  # the owner stands, so its queue fills up
             pass
         with trio.fail_after(1):
             assert (await figures(site))["results.news.declined"] == (1, "c")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -28,6 +28,7 @@
 from juniperlanding.net.ledger import Books, Ledger, line
 from juniperlanding.net.line import Line
 from juniperlanding.net.node import Node
+from juniperlanding.net.owner import Answer
 from juniperlanding.processes.rig import free
 from juniperlanding.standins.peers import Far, Platform, http, member
 
@@ -1056,7 +1057,7 @@
     async def scene(site):
         node = await site.start()
         await site.submit("a1", dest=8)
-        await node.owner.tell(node.owner.unheard, "a1")
+        await node.owner.tell(node.owner.unheard, Answer("a1"))
         await site.until(lambda: not node.ledger.owed)
         assert not node.owner.held and not node.owner.at.me.notifications
 
