--- a/juniperlanding/soak/rig.py
+++ b/juniperlanding/soak/rig.py
@@ -12,10 +12,11 @@
 from juniperlanding.soak.proxy import Proxy
 from juniperlanding.soak.schedule import MOST_STOP, STEPS, Kind
 from juniperlanding.standins.clients import arrivals
-from juniperlanding.standins.temper import SEC, TEMPERS
+from juniperlanding.standins.temper import SEC, TEMPERS, Temper
 
 RATE = 3.0  # messages a second for each instance
-TEMPER_OF = ("fast", "slow", "fast", "throttling", "slow", "fast")
+THROTTLING = Temper("throttling", rate=1.0, burst=3.0)  # told waits last up to a second
+TEMPER_OF = (TEMPERS["fast"], TEMPERS["slow"], TEMPERS["fast"], THROTTLING, TEMPERS["slow"], TEMPERS["fast"])
 BY_DESTINATION = 2  # endpoints of each
 LAST_ENDS = 6.0  # seconds for what is still owed once no clients come
 HOLD_EVERY = 0.35  # seconds from one hold to the next
@@ -58,7 +59,7 @@
         self.nursery = nursery
         for number in range(self.schedule.endpoints):
             chance = Random(f"{self.schedule.seed}/endpoint {number}")
-            temper = TEMPERS[TEMPER_OF[number % len(TEMPER_OF)]]
+            temper = TEMPER_OF[number % len(TEMPER_OF)]
             character = parties.NotedCharacter(temper, chance)
             destination = 1 + number // BY_DESTINATION
             endpoint = parties.SoakEndpoint(number, destination, character, self.history, self.now)
