Ledger: lines and their mending in a codec module, damaged lines read by a function of their own

Names: between, ended, ERRORS, TOPS are records_within, is_whole, BYTE_ERRORS, BY_HIGHEST_BYTE. No behaviour changed; tests of the ledger, restarts, shards and clocks passed.

--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -1,6 +1,6 @@
 """The ledger in the folder that lasts: what is owed, which pushes may have run, which notices are due.
 
-One record a line: a checksum and a JSON list.  Records gather until `flush`, which writes them at once; they
+One record a line (`ledger_codec`).  Records gather until `flush`, which writes them at once; they
 are safe from then on, whatever happens to the process.
 
     t id topic destination ttl_at idempotency-key body   taken on; under a policy, its number follows
@@ -21,19 +21,16 @@
 """
 
 import errno
-import json
-import re
 from base64 import b64decode, b64encode
 from contextlib import suppress
 from dataclasses import dataclass, field
-from zlib import crc32
 
 from juniperlanding.ground.clock import ClockStamp
 from juniperlanding.ground.errors import Trouble
 from juniperlanding.ground.seams import Files
+from juniperlanding.net.ledger_codec import is_whole, line, mended, parse, records_within
 
 FILE, MANIFEST = "ledger", "shards"
-BEGINS = re.compile(rb"[0-9a-f]{8} \[")  # a record
 FULL, WASTE = 3, 4  # eighths of the disk: what is owed may fill so many, and the file grows to so many
 OVER = 16  # of the disk, one part in so many may hold ids that are over
 REMEMBERED = 64  # bytes beside its id that one which is over takes until its TTL
@@ -45,9 +42,7 @@
     (0, LONGEST_AGO),
 )  # a push that a lost record may have told of: at an unknown place, and longest ago
 MOST_MENDED = 1 << 20  # bytes of damaged lines that are looked at byte by byte
-ERRORS = {crc32(bytes([error])) ^ crc32(b"\0"): error for error in range(256)}  # what each does to a checksum
 BAD = ValueError, TypeError, KeyError, IndexError  # what reading a damaged or a foreign record raises
-TOPS = {after >> 24: (error, after) for after, error in ERRORS.items()}
 
 
 class Unreadable(Trouble, OSError):
@@ -104,49 +99,6 @@
             yield ["o", self.id, *self.notice]
 
 
-def line(record):
-    text = json.dumps(record, separators=(",", ":")).encode()
-    return b"%08x %b\n" % (crc32(text), text)
-
-
-def parse(raw):
-    """A record; ValueError for a torn or foreign line."""
-    if int(raw[:8], 16) != crc32(raw[9:]):
-        raise ValueError("checksum")
-    return json.loads(raw[9:])
-
-
-def between(raw):
-    """The records that a line holds after all.  Threat: the damaged byte is the one that ends a record."""
-    starts = [0, *(begins.start() for begins in BEGINS.finditer(raw, 1))]
-    for start, end in zip(starts, [*(start - 1 for start in starts[1:]), len(raw)], strict=True):
-        with suppress(ValueError):
-            yield parse(raw[start:end]), end - start
-
-
-def ended(raw):
-    """Whether a line is one whole record."""
-    with suppress(ValueError):
-        return parse(raw) is not None
-    return False
-
-
-def mended(raw):
-    """The record of a line in which one byte is damaged; ValueError where it is more.
-
-    The difference of the checksums is run back byte by byte, until it is what one byte alone does."""
-    told, text = raw[:8], raw[9:]
-    if sum(map(int.__ne__, told, b"%08x" % crc32(text))) <= 1:
-        return json.loads(text)  # the damaged byte is the checksum's, or stands behind it
-    gone = int(told, 16) ^ crc32(text)
-    for at in reversed(range(len(text))):
-        if error := ERRORS.get(gone):
-            return json.loads(text[:at] + bytes([text[at] ^ error]) + text[at + 1 :])
-        error, after = TOPS[gone >> 24]
-        gone = (gone ^ after) << 8 | error
-    raise ValueError("more than a byte")
-
-
 class Books:
     """What is owed, as the records read so far have it."""
 
@@ -156,6 +108,7 @@
         # id: TTL.  Threat: one that is over comes again after a restart, and runs twice.
         self.over, self.over_size, self.most_over = {}, 0, 1 << 62
         self.stamp = None  # the latest reading of the clock that these times are of
+        self.damaged_size = 0  # bytes of damaged lines met so far
         self.whole_size = 0  # bytes of the file without half a record at its end
         self.not_rewritten = None  # the OSError that kept a start from rewriting the file
 
@@ -166,7 +119,7 @@
             return self
         except OSError as error:
             raise Unreadable(error.errno, error.strerror or str(error), str(path)) from None
-        lines, spent = content.split(b"\n"), 0
+        lines = content.split(b"\n")
         self.whole_size = len(content) - len(lines[-1])
         left = iter(enumerate(lines, 1))
         for at, raw in left:
@@ -174,26 +127,33 @@
                 if raw:
                     self.apply(parse(raw), len(raw))
             except BAD:
-                last = at == len(lines)
-                self.skipped += 1  # threats: killed within a write; another version's record
-                self.damaged += not last
-                spent += len(raw)
-                found = list(between(raw[:-1] if last and not ended(raw) and ended(raw[:-1]) else raw))
-                lost = sum(size + 1 for _, size in found) - 1 < len(raw)
-                if lost and not last and spent <= MOST_MENDED:
-                    # Threat: the damaged byte became an end of line, and stands before or behind this part.
-                    if self.mend(raw) or self.mend(b"\n" + raw):
-                        continue
-                    if at + 1 < len(lines) and self.mend(b"\n".join(lines[at - 1 : at + 1])):
-                        next(left)
-                        continue
-                for record in found:
-                    with suppress(*BAD):
-                        self.apply(*record)
-                if lost and not last:
-                    self.doubt()
+                if self.read_damaged(lines, at):
+                    next(left)  # its line is read with the one before
         return self
 
+    def read_damaged(self, lines, at):
+        """Read what can be read of a line (the `at`-th, from 1) that is no record: half of one at a kill,
+        another version's, or damaged.  Whether the line behind it was read with it."""
+        raw, is_last = lines[at - 1], at == len(lines)
+        self.skipped += 1
+        self.damaged += not is_last
+        self.damaged_size += len(raw)
+        is_record_before_a_byte = is_last and not is_whole(raw) and is_whole(raw[:-1])
+        found = list(records_within(raw[:-1] if is_record_before_a_byte else raw))
+        is_lost = sum(size + 1 for _, size in found) - 1 < len(raw)
+        if is_lost and not is_last and self.damaged_size <= MOST_MENDED:
+            # The damaged byte may have become an end of line, which stands before or behind this part.
+            if self.mend(raw) or self.mend(b"\n" + raw):
+                return False
+            if at + 1 < len(lines) and self.mend(b"\n".join(lines[at - 1 : at + 1])):
+                return True
+        for record in found:
+            with suppress(*BAD):
+                self.apply(*record)
+        if is_lost and not is_last:
+            self.doubt()
+        return False
+
     def mend(self, raw):
         """Whether a damaged line could be read after all."""
         with suppress(*BAD):
