--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -6,6 +6,8 @@
 import trio
 from conftest import WIRE, Bed
 from test_restart import PAY, opened, pushed_and_killed, sent, taken_and_killed
+from test_upgrade import first as first_process
+from test_upgrade import replace as replaced
 
 from juniperlanding.choice import SEC
 from juniperlanding.ground.clock import Clock
@@ -253,3 +255,16 @@
         "b": 18 * SEC,
         "e": 7 * SEC,
     }
+
+
+def test_a_process_that_takes_over_goes_on_with_the_clock_though_nothing_stands_on_file(site, wall_clock):
+    """What the module knows is handed over in times of the first one's clock."""
+
+    async def scene(site):
+        old = await first_process(site)
+        wall_clock.step(site, HOUR)
+        new = await replaced(site)
+        assert new.world.clock is not old.world.clock
+        assert abs(new.owner.now() - old.owner.now()) < SEC
+
+    site.run(scene)
