A hand-over carries the clock itself

Cause: the successor took the clock from the ledger's readings; with nothing owed there is none, and the module's times, handed over as they are, were off by a step of the wall clock between the two starts.

--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -75,6 +75,8 @@
     def build(self, offer=None):
         """The parts that serve, from what the folder holds."""
         told, world, common = self.config, self.world, (self.counters, self.log)
+        if offer:
+            offer.resume(world.clock)
         self.ledger = parts.books(told, world.files, bool(offer), world.clock)
         self.owner = owner = Owner(told, world.clock, self.ledger, *common)
         most_clients, self.most_calls = bounds(told)
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -4,6 +4,7 @@
 
 import json
 from base64 import b64decode, b64encode
+from dataclasses import astuple
 from zlib import crc32
 
 import h11
@@ -11,6 +12,7 @@
 
 from juniperlanding import carry
 from juniperlanding.choice import SEC
+from juniperlanding.ground.clock import ClockStamp
 from juniperlanding.ground.errors import Trouble, system
 from juniperlanding.ground.lock import Taken
 from juniperlanding.ground.log import described, where
@@ -74,6 +76,7 @@
         calls, clients = owner.endpoints.carried, node.clients.carried
         state = {
             "form": FORM,
+            "clock": astuple(stamp) if (stamp := node.world.clock.stamp()) else None,
             "version": module and carry.VERSION,
             "settings": digest(node.config.settings),
             "module": module,
@@ -124,6 +127,11 @@
             world.network.drop(files)
             raise OtherForm(0, f"hands over in another form ({described(error)})", None) from None
 
+    def resume(self, clock):
+        """Go on with the clock that all times of the offer are of; an earlier version tells none."""
+        if told := self.state.get("clock"):
+            clock.resume(ClockStamp(*told))
+
     def files(self):
         return [self.lock.file, self.listener.raw.fileno(), *(sock.raw.fileno() for sock in self.socks)]
 
