--- a/juniperlanding/net/system_errors.py
+++ b/juniperlanding/net/system_errors.py
@@ -61,6 +61,7 @@
         self.failures = 0
 
     def succeeded(self):
+        """A try went well: the next pause is the first again."""
         self.failures = 0
 
     def failed(self):
@@ -76,6 +77,7 @@
         self.backoff, self.in_a_row, self.logged_at = Backoff(), 0, {}
 
     def succeeded(self):
+        """An accept went well: errors in a row end here."""
         self.backoff.succeeded()
         self.in_a_row = 0
 
--- a/juniperlanding/rules.py
+++ b/juniperlanding/rules.py
@@ -52,6 +52,7 @@
 
     @property
     def is_allowed(self):
+        """Whether nothing stands against it."""
         return self.reason is Reason.ALLOWED
 
 
--- a/juniperlanding/soak/history.py
+++ b/juniperlanding/soak/history.py
@@ -48,6 +48,7 @@
     what: str = ""
 
     def meets(self, begin, end):
+        """Whether it overlaps another span of time."""
         return self.begin <= end and begin <= self.end
 
 
@@ -59,6 +60,7 @@
         self.ran_at = {}
 
     def pushed(self, ntf_id, ran):
+        """As in `Audit`; when it ran is kept, too."""
         super().pushed(ntf_id, ran)
         if ran:
             self.ran_at.setdefault(ntf_id, []).append(self.now())
--- a/juniperlanding/soak/instance.py
+++ b/juniperlanding/soak/instance.py
@@ -39,14 +39,17 @@
 
     @property
     def address(self):
+        """Where its clients connect."""
         return ("127.0.0.1", self.port)
 
     @property
     def life(self):
+        """Its present or last process."""
         return self.history.lives[self.name][-1]
 
     @property
     def alive(self):
+        """Whether a process of it runs."""
         return self.running is not None and self.running.returncode is None
 
     def text(self):
@@ -99,6 +102,7 @@
         self.note_end(life)
 
     async def is_ready(self):
+        """Whether `GET /_health` answers 200."""
         with trio.move_on_after(ASK_WITHIN):
             try:
                 async with await trio.open_tcp_stream(*self.address) as stream:
--- a/juniperlanding/soak/parties.py
+++ b/juniperlanding/soak/parties.py
@@ -23,12 +23,14 @@
     present = ()  # the messages of the call that is being looked at
 
     def reply(self, now, weight=1):
+        """As in `Character`; the reply is kept under the call's messages."""
         found = Character.reply(self, now, weight)
         self.replies[self.present] = found
         return found
 
     @property
     def replies(self):
+        """Replies by the messages of their calls."""
         return self.__dict__.setdefault("_replies", {})
 
 
@@ -40,6 +42,7 @@
         self.history = history
 
     async def call(self, stream, first, headers, body):
+        """As in `Endpoint`; the call, and a wait that its caller heard, go into the history."""
         ids = (headers["x-trace-id"],)
         instance = instance_of(ids[0])
         self.history.calls.append(CallSeen(self.now(), self.id, instance, ids))
@@ -60,6 +63,7 @@
         self.history, self.instance = history, instance
 
     async def ask(self, stream, text):
+        """As in `Clients`; an end without an answer, or none in time, goes into the history."""
         begun, is_new = self.now(), stream not in self.used
         self.used.add(stream)
         try:
--- a/juniperlanding/soak/platform.py
+++ b/juniperlanding/soak/platform.py
@@ -25,6 +25,7 @@
         return self.revision
 
     def wake(self):
+        """Let all watches look again."""
         self.changed.set()
         self.changed = trio.Event()
 
@@ -34,6 +35,7 @@
         return {"revision": self.revision, "complete": False, "members": list(entries.values())}
 
     def whole(self):
+        """The whole list, as discovery tells it."""
         return {"revision": self.revision, "complete": True, "members": list(self.members.values())}
 
 
@@ -46,11 +48,13 @@
         self.catalog, self.told, self.noticed = catalog, told, noticed
 
     async def open(self, nursery):
+        """Listen; `address` is known once this returns."""
         listeners = await nursery.start(trio.serve_tcp, self.attend, 0)
         self.address = listeners[0].socket.getsockname()[:2]
         return self
 
     async def attend(self, stream):
+        """One connection of a dispatcher, until it ends."""
         buffer = bytearray()
         try:
             while message := await read_message(stream, buffer):
@@ -59,6 +63,7 @@
             pass  # it ended the connection, or half a request did
 
     async def answer(self, first, headers, body):
+        """The bytes that answer one request."""
         method, target, _ = first.split()
         if method == "POST":
             for row in body.splitlines():
--- a/juniperlanding/soak/proxy.py
+++ b/juniperlanding/soak/proxy.py
@@ -22,6 +22,7 @@
         self.lift()
 
     def lift(self):
+        """End all that is wrong with it."""
         self.delay = self.dial = 0.0
         self.silent = self.resets = self.halves = False
 
@@ -33,11 +34,13 @@
         self.target, self.link, self.streams = target, Link(), set()
 
     async def open(self, nursery):
+        """Listen; `address` is known once this returns."""
         listeners = await nursery.start(trio.serve_tcp, self.attend, 0)
         self.address = listeners[0].socket.getsockname()[:2]
         return self
 
     async def attend(self, near):
+        """One connection, relayed in both directions until either side ends."""
         if self.link.dial:
             await trio.sleep(self.link.dial)
         try:
--- a/juniperlanding/soak/rig.py
+++ b/juniperlanding/soak/rig.py
@@ -78,6 +78,7 @@
         nursery.start_soon(self.measure)
 
     async def add_instance(self, number, nursery):
+        """One more dispatcher with two agents of the platform."""
         name = f"d{number:02}"
         seen = self.history.told.setdefault(name, [])
         agents = [
@@ -123,6 +124,7 @@
         await self.until(lambda: not self.history.audit.open(), LAST_ENDS + 2)
 
     async def until(self, condition, seconds):
+        """Wait for a condition, for so many seconds at most."""
         with trio.move_on_after(seconds):
             while not condition():
                 await trio.sleep(0.05)
@@ -142,28 +144,35 @@
     # ---- troubles of processes
 
     def instance(self, trouble):
+        """The dispatcher that a trouble meets."""
         return self.instances[trouble.target]
 
     async def on_term(self, trouble):
+        """SIGTERM, and a new process."""
         await self.instance(trouble).terminate()
 
     async def on_kill(self, trouble):
+        """SIGKILL, and a new process."""
         await self.instance(trouble).kill()
 
     async def on_kill_in_write(self, trouble):
+        """It ends in the middle of its next write."""
         await self.instance(trouble).kill_in_write(trouble.seconds)
 
     async def on_reload(self, trouble):
+        """SIGHUPs in quick succession, some over half a file."""
         for _ in range(1 + int(trouble.amount * 3)):
             await self.instance(trouble).reload()
 
     async def on_hold(self, trouble):
+        """Held by SIGSTOP for up to 0.15 s, again and again."""
         until = trio.current_time() + trouble.seconds
         while trio.current_time() < until:
             await self.instance(trouble).hold(MOST_STOP * (0.3 + 0.7 * trouble.amount))
             await trio.sleep(HOLD_EVERY)
 
     async def on_clock_step(self, trouble):
+        """The wall clock of a third of the processes is stepped, for good."""
         step = STEPS[int(trouble.amount * len(STEPS))] * SEC
         for number, instance in enumerate(self.instances):
             if number % 3 == trouble.target % 3:
@@ -179,18 +188,22 @@
             instance.order(**dict.fromkeys(changed, 0.0))
 
     async def on_system_calls(self, trouble):
+        """Accepts, connects and sends fail."""
         share = 0.1 + 0.25 * trouble.amount
         await self.ordered(trouble, accepts=share, connects=share, breaks=share / 10)
 
     async def on_disk(self, trouble):
+        """Writes fail, some or all."""
         await self.ordered(trouble, writes=0.3 if trouble.amount < 0.7 else 1.0)
 
     async def on_short_writes(self, trouble):
+        """Writes and sends take a few bytes."""
         await self.ordered(trouble, short=0.5)
 
     # ---- troubles between and at endpoints
 
     async def on_link(self, trouble, **changed):
+        """Change a link for a while, and write down when."""
         link = self.proxies[trouble.target].link
         begin = self.now()
         for name, value in changed.items():
@@ -205,21 +218,27 @@
         spans.append(Span(begin, self.now() + SEC, trouble.kind))
 
     async def on_link_delay(self, trouble):
+        """Each piece comes late."""
         await self.on_link(trouble, delay=0.02 + 0.3 * trouble.amount)
 
     async def on_link_silence(self, trouble):
+        """Nothing is relayed."""
         await self.on_link(trouble, silent=True)
 
     async def on_link_reset(self, trouble):
+        """A reset in the middle of each request."""
         await self.on_link(trouble, resets=True)
 
     async def on_link_half_answer(self, trouble):
+        """Answers break off."""
         await self.on_link(trouble, halves=True)
 
     async def on_slow_dial(self, trouble):
+        """New connections are taken up late."""
         await self.on_link(trouble, dial=0.1 + 1.2 * trouble.amount)
 
     async def outage(self, trouble, name):
+        """Set a flag of an endpoint's character for a while, and write down when."""
         character, begin = self.endpoints[trouble.target].character, self.now()
         setattr(character, name, True)
         await trio.sleep(trouble.seconds)
@@ -228,12 +247,15 @@
         outages.append(Span(begin, self.now(), name))
 
     async def on_endpoint_hang(self, trouble):
+        """It takes calls and answers none."""
         await self.outage(trouble, "silenced")
 
     async def on_endpoint_down(self, trouble):
+        """It refuses connections, and resets those that there are."""
         await self.outage(trouble, "refusing")
 
     async def on_endpoint_drain(self, trouble):
+        """The list tells that it drains, and later that it serves again."""
         begin, endpoint = self.now(), self.endpoints[trouble.target].id
         revision = self.catalog.put(self.entry(trouble.target, "terminating"))
         await trio.sleep(trouble.seconds)
@@ -242,6 +264,7 @@
         self.catalog.put(self.entry(trouble.target))
 
     async def on_discovery_silent(self, trouble):
+        """Discovery says nothing to anybody."""
         self.catalog.silent = True
         await trio.sleep(trouble.seconds)
         self.catalog.silent = False
@@ -250,6 +273,7 @@
     # ---- troubles with clients
 
     async def on_half_requests(self, trouble):
+        """Many clients send half of a request and stay."""
         instance = self.instance(trouble)
         half = parties.HALVES[int(trouble.amount * len(parties.HALVES))]
         async with trio.open_nursery() as nursery:
@@ -259,6 +283,7 @@
                 )
 
     async def on_early_leavers(self, trouble):
+        """Clients ask and leave before their answer, without end."""
         until = trio.current_time() + trouble.seconds
         while trio.current_time() < until:
             async with trio.open_nursery() as nursery:
@@ -267,6 +292,7 @@
             await trio.sleep(0.1)
 
     async def on_crowd(self, trouble):
+        """Many idle clients at once."""
         async with trio.open_nursery() as nursery:
             for _ in range(CROWD):
                 nursery.start_soon(parties.idle_client, self.instance(trouble).address, trouble.seconds)
--- a/juniperlanding/soak/shim.py
+++ b/juniperlanding/soak/shim.py
@@ -48,6 +48,7 @@
         self.look()
 
     def look(self):
+        """The present orders, read again where the file has changed."""
         now = time.monotonic()
         if now - self.read_at > LOOK_EVERY:
             self.read_at = now
@@ -73,38 +74,49 @@
         super().__init__()
 
     def wall(self):
+        """The machine's wall clock, with the steps that were ordered."""
         return super().wall() + self.following.look().wall_ahead
 
 
 class FailingListener(seams.Listener):
+    """A listener whose accepts fail on order."""
+
     following = None
 
     async def accept(self):
+        """As in `Listener`, or an ordered error."""
         await trio.lowlevel.wait_readable(self.raw)
         self.following.fail(self.following.look().accepts, ACCEPT_ERRORS)
         return await super().accept()
 
     def waiting(self):
+        """As in `Listener`, or an ordered error."""
         self.following.fail(self.following.look().accepts, ACCEPT_ERRORS)
         return super().waiting()
 
 
 class FailingNetwork(seams.Network):
+    """A network whose accepts, connects and sends fail or come short on order."""
+
     def __init__(self, following):
         self.following = following
 
     def bind(self, address):
+        """A `FailingListener` there."""
         listener = FailingListener(address)
         listener.following = self.following
         return listener
 
     async def connect(self, address):
+        """As in `Network`, or an ordered error; its sends may fail, too."""
         self.following.fail(self.following.look().connects, CONNECT_ERRORS)
         connected = await super().connect(address)
         connected.sendmsg = self.failing_send(connected.sendmsg)
         return connected
 
     def failing_send(self, sendmsg):
+        """A `sendmsg` that fails, or takes a few bytes, on order."""
+
         async def send(parts):
             orders = self.following.look()
             if orders.breaks:
@@ -118,10 +130,13 @@
 
 
 class FailingFiles(seams.Files):
+    """Files whose writes fail, come short, or end the process on order."""
+
     def __init__(self, following):
         self.following = following
 
     def write(self, file, data):
+        """As in `Files`, or an ordered fault."""
         orders = self.following.look()
         self.following.fail(orders.writes, DISK_ERRORS)
         if orders.kill_in_write and len(data) > MOST_SHORT:
--- a/juniperlanding/soak/verdict.py
+++ b/juniperlanding/soak/verdict.py
@@ -50,6 +50,7 @@
 
 
 def seconds(span):
+    """A span as people read it."""
     return f"{span / SEC:.2f} s"
 
 
@@ -154,6 +155,7 @@
 
 
 def restarted_between(history, instance, begin, end):
+    """Whether a process of an instance started within a span of time."""
     return any(begin <= life.started_at <= end for life in history.lives[instance])
 
 
