An endpoint that the list moves is called at its new address alone

Cause: kept connections were found by the endpoint's id, and Owner.listed changed the address beside them; the next call went to whoever listens at the old one. Change: idle connections to it go, what has not left is called back, and a call that was out whole keeps its answer but not its connection.

--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -120,6 +120,16 @@
                     send.cancelled = True
                 call.scope.cancel()
 
+    def move(self, endpoint):
+        """The list tells another address for an endpoint: nothing more leaves over connections to the old
+        one.  A call that is out whole is still heard."""
+        self.close_idle(endpoint)
+        self.recall({endpoint})
+
+    def has_moved(self, endpoint, line):
+        """Whether a connection goes to an address that its endpoint had before."""
+        return line.address is not None and self.book.get(endpoint, line.address) != line.address
+
     async def withdraw(self):
         """The process ends: call back what has not left, and wait until that is told.
 
@@ -374,7 +384,7 @@
 
     def keep(self, call):
         line, call.line = call.line, None
-        if not line.reusable():
+        if not line.reusable() or self.has_moved(call.endpoint, line):
             return self.drop(call.endpoint, line, "not_kept")
         line.next()
         line.used_at = self.now()
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -21,6 +21,7 @@
         self.came_at, self.gives_way = trio.current_time(), False  # gives way: another one needs its place
         self.raw = []  # what came of the present message, for a process that takes over from us
         self.http = h11.Connection(role, max_incomplete_event_size=MOST_HEAD)
+        self.address = None  # that we connected to; not known of one that another process handed to us
         self.used_at, self.head = 0, b""  # head: what came of an answer until its head could be read
 
     async def event(self):
@@ -194,4 +195,7 @@
 
 
 async def connect(network, address):
-    return Line(await network.connect(address), h11.CLIENT)
+    """A new connection to (host, port), as a client's; it knows its address."""
+    line = Line(await network.connect(address), h11.CLIENT)
+    line.address = address
+    return line
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -443,6 +443,8 @@
 
     def listed(self, news, members):
         for entry, address in members:
+            if self.endpoints.book.get(entry[0], address) != address:
+                self.endpoints.move(entry[0])
             self.endpoints.book[entry[0]], self.entries[entry[0]] = address, entry
         self.endpoints.recall({entry[0] for entry, _ in members if entry[5] != "ready"})
         self.at.listed(news, [entry for entry, _ in members])
--- a/tests/test_moved_endpoint.py
+++ b/tests/test_moved_endpoint.py
@@ -1,21 +1,30 @@
 """The list tells another address for an endpoint that it named before."""
 
+import pytest
 from test_restart import sent
 
 from juniperlanding.net import protocol
 from juniperlanding.standins.peers import Far, member
 
 
-def test_an_endpoint_that_moved_is_called_at_its_new_address_alone(site):
+@pytest.mark.parametrize("is_out", [False, True])
+def test_an_endpoint_that_moved_is_called_at_its_new_address_alone(site, is_out):
     """A connection that was kept to the old one would carry the next call to whoever listens there now."""
 
     async def scene(site):
         node = await site.start()
+        site.far.answer = lambda *message: "late"
         assert await site.submit("a0") == 202
-        await site.until(lambda: not node.ledger.owed)
+        await site.until(lambda: sent(site))
+        if not is_out:
+            site.far.go.set()
+            await site.until(lambda: not node.ledger.owed)
         moved = await Far().open(site.nursery)
         found = protocol.entries([member(1, moved.address)], ["m1", "m2"], ["a"])
         await node.owner.tell(node.owner.listed, "changes", found)
+        await node.owner.tell(len, "")  # and the round that has it is over
+        site.far.go.set()  # an answer that is out is still heard
+        await site.until(lambda: not node.ledger.owed)
         assert await site.submit("a1") == 202
         await site.until(lambda: not node.ledger.owed)
         assert sent(site) == ["a0"]
