--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,6 +12,7 @@
 
 from juniperlanding import rules
 from juniperlanding.choice import SEC
+from juniperlanding.ground.seams import Files
 from juniperlanding.net import protocol
 from juniperlanding.net.clients import Clients
 from juniperlanding.net.counters import VIOLATIONS
@@ -219,3 +220,24 @@
         assert not [1 for event, _ in site.lines if event == "trace"]
 
     site.run(scene)
+
+
+def test_a_record_that_takes_longer_to_write_than_its_message_has_lets_nothing_leave(site):
+    """The disk holds the write of `p` up past the TTL; the time is looked at after it."""
+
+    class SlowDisk(Files):
+        def write(self, file, data):
+            if b'["p"' in bytes(data):
+                time.sleep(0.7)
+            return super().write(file, data)
+
+    site.world = replace(site.world, files=SlowDisk())
+
+    async def scene(site):
+        node = await site.start()
+        assert await site.submit("a0", "order", ttl=500) == 202
+        await site.until(lambda: not node.ledger.owed)
+        assert not got(site.far) and not node.counters["svc.forwards"]
+        assert [notice["message"] for notice in site.platform.notices] == ["a0"]
+
+    site.run(scene)
