--- a/tests/test_system_errors.py
+++ b/tests/test_system_errors.py
@@ -249,3 +249,44 @@
         assert answers.count(202) >= 180, f"{answers.count(503)} of 200 were turned away"
 
     site.run(scene)
+
+
+def test_an_end_that_changed_while_the_disk_failed_is_told_alike_by_the_next_process(site):
+    """Handed back while nothing can be written, given up as its time is up, killed within the next write: the
+    file must not tell the first end."""
+
+    class KilledInWrite(FailingDisk):
+        """The write that would succeed again is cut off within the record behind the first end."""
+
+        def write(self, file, data):
+            if self.failing or not self.failed:
+                return super().write(file, data)
+            end = bytes(data).find(b"handed_back")
+            os.write(file, bytes(data)[: bytes(data).find(b"\n", max(end, 0)) + 9])
+            raise OSError(errno.EIO, "killed here")
+
+        def truncate(self, file, size):
+            raise OSError(errno.EIO, "killed before")
+
+    files = KilledInWrite()
+
+    async def scene(site):
+        node = await site.start()
+        assert await site.submit("a0", dest=8, ttl=900) == 202
+        site.world = replace(site.world, files=files)
+        node.ledger.files = files
+        files.failing = True
+        await node.owner.tell(node.owner.at.give_up, node.owner.at.me.notifications["a0"])
+        await site.until(lambda: site.platform.notices)  # its time is up
+        assert [notice["outcome"] for notice in site.platform.notices] == ["given_up"]
+        files.failing = False
+        await site.until(
+            lambda: b'"o"' in (site.folder / "state" / "ledger").read_bytes() or not node.owner.stuck
+        )
+        site.kill()
+        site.world = replace(site.world, files=seams.Files())
+        node = await site.start()
+        await site.until(lambda: not node.ledger.owed)
+        assert {notice["outcome"] for notice in site.platform.notices} == {"given_up"}
+
+    site.run(scene)
