An end that changes before it is on file replaces the first one

Cause: while nothing can be written an end that is due past its TTL is told as given_up, and its record gathered behind the first end's; a kill within the next write left the first alone on file. Change: Ledger.replace_end takes the first one out of what gathered.

--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -317,6 +317,17 @@
         self.apply(record)
         self.pending.append(line(record))
 
+    def replace_end(self, number, *end):
+        """Write another end of a message in place of one that is not on file yet.
+
+        Behind it, a kill within the write could leave the first one alone on file."""
+        self.drop_pending(line(["o", number, *self.owed[number].notice]))
+        self.write("o", number, *end)
+
+    def drop_pending(self, raw):
+        """Let go of a record that gathered and was not written."""
+        self.pending = [one for one in self.pending if one != raw]
+
     def room(self, size):
         return self.owed_size + 2 * size + 2 * MORE <= self.most_owed
 
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -427,7 +427,7 @@
         late = [ntf_id for ntf_id, *_ in due if left.get(ntf_id, 1) <= 0]
         for ntf_id in late:
             # Threat: we end before this can be written, and the next process gives up what we handed back.
-            self.ledger.write("o", ntf_id, protocol.GIVEN_UP, 0)
+            self.ledger.replace_end(ntf_id, protocol.GIVEN_UP, 0)
         return [(ntf_id, protocol.GIVEN_UP, 0) for ntf_id in late]
 
     # ---- events
--- a/juniperlanding/shards/books.py
+++ b/juniperlanding/shards/books.py
@@ -222,6 +222,12 @@
     def file_size(self):
         return sum(shard.file_size for shard in self.shards)
 
+    replace_end = Ledger.replace_end
+
+    def drop_pending(self, raw):
+        """As `Ledger.drop_pending`."""
+        self.pending = [entry for entry in self.pending if entry[-1] != raw]
+
     def room(self, size):
         return Ledger.room(self, size)
 
--- a/juniperlanding/soak/parties.py
+++ b/juniperlanding/soak/parties.py
@@ -13,6 +13,7 @@
 HALVES = (b"POST /api HT", b"POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf")
 HALF_WITHIN = 3.0 + 0.5  # seconds until half a request is answered or closed, and a margin for a held process
 CONNECT_WITHIN = 1.0
+HEARD_WITHIN = 0.02  # seconds in which a reset that crossed an answer comes through the proxy
 KEEPS_ONE_IN = 3  # requests; after the others the connection is closed, and the next one makes its own
 NEARLY = 0.8  # of a client's patience; what ends sooner was ended with the run
 
@@ -52,6 +53,9 @@
         if goes_on and reply and reply.wait and not gone(stream):
             at = self.now()
             self.history.waits.append(WaitTold(at, at + reply.wait, self.id, instance))
+        await trio.sleep(HEARD_WITHIN)
+        if gone(stream):
+            self.history.doubtful.update(ids)  # its caller may have left before the answer came
         return goes_on
 
 
--- a/juniperlanding/soak/verdict.py
+++ b/juniperlanding/soak/verdict.py
@@ -127,7 +127,11 @@
 
     Heard only as its time is up, a delivery ends it for nobody, and a notice too many does no harm."""
     delivered_at = record.delivered_at
-    if not delivered_at or any(link_met(history, endpoint, at, delivered_at) for at, endpoint in calls):
+    if (
+        record.id in history.doubtful
+        or not delivered_at
+        or any(link_met(history, endpoint, at, delivered_at) for at, endpoint in calls)
+    ):
         return
     lives = history.lives[instance_of(record.id)]
     if any(0 <= life.ended_at - delivered_at < UNWRITTEN for life in lives if life.ended_at):
