--- a/juniperlanding/soak/history.py
+++ b/juniperlanding/soak/history.py
@@ -86,6 +86,7 @@
     unanswered: list = field(default_factory=list)
     kept_waiting: list = field(default_factory=list)
     unheard: list = field(default_factory=list)
+    disks: dict = field(default_factory=dict)  # by instance, when its disk failed
     doubtful: set = field(default_factory=set)  # messages whose delivery may have crossed its call's end
     violations: dict = field(default_factory=dict)
     peaks: dict = field(default_factory=dict)  # by instance: (descriptors, bytes of memory)
--- a/juniperlanding/soak/rig.py
+++ b/juniperlanding/soak/rig.py
@@ -194,6 +194,9 @@
 
     async def on_disk(self, trouble):
         """Writes fail, some or all."""
+        span = Span(self.now(), self.now() + int(trouble.seconds * SEC), trouble.kind)
+        for instance in self.instances[trouble.target % 3 :: 3]:
+            self.history.disks.setdefault(instance.name, []).append(span)
         await self.ordered(trouble, writes=0.3 if trouble.amount < 0.7 else 1.0)
 
     async def on_short_writes(self, trouble):
--- a/juniperlanding/soak/verdict.py
+++ b/juniperlanding/soak/verdict.py
@@ -133,7 +133,10 @@
         or any(link_met(history, endpoint, at, delivered_at) for at, endpoint in calls)
     ):
         return
-    lives = history.lives[instance_of(record.id)]
+    instance = instance_of(record.id)
+    if any(span.meets(delivered_at, delivered_at) for span in history.disks.get(instance, ())):
+        return  # its end could not be written down; a later notice does no harm
+    lives = history.lives[instance]
     if any(0 <= life.ended_at - delivered_at < UNWRITTEN for life in lives if life.ended_at):
         return  # heard in its process's last moment, and not written down
     for outcome, at in record.notices:
