--- a/juniperlanding/soak/defects.py
+++ b/juniperlanding/soak/defects.py
@@ -87,6 +87,7 @@
 def half_requests_stay():
     """Half a request is waited for without end."""
     clients.protocol.REQUEST_WITHIN = 60.0
+    clients.Clients.attend.__defaults__ = (60.0,)
 
 
 @defect
