--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -350,7 +350,7 @@
         view = memoryview(data)
         try:
             while view:
-                view = view[self.files.write(self.file, view) :]
+                view = view[self.write_some(self.file, view) :]
                 self.torn = bool(view)
         except OSError:
             if self.torn:
@@ -358,6 +358,13 @@
             raise
         return len(data)
 
+    def write_some(self, file, view):
+        """How many bytes a write took; a disk that takes none without an error would be asked for ever."""
+        size = self.files.write(file, view)
+        if not size:
+            raise OSError(errno.EIO, "nothing was written")
+        return size
+
     def cut_off(self):
         self.files.truncate(self.file, self.file_size)
         self.torn = False
@@ -365,7 +372,7 @@
     def append(self, file, data):
         view = memoryview(data)
         while view:
-            view = view[self.files.write(file, view) :]
+            view = view[self.write_some(file, view) :]
         return len(data)
 
     def compact(self):
--- a/juniperlanding/shards/books.py
+++ b/juniperlanding/shards/books.py
@@ -94,6 +94,7 @@
     """One range and its open file; `ids` and `over` are what it holds, as the keys of a map."""
 
     added, cut_off, let_go = Ledger.added, Ledger.cut_off, Ledger.let_go
+    write_some = Ledger.write_some
 
     def __init__(self, files, low, high, name):
         self.files, self.low, self.high, self.name = files, low, high, name
