What a whole list leaves out is called back, and the last look goes by the module's state

Change: after the module has the news, calls to endpoints that it does not hold for ready are called back; send_facts asks the module's endpoint, not the entry last named. Also: connections carried to another process are let go from Clients.attended.

--- a/juniperlanding/net/clients.py
+++ b/juniperlanding/net/clients.py
@@ -215,12 +215,12 @@
             reason = "fault"
             self.log("fault", part="client", why=described(error), at_line=where(error))
         finally:
+            self.attended.pop(line, None)
             if reason == "carried":
                 self.carried.append(line)
             else:
                 self.turned_away.pop(line, None)
                 self.leaving.discard(line)
-                self.attended.pop(line, None)
                 self.open -= 1
                 self.connection_limit.release()
                 if reason != "process_ends":
--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -112,6 +112,10 @@
             if all(send.cancelled or send.over for send in call.sends):
                 call.scope.cancel()
 
+    def calls(self):
+        """The calls that are out, each once."""
+        return set(self.out.values())
+
     def recall(self, endpoints):
         """Threat: a wait or a drain binds, but a call not wholly written would arrive all the same."""
         for call in set(self.out.values()):
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -286,17 +286,22 @@
                     self.trace.violation(rules.Rule.SEND, send.id, reason=verdict.reason, endpoint=endpoint)
         return all(verdict.is_allowed for verdict in verdicts)
 
+    def in_service(self, call):
+        """Whether the endpoint of a call takes new ones, by all lists so far."""
+        endpoint = self.at.me.endpoints.get(call.endpoint)
+        return endpoint is not None and endpoint.state == "ready"
+
     def send_facts(self, endpoint, send):
         """What `rules.may_send` asks of one message of a call."""
         notification = self.at.me.notifications.get(send.id)
-        entry = self.entries.get(endpoint)
+        listed = self.at.me.endpoints.get(endpoint)
         return rules.SendFacts(
             is_owed=send.id in self.held and notification is not None and not send.over,
             deadline=send.ttl_at,
             may_have_run=notification is not None and notification.may_have_run is not None,
             is_once_only=notification is not None and notification.topic.get("kind") == "once-only",
             repeats_until=repeats_until(notification) if notification else 0,
-            is_in_service=entry is not None and entry[-1] == "ready",
+            is_in_service=listed is not None and listed.state == "ready",
             wait_until=self.told_waits.get(endpoint, 0),
         )
 
@@ -446,8 +451,9 @@
             if self.endpoints.book.get(entry[0], address) != address:
                 self.endpoints.move(entry[0])
             self.endpoints.book[entry[0]], self.entries[entry[0]] = address, entry
-        self.endpoints.recall({entry[0] for entry, _ in members if entry[5] != "ready"})
         self.at.listed(news, [entry for entry, _ in members])
+        # What a whole list leaves out is gone, though it is named nowhere.
+        self.endpoints.recall({call.endpoint for call in self.endpoints.calls() if not self.in_service(call)})
         for gone in self.entries.keys() - self.at.me.endpoints.keys():
             del self.endpoints.book[gone], self.entries[gone]
             self.told_waits.pop(gone, None)
