--- a/juniperlanding/ground/clock.py
+++ b/juniperlanding/ground/clock.py
@@ -27,7 +27,7 @@
 def boot_id():
     """What tells one start of the machine from another; "" where the system does not say."""
     try:
-        with open(BOOT_ID, encoding="ascii") as file:  # noqa: PTH123  (this is the seam)
+        with open(BOOT_ID, encoding="ascii") as file:
             return file.read().strip()
     except (OSError, ValueError):
         return ""
--- a/juniperlanding/processes/ramp.py
+++ b/juniperlanding/processes/ramp.py
@@ -15,6 +15,7 @@
 import trio
 
 from juniperlanding.processes.rig import free
+from juniperlanding.soak import verdict
 from juniperlanding.standins.audit import Audit
 from juniperlanding.standins.clients import Clients, arrivals
 from juniperlanding.standins.endpoints import Endpoint
@@ -35,8 +36,7 @@
 
 def allowed(since):
     """The calls that the settings allow in the window that begins `since` seconds after the return."""
-    steps = [since + FALL * (step + 0.5) / 20 for step in range(20)]
-    return FACTOR * LIMIT * FALL * sum(START + (1 - START) * min(1.0, age / WARM) for age in steps) / 20
+    return verdict.allowed(since, verdict.Slow(LIMIT, START, WARM, FACTOR, FALL))
 
 
 def worst(came):
