--- a/review/standins.py
+++ b/review/standins.py
@@ -261,7 +261,7 @@
 
 
 class Dispatcher:
-    """One dispatcher: its folder, its configuration, and the processes that the deploy file's `run` starts."""
+    """One dispatcher: its folder, its configuration, and the processes that the deploy file starts."""
 
     def __init__(self, record, platform, members, settings=None):
         self.record, self.folder = record, Path(tempfile.mkdtemp(prefix="review-"))
