--- a/review/1/case.py
+++ b/review/1/case.py
@@ -37,9 +37,7 @@
     data = hand_in_bytes(ntf_id, "order-handoff", destination, TTL_MS, b"not the message of this id")
     for sock in [socket.create_connection(address) for _ in range(BAD_AT_ONCE)]:
         sock.sendall(data)
-        goes_at = time.perf_counter() + chance.uniform(*STAYS)
-        while time.perf_counter() < goes_at:
-            pass
+        time.sleep(chance.uniform(*STAYS))
         reset(sock)
 
 
