--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,7 +31,7 @@
 STALL = 3.0  # seconds; a new process has 6 s to say yes
 SAYS_YES_WITHIN = 6.0
 GRACE = 0.55  # seconds past its time after which a message without an end is lost, in the widest of the pages
-ASKED = b"another process takes over"  # the first process's log line (docs/upgrade.md)
+ASKED = b" upgrade "  # of the first process's log lines as it is asked to hand over (docs/upgrade.md)
 
 
 async def says_yes(management):
