An id is in use until the outcome of its withdrawn call is known

Cause: undo_unheard forgot the id while a push of it was in flight. Calls, ledger and module know a push by (id, number), so the next acceptance of the id shared these keys with the first.

Change: a client that left marks its notification; from then on no last byte of it leaves. Its acceptance is undone once its push is known not to have run, and never if it may have run or has its end. check_after_ttl waits for an outcome that is still to come. An outcome without an entry no longer raises.

Why it works: no acceptance under an id can begin while the module still has a push under that id, so the keys are unique again.

--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -320,7 +320,7 @@
         for push, outcome in outcomes:
             if not push.over:
                 push.over = True
-                del self.in_flight[push.id, push.number]
+                self.in_flight.pop((push.id, push.number), None)
                 is_final = outcome in ("delivered", "over")
                 outcome = "moot" if outcome == "over" else outcome
                 self.counters[f"pushes_{outcome}"] += 1
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -41,6 +41,7 @@
         # Whether it is this request that was accepted, and not the same id before it.
         self.is_accepted = False
         self.is_shared = False  # whether another request with the same id is answered 202, too
+        self.is_unheard = False  # whether its client left before it was answered 202
         self.policy_number = 0  # number of the policy that was in force at acceptance
 
 
@@ -338,7 +339,7 @@
         notification = self.dispatcher.state.notifications.get(push.id)
         listed = self.dispatcher.state.endpoints.get(endpoint)
         return rules.SendFacts(
-            is_pending=push.id in self.unfinished and notification is not None and not push.over,
+            is_pending=self.is_wanted(push.id) and notification is not None and not push.over,
             deadline=push.ttl_at,
             may_have_run=notification is not None and notification.may_have_run is not None,
             is_once_only=notification is not None and notification.topic.get("kind") == "once-only",
@@ -561,20 +562,46 @@
         After a failure in one of its event functions, the module might never end the notification."""
         if not had_turn:  # if the process was suspended past the TTL, the module has had no turn since
             return self.call_at(self.dispatcher.now + END_GRACE // 4, self.check_after_ttl, ntf_id, True)
-        self.known_ids.discard(ntf_id)
-        self.ledger.forget(ntf_id)
         if ntf_id in self.unfinished:
             self.log_line("fault", "a notification was not ended in time", part="owner", notification=ntf_id)
             self.counters["faults"] += 1
             self.dispatcher.withdraw(ntf_id)
             self.expired(ntf_id)
+        if self.has_push(ntf_id):  # its outcome is still reported under this id
+            return self.call_at(self.dispatcher.now + END_GRACE // 4, self.check_after_ttl, ntf_id, True)
+        self.known_ids.discard(ntf_id)
+        self.ledger.forget(ntf_id)
 
     def undo_unheard(self, answer):
-        """The client left before its 202: nothing is pending, unless another got a 202 for the same id."""
-        if answer.is_shared:
+        """The client left before its 202: nothing is pending, unless another got a 202 for the same id.
+
+        A push in flight would be taken for one of whatever is accepted under the same id next, so its outcome
+        is awaited first.  Until then no last byte of it leaves (`is_wanted`); if it may have run by then, the
+        notification stays pending."""
+        if answer.is_shared or self.unfinished.get(answer.ntf_id) is not answer:
             return
-        self.undo_acceptance(answer.ntf_id)
+        answer.is_unheard = True
         self.counters["unheard"] += 1
+        if not self.has_push(answer.ntf_id):
+            self.undo_if_unwanted(answer.ntf_id)
+
+    def has_push(self, ntf_id):
+        """Whether the outcome of a push of this notification is still to come."""
+        return any(ntf_id == pushed_id for pushed_id, _ in self.dispatcher.state.pushes)
+
+    def is_wanted(self, ntf_id):
+        """Whether a notification is pending and a client heard, or may still hear, that it is."""
+        if ntf_id not in self.unfinished:
+            return False
+        answer = self.unfinished[ntf_id]
+        return answer is None or not answer.is_unheard or answer.is_shared
+
+    def undo_if_unwanted(self, ntf_id):
+        """Undo the acceptance of a notification whose client left, if no push of it may have run."""
+        if ntf_id not in self.unfinished or self.is_wanted(ntf_id):
+            return
+        if not self.ledger.notifications[ntf_id].possible_runs:
+            self.undo_acceptance(ntf_id)
 
     def undo_acceptance(self, ntf_id):
         self.known_ids.discard(ntf_id)
@@ -609,6 +636,7 @@
                 self.record_end(ntf_id)
             elif ending in NOT_EXECUTED:
                 self.record_never_ran(ntf_id, number, ending)
+                self.undo_if_unwanted(ntf_id)
             self.trace.event(ntf_id, ending, number=number, endpoint=endpoint, over=over, wait_ms=wait // MS)
             if wait and endpoint in self.dispatcher.state.endpoints:
                 same_route = self.endpoints_on_route(endpoint)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -29,7 +29,6 @@
 from juniperlanding.net.ledger import Ledger, LedgerState, line
 from juniperlanding.net.line import HttpConnection
 from juniperlanding.net.node import Node
-from juniperlanding.net.owner import Answer
 from juniperlanding.processes.rig import free
 from juniperlanding.standins.peers import Far, Platform, http, member
 
@@ -1106,7 +1105,8 @@
     async def scene(site):
         node = await site.start()
         await site.submit("a1", dest=8)
-        await node.decision_loop.enqueue(node.decision_loop.undo_unheard, Answer("a1"))
+        answer = node.decision_loop.unfinished["a1"]
+        await node.decision_loop.enqueue(node.decision_loop.undo_unheard, answer)
         await site.until(lambda: not node.ledger.notifications)
         assert not node.decision_loop.unfinished and not node.decision_loop.dispatcher.state.notifications
 
--- a/tests/test_same_id.py
+++ b/tests/test_same_id.py
@@ -1,8 +1,12 @@
 """One id submitted twice at the same time: each client gets the answer that holds for both."""
 
+from functools import partial
+
+import pytest
 import trio
 
 from juniperlanding.net.owner import Answer
+from juniperlanding.standins.peers import http
 
 
 def submit(decision_loop, ntf_id, ttl_at):
@@ -50,3 +54,114 @@
         assert not decision_loop.counters["unheard"]
 
     site.run(scene)
+
+
+def lose_first_answer(node, monkeypatch):
+    """The connection of the first client breaks as its answer is sent; later ones are answered."""
+    respond = node.clients.respond
+
+    async def lose_connection(connection, status, *rest, **more):
+        monkeypatch.setattr(node.clients, "respond", respond)
+        raise trio.BrokenResourceError
+
+    monkeypatch.setattr(node.clients, "respond", lose_connection)
+
+
+async def submit_unheard(site, node, monkeypatch, **fields):
+    lose_first_answer(node, monkeypatch)
+    with pytest.raises(TypeError):  # no answer to read
+        await site.submit(**fields)
+    await site.until(lambda: node.counters["unheard"])
+
+
+def assert_at_rest(node):
+    assert not node.counters["faults"] and not node.decision_loop.dispatcher.state.slots_out
+    assert not node.decision_loop.dispatcher.state.pushes and not node.decision_loop.endpoints.in_flight
+
+
+def test_an_id_accepted_again_while_its_withdrawn_call_is_in_flight_runs_once(site, monkeypatch):
+    """Guards against two calls under one id: the once-only ran twice, and the second outcome was a KeyError
+    that ended the process."""
+
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.decision_loop.ready)
+        await submit_unheard(site, node, monkeypatch, number="a0", topic="order")
+        assert await site.submit("a0", topic="order") == 202
+        await site.until(lambda: not node.ledger.notifications)
+        await trio.sleep(0.1)
+        assert len(site.far.got) == 1
+        assert_at_rest(node)
+
+    site.run(scene)
+
+
+def test_an_id_whose_withdrawn_call_may_have_run_is_not_run_again(site, monkeypatch):
+    """Guards against forgetting an id whose call has left: the same id later ran once more."""
+
+    async def scene(site):
+        node = await site.start()
+        decision_loop = node.decision_loop
+        await site.until(lambda: decision_loop.ready)
+        execute_requests = decision_loop.execute_requests
+        decision_loop.execute_requests = partial(start_calls, decision_loop)
+        lose_first_answer(node, monkeypatch)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(submit_and_lose, site)
+            await site.until(lambda: site.far.got)  # the call has left before its client is answered
+            decision_loop.execute_requests = execute_requests
+            await decision_loop.enqueue(len, "")
+            await site.until(lambda: node.counters["unheard"])
+            assert await site.submit("a0", topic="order") == 202
+            site.far.go.set()
+        await site.until(lambda: not node.ledger.notifications)
+        await trio.sleep(0.1)
+        assert len(site.far.got) == 1
+        assert_at_rest(node)
+
+    site.run(scene, lambda *message: "late")
+
+
+def start_calls(decision_loop):
+    """Start the calls of this iteration, as if its clients could not be answered yet."""
+    answers, decision_loop.answers_due = decision_loop.answers_due, []
+    type(decision_loop).execute_requests(decision_loop)
+    decision_loop.answers_due = answers
+
+
+async def submit_and_lose(site):
+    with pytest.raises(TypeError):  # no answer to read
+        await site.submit("a0", topic="order")
+
+
+def test_a_withdrawn_notification_whose_call_never_ran_is_forgotten(site, monkeypatch):
+    """Guards against keeping what no client heard of, and against a call of it that still leaves."""
+
+    async def scene(site):
+        node = await site.start()
+        await site.until(lambda: node.decision_loop.ready)
+        await submit_unheard(site, node, monkeypatch, number="a0", topic="order")
+        await site.until(lambda: not node.ledger.notifications)
+        assert not site.far.got and "a0" not in node.decision_loop.known_ids
+        assert await site.submit("a0", topic="order") == 202
+        await site.until(lambda: not node.ledger.notifications)
+        assert len(site.far.got) == 1
+        assert_at_rest(node)
+
+    site.run(scene, lambda *message: http(200))
+
+
+def test_a_delivered_notification_is_not_forgotten_for_a_client_that_left(site, monkeypatch):
+    """Guards against forgetting an id that has its end: the same id later ran once more."""
+
+    async def scene(site):
+        node = await site.start()
+        await site.submit("a0", topic="order")
+        answer = node.decision_loop.unfinished["a0"]
+        await site.until(lambda: not node.ledger.notifications)
+        await node.decision_loop.enqueue(node.decision_loop.undo_unheard, answer)
+        assert await site.submit("a0", topic="order") == 202
+        await trio.sleep(0.1)
+        assert len(site.far.got) == 1
+
+    site.run(scene)
