Another message under a known id hears 409 instead of a 202 that nobody keeps

Cause: DecisionLoop.submit answered 202 to every request whose id was known and compared nothing else.

Change: known ids are kept with a digest of topic type, destination, keys and body. The same content hears 202 as before, other content 409 (rules.Reason.ID_IN_USE).

Why it works: a 202 now always names a message that is owed or was delivered with this content.

--- a/juniperlanding/net/ledger.py
+++ b/juniperlanding/net/ledger.py
@@ -11,7 +11,8 @@
     o id outcome retry_ms                                ended, but its outcome notice is not posted yet
     e id                                                 ended; the id is remembered until its TTL
     x id                                                 removed as if it had never been accepted
-    d id ttl_at                                          ended before this file was written; remembered
+    d id ttl_at digest                                   ended before this file was written; remembered with
+                                                         the digest of its content (earlier versions: without)
     c boot epoch now                                     identity of the clock of these times, and a reading
 
 Times are readings of one clock (`ground.clock`), which the next process resumes.  After a reboot of the
@@ -24,10 +25,12 @@
 from base64 import b64decode, b64encode
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from juniperlanding.ground.clock import ClockStamp
 from juniperlanding.ground.errors import OperatorError
 from juniperlanding.ground.seams import FileSystem
+from juniperlanding.net.content_digest import UNKNOWN_DIGEST, content_digest
 from juniperlanding.net.ledger_codec import is_valid, line, parse, records_within, repaired
 
 FILE = "ledger"
@@ -91,6 +94,10 @@
     policy_number: int = 0  # number of the policy under which it was accepted
     ordering_key: str = ""
 
+    def content_digest(self):
+        """The digest by which a repeated request is known."""
+        return content_digest(self.topic, self.destination, self.key, self.ordering_key, self.body)
+
     def records(self):
         """Yields the records that restore it."""
         body = b64encode(self.body).decode()
@@ -107,6 +114,13 @@
             yield ["o", self.id, *self.notice]
 
 
+class EndedNotification(NamedTuple):
+    """What is remembered of an ended notification until its TTL."""
+
+    ttl_at: int
+    content_digest: str = UNKNOWN_DIGEST
+
+
 class LedgerState:
     """The state that the records read so far add up to."""
 
@@ -116,7 +130,7 @@
         self.pending_size = 0
         self.invalid_lines = 0  # lines that are not one valid record
         self.damaged = 0  # the same without the last line, which a kill may have cut off
-        # id: TTL of each ended notification, so that one submitted again after a restart does not run twice.
+        # id: EndedNotification, so that one submitted again after a restart does not run twice.
         self.ended = {}
         self.ended_size = 0
         self.max_ended_size = 1 << 62
@@ -201,7 +215,8 @@
         if kind == "c":
             return self.apply_clock(ClockStamp(subject, *map(int, rest)))
         if kind == "d":
-            return self.remember(subject, int(rest[0]))
+            ttl_at, *digest = rest
+            return self.remember(subject, EndedNotification(int(ttl_at), *map(str, digest)))
         if kind == "t":
             topic, destination, ttl_at, key, body, *policy = rest
             notification = PendingNotification(
@@ -224,7 +239,8 @@
         elif kind in ("e", "x"):
             self.pending_size -= self.notifications.pop(subject).size
             if kind == "e":
-                self.remember(subject, notification.ttl_at)
+                digest = notification.content_digest()
+                self.remember(subject, EndedNotification(notification.ttl_at, digest))
             else:
                 self.forget(subject)
 
@@ -258,12 +274,14 @@
             notification.possible_runs = {
                 number: (zone, UNKNOWN_SENT_AT) for number, (zone, _) in notification.possible_runs.items()
             }
-        self.ended = {ntf_id: ttl_at + span for ntf_id, ttl_at in self.ended.items()}
+        self.ended = {
+            ntf_id: ended._replace(ttl_at=ended.ttl_at + span) for ntf_id, ended in self.ended.items()
+        }
 
-    def remember(self, ntf_id, ttl_at):
+    def remember(self, ntf_id, ended):
         """Remembers an ended notification; over the size limit, the one that ended first is forgotten."""
         self.forget(ntf_id)
-        self.ended[ntf_id] = ttl_at
+        self.ended[ntf_id] = ended
         self.ended_size += ENDED_ID_OVERHEAD + len(ntf_id)
         while self.ended_size > self.max_ended_size:
             self.forget(next(iter(self.ended)))
@@ -424,7 +442,7 @@
                 size += self.write_all(file, self.clock_records.line())
             for notification in self.notifications.values():
                 size += self.write_all(file, b"".join(map(line, notification.records())))
-            ended = b"".join(line(["d", *entry]) for entry in self.ended.items())
+            ended = b"".join(line(["d", ntf_id, *ended]) for ntf_id, ended in self.ended.items())
             size += self.write_all(file, ended)
             self.files.rename(new_path, self.path)
         except OSError:
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -13,6 +13,7 @@
 from juniperlanding.ground.errors import as_operator_error
 from juniperlanding.ground.log import error_location, safe_description
 from juniperlanding.net import protocol
+from juniperlanding.net.content_digest import content_digest, is_same_content
 from juniperlanding.net.counters import ABORTED, DECLINED, SUCCEEDED
 from juniperlanding.net.endpoints import PushAttempt
 from juniperlanding.net.trace import Trace
@@ -58,8 +59,8 @@
         self.batch_sizes = config.settings.get("batch_by_kind", [])
         # What the module has not ended: id -> its client's `Answer`; the ledger has the rest.
         self.unfinished = {}
-        # Ids until their TTL, so that one that comes again after its end runs only once.
-        self.known_ids = set()
+        # Id -> digest of its content, until its TTL: one that comes again after its end runs only once.
+        self.known_ids = {}
         self.timers = []  # a heap of (time, sequence number, function, its arguments)
         self.sequence = 0
         self.entries = {}  # endpoint -> its entry in the list, as the module got it
@@ -152,9 +153,9 @@
         for ntf_id, number in state.pushes.keys() - self.endpoints.in_flight.keys():
             # Its connection was not handed over.
             self.guarded(self.dispatcher.outcome, ntf_id, number, "reset")
-        for ntf_id, ttl_at in list(self.ledger.ended.items()):
-            self.known_ids.add(ntf_id)
-            self.call_at(max(ttl_at, self.dispatcher.now) + END_GRACE, self.check_after_ttl, ntf_id)
+        for ntf_id, ended in list(self.ledger.ended.items()):
+            self.known_ids[ntf_id] = ended.content_digest
+            self.call_at(max(ended.ttl_at, self.dispatcher.now) + END_GRACE, self.check_after_ttl, ntf_id)
         self.ready = True
 
     def inherit(self, offer):
@@ -181,7 +182,7 @@
     def restore(self, notification):
         """Give the module what an earlier process accepted, or post its notice again."""
         self.counters["restored"] += 1
-        self.known_ids.add(notification.id)
+        self.known_ids[notification.id] = notification.content_digest()
         self.call_at(
             max(notification.ttl_at, self.dispatcher.now) + END_GRACE, self.check_after_ttl, notification.id
         )
@@ -513,11 +514,9 @@
     def submit(self, topic, destination, ttl_at, key, body, answer, ordering_key="", tenant=""):
         ntf_id = answer.ntf_id
         self.answers_due.append(answer)
+        digest = content_digest(topic, destination, key, ordering_key, body)
         if ntf_id in self.known_ids or ntf_id in self.ledger.notifications:
-            answer.status = 202  # submitted again, on a new connection or by another client
-            if first := self.unfinished.get(ntf_id):
-                first.is_shared = True
-            return
+            return self.submit_again(topic, answer, digest)
         if self.lease is not None and not self.has_lease_for(self.policy_number):
             answer.retry_after = self.lease.again_in()
             self.counters["unlicensed"] += 1
@@ -551,11 +550,28 @@
             self.record_end(ntf_id)
             raise
         self.call_at(ttl_at + END_GRACE, self.check_after_ttl, ntf_id)
-        self.known_ids.add(ntf_id)
+        self.known_ids[ntf_id] = digest
         self.counters["taken_on"] += 1
         answer.status, answer.is_accepted, answer.policy_number = 202, True, self.policy_number
         self.trace.event(ntf_id, "taken", topic=topic, destination=destination)
 
+    def submit_again(self, topic, answer, digest):
+        """A known id came again: the same request on a new connection, or another message under this id.
+
+        The other message is never sent, so its client must not hear that it was accepted.  It is not told to
+        try again either: who counts by the id would take the first message's push for one of the second."""
+        ntf_id = answer.ntf_id
+        pending = self.ledger.notifications.get(ntf_id)
+        known_digest = pending.content_digest() if pending else self.known_ids[ntf_id]
+        verdict = rules.may_accept(rules.AcceptFacts(is_id_free=is_same_content(known_digest, digest)))
+        if not verdict.is_allowed:
+            answer.status = protocol.ID_IN_USE_STATUS
+            self.trace.refused(ntf_id, verdict.reason)
+            return self.counters.count_result(topic, ABORTED)
+        answer.status = 202
+        if first := self.unfinished.get(ntf_id):
+            first.is_shared = True
+
     def check_after_ttl(self, ntf_id, had_turn=False):
         """Forget an id after its TTL, and end what the module has not ended.
 
@@ -569,7 +585,7 @@
             self.expired(ntf_id)
         if self.has_push(ntf_id):  # its outcome is still reported under this id
             return self.call_at(self.dispatcher.now + END_GRACE // 4, self.check_after_ttl, ntf_id, True)
-        self.known_ids.discard(ntf_id)
+        self.known_ids.pop(ntf_id, None)
         self.ledger.forget(ntf_id)
 
     def undo_unheard(self, answer):
@@ -604,7 +620,7 @@
             self.undo_acceptance(ntf_id)
 
     def undo_acceptance(self, ntf_id):
-        self.known_ids.discard(ntf_id)
+        self.known_ids.pop(ntf_id, None)
         self.dispatcher.withdraw(ntf_id)
         self.record_end(ntf_id, "x")
 
@@ -709,7 +725,7 @@
             for other in [one for one in self.answers_due if one.ntf_id == ntf_id]:
                 other.status = status
                 other.retry_after = again_in
-            self.known_ids.discard(ntf_id)
+            self.known_ids.pop(ntf_id, None)
             return self.ledger.append_record("x", ntf_id)
         self.queue_notice(ntf_id, outcome, again_in)
 
--- a/juniperlanding/net/protocol.py
+++ b/juniperlanding/net/protocol.py
@@ -16,6 +16,8 @@
 MAX_HEAD = 16 << 10
 MAX_NAME_LENGTH = 256  # bytes of an id or a key
 
+ID_IN_USE_STATUS = 409  # not a refusal: handing the message in again under the same id would fail again
+
 HEALTH_PATH = b"/_health"
 SUBMIT_PATH = b"/api"
 COUNTERS_PATH = b"/_counters"
--- a/juniperlanding/rules.py
+++ b/juniperlanding/rules.py
@@ -26,6 +26,7 @@
     HANDED_OVER = "handed_over"
     NOT_WRITABLE = "not_writable"
     CLIENT_LEFT = "client_left"
+    ID_IN_USE = "id_in_use"
     UNKNOWN_DESTINATION = "unknown_destination"
     UNLICENSED = "unlicensed"
     NO_PLACE = "no_place"
@@ -88,12 +89,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptFacts:
-    """A notification that a client hands in, and the state of the process."""
+    """A notification that a client hands in, and the state of the process.
+
+    is_id_free: its id was not accepted with other content within that one's TTL."""
 
     is_ready: bool = True
     is_writable: bool = True
     is_stopping: bool = False
     has_client_left: bool = False
+    is_id_free: bool = True
     is_destination_known: bool = True
     is_licensed: bool = True
     has_place: bool = True
@@ -131,6 +135,7 @@
         (not facts.is_ready, Reason.STARTING),
         (facts.is_stopping, Reason.STOPPING),
         (facts.has_client_left, Reason.CLIENT_LEFT),
+        (not facts.is_id_free, Reason.ID_IN_USE),
         (not facts.is_licensed, Reason.UNLICENSED),
         (not facts.is_writable, Reason.NOT_WRITABLE),
         (not facts.is_destination_known, Reason.UNKNOWN_DESTINATION),
--- a/juniperlanding/shards/books.py
+++ b/juniperlanding/shards/books.py
@@ -211,10 +211,10 @@
                 shard.has(notification)
             stamps = [one for one in (self.stamp, books.stamp) if one]
             self.stamp = max(stamps, key=lambda stamp: stamp.now, default=None)
-            over += [(ttl_at, one, shard.low) for one, ttl_at in books.ended.items()]
-        for ttl_at, one, low in sorted(over):
+            over += [(ended, one, shard.low) for one, ended in books.ended.items()]
+        for ended, one, low in sorted(over):
             if one not in self.notifications:
-                self.remember(one, ttl_at, low)
+                self.remember(one, ended, low)
 
     def clean(self, listed):
         """Threat: killed before its one step, or just after it; what is not in force takes room."""
@@ -281,8 +281,8 @@
         if rewrite and one in rewrite.copied:
             rewrite.place(key).ended_ids[one] = None
 
-    def remember(self, number, ttl_at, key=None):
-        super().remember(number, ttl_at)
+    def remember(self, number, ended, key=None):
+        super().remember(number, ended)
         if key is not None and number in self.ended:
             self.kept(number, key)
 
@@ -419,7 +419,7 @@
             if notification:
                 key, records = place(notification.destination), notification.records()
             elif one in self.ended:
-                key, records = self.places[one], [["d", one, self.ended[one]]]
+                key, records = self.places[one], [["d", one, *self.ended[one]]]
             rewrite.copied.add(one)
             if not records or self.shard(key) not in rewrite.old:
                 continue  # over as if it had never been, let go, or taken on anew for another shard
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -156,7 +156,7 @@
     left = {name: owed.ttl_at - clock.now() for name, owed in ledger.notifications.items()}
     assert left == {"a": 17 * SEC, "b": 17 * SEC}
     assert ledger.notifications["b"].possible_runs == {0: (1, clock.now() - 3 * SEC)}
-    assert ledger.ended["c"] - clock.now() == 17 * SEC
+    assert ledger.ended["c"].ttl_at - clock.now() == 17 * SEC
 
 
 @pytest.mark.parametrize("wall", [0, HOUR, 9 * HOUR])
@@ -170,7 +170,7 @@
         assert {owed.ttl_at - clock.now() for owed in ledger.notifications.values()} == {20 * SEC}
         assert (
             ledger.notifications["b"].possible_runs == {0: (1, 1)}
-            and ledger.ended["c"] - clock.now() == 20 * SEC
+            and ledger.ended["c"].ttl_at - clock.now() == 20 * SEC
         )
         ledger.close()
 
--- a/tests/test_same_id.py
+++ b/tests/test_same_id.py
@@ -5,6 +5,10 @@
 import pytest
 import trio
 
+from juniperlanding.choice import SEC
+from juniperlanding.net.content_digest import content_digest, is_same_content
+from juniperlanding.net.ledger import Ledger
+from juniperlanding.net.ledger_codec import line
 from juniperlanding.net.owner import Answer
 from juniperlanding.standins.peers import http
 
@@ -40,7 +44,8 @@
 
         async def lose_connection(line, status, *rest, **more):
             monkeypatch.setattr(node.clients, "respond", respond)
-            assert await site.submit("a0", dest=8, ttl=600) == 202  # the same id, on another connection
+            # The same message on another connection.
+            assert await site.submit("a0", dest=8, ttl=600, body=b"x") == 202
             raise trio.BrokenResourceError
 
         monkeypatch.setattr(node.clients, "respond", lose_connection)
@@ -165,3 +170,62 @@
         assert len(site.far.got) == 1
 
     site.run(scene)
+
+
+OTHER_CONTENT = [
+    {"body": b"another"},
+    {"dest": 7},
+    {"topic": "order"},
+    {"more": "Idempotency-Key: k2\r\n"},
+]
+
+
+@pytest.mark.parametrize("other", OTHER_CONTENT, ids=["body", "destination", "topic type", "key"])
+def test_another_message_under_a_pending_id_is_not_accepted(site, other):
+    """Guards against a 202 for a message that is never sent: the id's first message took its place."""
+
+    async def scene(site):
+        node = await site.start()
+        first = {"number": "a0", "dest": 8, "body": b"first"}
+        assert await site.submit(**first) == 202
+        assert await site.submit(**(first | other)) == 409
+        assert await site.submit(**(first | {"ttl": 4000})) == 202  # the same, sent again
+        (pending,) = node.ledger.notifications.values()
+        assert pending.body == b"first" and node.counters["refused_id_in_use"] == 1
+
+    site.run(scene)
+
+
+@pytest.mark.parametrize("is_ended", [True, False], ids=["ended", "pending"])
+def test_another_message_under_a_known_id_is_not_accepted_after_a_restart(site, is_ended):
+    """Guards against knowing only the ids of an earlier process: another message under one was lost."""
+
+    async def scene(site):
+        first = {"number": "a0", "dest": 7 if is_ended else 8, "topic": "order"}
+        node = await site.start()
+        assert await site.submit(**first) == 202
+        await site.until(lambda: not node.ledger.notifications or not is_ended)
+        assert await site.submit(**(first | {"body": b"another"})) == 409
+        for _ in range(2):  # the second start reads what the first one rewrote
+            site.kill()
+            node = await site.start()
+            await site.until(lambda: node.decision_loop.ready)  # noqa: B023
+            assert await site.submit(**(first | {"body": b"another"})) == 409
+            assert await site.submit(**first) == 202
+        assert len(site.far.got) == is_ended
+
+    site.run(scene)
+
+
+def test_an_id_that_an_earlier_version_recorded_without_a_digest_counts_as_the_same(tmp_path):
+    """Guards against a second run of what an earlier version delivered."""
+    (tmp_path / "ledger").write_bytes(line(["d", "a0", 5 * SEC]))
+    ledger = Ledger(tmp_path, 1 << 20)
+    assert is_same_content(ledger.ended["a0"].content_digest, content_digest("news", 7, "", "", b"x"))
+    assert ledger.ended["a0"].ttl_at == 5 * SEC
+
+
+def test_fields_of_other_lengths_have_another_digest():
+    """Guards against two messages with one digest whose fields are the same when joined."""
+    assert content_digest("a", 1, "b", "", b"c") != content_digest("a", 1, "", "b", b"c")
+    assert content_digest("a", 1, "b", "", b"c") != content_digest("a", 1, "b", "c", b"")
