A process that is to be replaced stands still for 0.2 s at most, not for 2.5 s

What callers saw: a replacing process that stalled (SIGSTOP for 3 s) left the old one silent for 2.5 s.

Cause: from its freeze until the new process says ready or LOAD_TIMEOUT is over the owner runs nothing, though it still owes each end within 300 ms of a TTL.

Change: LOAD_TIMEOUT is 0.2 s; a new process that lost its offer asks again after 0.5 s and 1 s, three offers in all. decide runs while the loop is frozen, without sends. A process whose ledger cannot be written does not freeze until it can. The time left for an offer is never negative: trio raised ValueError for a process suspended between two lines, which ended it.

Why it works: the longest time in which nobody ends anything is now shorter than the time that an end has.

Tests: four of tests/test_upgrade.py failed before and pass now.

--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -942,7 +942,8 @@
             for ntf in [n for n in dest.waiting if dest.expiry_check_at <= self.now >= self.ttl.ends(n)]:
                 self.abandon(ntf)
         self.shed_load(waiting)
-        self.reclaim_slots(waiting)
+        if may_send:
+            self.reclaim_slots(waiting)
         ready = [d for d in waiting if may_send and d.waiting and d.idle_until <= self.now]
         # Destinations take turns: fewest calls in flight first, then the one served longest ago.
         while ready:
--- a/juniperlanding/handover/steps.py
+++ b/juniperlanding/handover/steps.py
@@ -9,7 +9,11 @@
 MAX_CALLERS = 4  # connections to the sender's channel at once
 WRITE_OUT_TIMEOUT = 0.05  # seconds that a partly written call has to be written out once a freeze begins
 FREEZE_TIMEOUT = SEC // 2  # time limit for requests that are being answered to be answered
-LOAD_TIMEOUT = 5 * SEC // 2  # time limit from the offer until the receiver has loaded it
+# Time limit from the offer until the receiver has loaded it.  The sender serves nobody in that time, and what
+# comes due then has 300 ms to be ended.
+LOAD_TIMEOUT = SEC // 5
+MAX_OFFERS = 3  # offers that a receiver takes; each one stops the sender for a moment
+ASK_AGAIN_PAUSE = SEC // 2  # time until a receiver that lost its offer asks again, doubled each time
 # Time limit for the receiver's whole attempt.  An old process that hangs hands nothing over; the platform
 # waits 6 s for the new process to report ready and 3.7 s more before it kills the old one.  Then the folder
 # is free.
@@ -89,6 +93,8 @@
     def __init__(self, now):
         self.state = ASKING
         self.deadline = now + JOIN_TIMEOUT
+        self.lost_offers = 0
+        self.ask_at = now  # when it may ask, or ask again
 
     @property
     def owns(self):
@@ -113,14 +119,19 @@
         return [BEGIN]
 
     def lost(self, now):
-        """The channel closed, or this process could not load the offer; what it received is released.
+        """The channel closed, this process lost its offer, or it waits; what it received is released.
 
-        Each offer stops the sender for a moment, and a receiver that cannot load one would ask for the next
-        at once.  So after one offer the receiver only waits for the folder to become free."""
+        A receiver that was suspended may load the next offer in time, one that is too slow never will.  So it
+        asks again after growing pauses, and after `MAX_OFFERS` only waits for the folder to become free."""
         if self.state == OWNER:
             return []
         had_offer = self.state in (LOADING, READY)
-        self.state = WAITING if had_offer else self.state
+        if had_offer:
+            self.state = WAITING
+            self.ask_at = now + (ASK_AGAIN_PAUSE << self.lost_offers)
+            self.lost_offers += 1
+        elif self.state == WAITING and self.lost_offers < MAX_OFFERS and self.ask_at <= now < self.deadline:
+            self.state = ASKING
         return [RELEASE] * had_offer + [
             END if now >= self.deadline else ASK if self.state == ASKING else WAIT
         ]
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -191,8 +191,7 @@
         return offer
 
     async def freeze(self, within):
-        if not self.clients.is_refusing:  # a process about to end could not complete the hand-over
-            await self.decision_loop.enqueue(self.decision_loop.freeze, within)
+        await self.decision_loop.enqueue(self.decision_loop.freeze, within)
 
     async def stand_by(self):
         """Wait for the process that took over to end, then serve again: if it ends early, what it accepted is
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -235,10 +235,8 @@
                 self.guarded(function, *fields)
             while self.timers and self.timers[0][0] <= now:
                 self.guarded(*heapq.heappop(self.timers)[2:])
-            if not self.frozen:
-                self.guarded(
-                    self.dispatcher.decide, rules.may_start(not self.ledger_failing, self.frozen).is_allowed
-                )
+            may_start = rules.may_start(not self.ledger_failing, self.frozen)
+            self.guarded(self.dispatcher.decide, may_start.is_allowed)
             self.write_iteration()
             self.execute_requests()
             if self.loop_stopped.is_set():
@@ -268,7 +266,14 @@
         return idle and self.clients.settled() and self.endpoints.settled()
 
     def freeze(self, within):
-        """Accept and start nothing more; `run` returns within so many seconds."""
+        """Accept and start nothing more; `run` returns within so many seconds.
+
+        While the disk fails this would last for as long as it does, since the new process reads the ledger
+        from the folder.  So it begins only once the ledger can be written."""
+        if self.clients.is_refusing:  # a process about to end could not complete the hand-over
+            return
+        if self.ledger_failing:
+            return self.call_at(self.dispatcher.now + MAX_WRITE_BACKOFF, self.freeze, within)
         self.frozen, self.freeze_deadline = True, trio.current_time() + within
         self.clients.freeze()
         self.endpoints.freeze()
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -241,6 +241,11 @@
     return b64encode(b"".join([*connection.message_bytes, connection.early])).decode()
 
 
+def seconds_until(deadline, clock):
+    """Seconds until a time of the process's own clock; 0 once it has passed, as after a suspension."""
+    return max(0, deadline - clock.steady()) / SEC
+
+
 class ProcessHandover:
     """The owning process's side of a hand-over."""
 
@@ -303,7 +308,7 @@
         """Whether the new process owns everything now; otherwise this one continues with the offer itself."""
         self.sender.frozen(self.system.clock.steady())
         try:
-            with trio.move_on_after((self.sender.deadline - self.system.clock.steady()) / SEC):
+            with trio.move_on_after(seconds_until(self.sender.deadline, self.system.clock)):
                 await self.channel.send(frames.OFFER, offer.descriptors(), state=offer.state)
                 received = await self.channel.receive()
                 if received and received[0]["say"] == frames.READY and self.sender.ready():
@@ -385,7 +390,7 @@
         raise as_operator_error(error) from None
     channel, node = system.network.connect_handover(config.state), None
     try:
-        with trio.move_on_after((receiver.deadline - system.clock.steady()) / SEC):
+        with trio.move_on_after(seconds_until(receiver.deadline, system.clock)):
             await channel.send(frames.HELLO, listen="{}:{}".format(*config.listen))
             received = await channel.receive(allow_offer=True)
             if received and received[0]["say"] == frames.REFUSED:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -22,6 +22,7 @@
 from juniperlanding.handover import channel, frames, steps
 from juniperlanding.net import succession
 from juniperlanding.net.node import Node
+from juniperlanding.net.owner import END_GRACE
 from juniperlanding.processes.rig import free
 from juniperlanding.standins.peers import http
 
@@ -197,6 +198,97 @@
     site.run(scene, late)
 
 
+NOTICE_DUE = 0.35  # seconds after its TTL by which a notification without a delivery has its notice
+CLIENT_PATIENCE = 0.4  # seconds that a client waits for its answer
+
+
+def test_what_is_due_is_ended_and_clients_are_answered_while_a_new_process_stalls(site):
+    """Guards against ending nothing and answering nobody until a stalled new process is given up."""
+
+    async def scene(site):
+        old = await first(site)
+        ttl = 0.6
+        handed_in = trio.current_time()
+        assert await site.submit("a1", dest=8, ttl=int(ttl * 1000)) == 202
+        await trio.sleep(ttl - 0.1)
+        end = await hello(site)
+        _, descriptors = await end.receive(allow_offer=True)  # the new process keeps them and stalls
+        with trio.fail_after(CLIENT_PATIENCE):
+            assert await site.submit("a2", dest=8) == 202
+        with trio.fail_after(handed_in + ttl + NOTICE_DUE - trio.current_time()):
+            await site.until(lambda: site.platform.notices)
+        assert [notice["message"] for notice in site.platform.notices] == ["a1"] and not old.replaced
+        channel.close_descriptors(descriptors)
+        end.close()
+
+    site.run(scene)
+
+
+def test_what_is_due_while_calls_settle_for_a_hand_over_is_ended(site, monkeypatch):
+    """Guards against a frozen decision loop that no longer ends what has run out of time."""
+
+    async def scene(site):
+        old = await first(site)
+        monkeypatch.setattr(old.clients, "settled", lambda: False)
+        handed_in = trio.current_time()
+        assert await site.submit("a1", dest=8, ttl=300) == 202
+        await trio.sleep(0.2)
+        end = await hello(site)
+        await site.until(lambda: site.platform.notices)
+        assert old.decision_loop.frozen and trio.current_time() < handed_in + 0.3 + END_GRACE / SEC
+        end.close()
+
+    site.run(scene)
+
+
+def test_a_new_process_that_was_suspended_asks_again_and_takes_over(site, monkeypatch):
+    """Guards against a replacement that, once it has lost an offer, waits until it is ended."""
+    monkeypatch.setattr(steps, "LOAD_TIMEOUT", 0)  # the first offer is lost
+
+    async def scene(site):
+        old = await first(site)
+
+        async def restore_timeout():
+            await site.until(lambda: any("serving on" in text for _, text in site.lines))
+            monkeypatch.undo()
+
+        site.nursery.start_soon(restore_timeout)
+        new = await replace(site)
+        assert old.replaced and await site.submit("a1") == 202
+        assert new.decision_loop.counters["taken_on"] == 1
+        assert sum("takes over" in text for _, text in site.lines) == 2
+
+    site.run(scene)
+
+
+def test_while_the_disk_fails_a_process_that_is_to_be_replaced_serves_on(site):
+    """Guards against freezing for a hand-over for as long as a disk fails: clients were not even accepted."""
+
+    async def scene(site):
+        old = await first(site)
+        assert await site.submit("a1", dest=8, ttl=500) == 202
+        working_flush = old.ledger.flush
+
+        def fail():
+            raise OSError(28, "no space left on device")
+
+        old.ledger.flush = fail
+        assert await site.submit("a2", dest=8) == 503
+        end = await hello(site)
+        await trio.sleep(0.1)
+        with trio.fail_after(CLIENT_PATIENCE):
+            assert await site.submit("a3", dest=8) == 503
+        with trio.fail_after(0.5 + NOTICE_DUE):
+            await site.until(lambda: site.platform.notices)
+        old.ledger.flush = working_flush
+        message, descriptors = await end.receive(allow_offer=True)
+        assert message["say"] == frames.OFFER
+        channel.close_descriptors(descriptors)
+        end.close()
+
+    site.run(scene)
+
+
 def test_the_old_process_serves_again_when_the_new_one_is_gone(site):
     async def scene(site):
         old = await first(site)
@@ -515,6 +607,11 @@
             self.receiver.yours()
         self.receiver.lost(self.now)
 
+    @precondition(lambda self: not self.open and self.receiver is not None)
+    @rule()
+    def new_process_looks_again(self):
+        self.receiver.lost(self.now)
+
     @rule(seconds=st.integers(0, 3))
     def time(self, seconds):
         self.now += seconds * SEC
