A connection that is closed ends for its peer though another process holds a copy

What callers would see: after a hand-over that came to nothing a stalled new process still holds copies of all sockets, so a call that the old process gives up stays open at its endpoint, and the same message sent again is a second copy.

Cause: close and SO_LINGER end a connection with the last descriptor only.

Change: sockets that were inherited or taken back are shut down before they are closed; what was handed over is released, which closes this process's copy alone.

Tests: both cases of test_a_connection_ends_though_a_process_that_did_not_take_over_holds_a_copy failed before and pass now; Far of standins/peers.py counts the connections that the other side ended.

--- a/juniperlanding/ground/seams.py
+++ b/juniperlanding/ground/seams.py
@@ -9,6 +9,7 @@
 import socket
 import stat
 import struct
+from contextlib import suppress
 from dataclasses import dataclass
 
 import trio
@@ -26,10 +27,12 @@
     """One TCP connection.  Every method raises OSError, or trio's ClosedResourceError after `close`.
 
     recv(most): up to `most` bytes; b"" once the peer has shut down its sending side.
-    sendmsg(parts): sends as much of the buffers as the kernel accepts now; returns the number of bytes."""
+    sendmsg(parts): sends as much of the buffers as the kernel accepts now; returns the number of bytes.
+    is_shared: another process may hold a copy of the descriptor, which keeps the connection open."""
 
-    def __init__(self, raw):
+    def __init__(self, raw, is_shared=False):
         self.raw, self.sock = raw, trio.socket.from_stdlib_socket(raw)
+        self.is_shared = is_shared
         # Trio's methods without a wrapper: one more coroutine for each costs 8 us a notification.
         self.recv, self.sendmsg = self.sock.recv, self.sock.sendmsg
         try:
@@ -59,14 +62,23 @@
         self.sock.shutdown(socket.SHUT_WR)
 
     def close(self):
+        """End the connection, also where another process holds a copy."""
+        if self.is_shared:
+            with suppress(OSError):  # the connection is broken already
+                self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
 
     def abort(self):
-        """Close with a reset: data still in the kernel's send buffer is dropped, not delivered later."""
-        try:
+        """Close with a reset: data still in the kernel's send buffer is dropped, not delivered later.
+
+        While another process holds a copy the peer sees the end of the connection, and the reset once that
+        copy is closed."""
+        with suppress(OSError):  # the connection is broken already
             self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        except OSError:
-            pass  # the connection is broken already
+        self.close()
+
+    def release(self):
+        """Close this process's copy alone: the connection goes on in another process."""
         self.sock.close()
 
 
@@ -212,7 +224,7 @@
         """A `Socket` or `Listener` from a descriptor received from another process."""
         raw = socket.socket(fileno=file)
         raw.setblocking(False)
-        return Listener(None, raw) if listening else Socket(raw)
+        return Listener(None, raw) if listening else Socket(raw, is_shared=True)
 
 
 class FileSystem:
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -227,10 +227,17 @@
         for sock in self.groups[1] + self.groups[2]:
             sock.close()
 
+    def take_back(self):
+        """The new process does not take over, but may hold copies of the sockets for as long as it stalls."""
+        for sock in self.sockets:
+            sock.is_shared = True
+
     def close(self):
         """Close this process's copies; the copies of another process stay open."""
-        for resource in (*self.sockets, self.listener, self.lock):
-            resource.close()
+        for sock in self.sockets:
+            sock.release()
+        self.listener.close()
+        self.lock.close()
 
 
 def received_bytes(connection):
@@ -323,6 +330,7 @@
             self.sender.lost()
             self.channel.close()
             self.channel = None
+            offer.take_back()
             self.log("upgrade", "nobody took over, serving on", **NotTaken().log_fields)
             return False
         self.log(
--- a/juniperlanding/standins/peers.py
+++ b/juniperlanding/standins/peers.py
@@ -36,6 +36,7 @@
 
     def __init__(self, answer=lambda *message: http(200)):
         self.answer, self.got, self.connections, self.go = answer, [], 0, trio.Event()
+        self.ended = 0  # connections that the other side has ended
 
     async def open(self, nursery):
         listeners = await nursery.start(trio.serve_tcp, self.attend, 0)
@@ -63,6 +64,7 @@
                     await stream.send_all(http(200))
                 else:
                     await stream.send_all(answer)
+            self.ended += 1
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -261,6 +261,45 @@
     site.run(scene)
 
 
+@pytest.mark.parametrize("how", ["close", "abort"])
+def test_a_connection_ends_though_a_process_that_did_not_take_over_holds_a_copy(site, how):
+    """Guards against a call that is given up and sent again while the endpoint still works on the first."""
+
+    async def scene(site):
+        old = await first(site)
+        assert await site.submit("a1") == 202
+        await site.until(lambda: not old.ledger.notifications)
+        end = await hello(site)
+        _, copies = await end.receive(allow_offer=True)  # the new process keeps them and stalls
+        await site.until(lambda: any("serving on" in text for _, text in site.lines))
+        await site.until(lambda: old.decision_loop.ready)
+        (connections,) = old.decision_loop.endpoints.idle.values()
+        getattr(connections.pop(), how)()
+        with trio.fail_after(0.5):
+            await site.until(lambda: site.far.ended)
+        channel.close_descriptors(copies)
+        end.close()
+
+    site.run(scene)
+
+
+def test_a_process_that_hands_over_what_it_took_over_itself_ends_no_connection(site):
+    """Guards against ending, with this process's copies, the connections of the process that took over."""
+
+    async def scene(site):
+        await first(site)
+        stream = await site.client()
+        for number in range(3):
+            assert await site.submit(f"a{number}", stream=stream) == 202
+            await site.until(lambda: not site.node.ledger.notifications)
+            await replace(site)
+        assert await site.submit("a3", stream=stream) == 202
+        await site.until(lambda: not site.node.ledger.notifications)
+        assert site.far.connections == 1 and not site.far.ended
+
+    site.run(scene)
+
+
 def test_while_the_disk_fails_a_process_that_is_to_be_replaced_serves_on(site):
     """Guards against freezing for a hand-over for as long as a disk fails: clients were not even accepted."""
 
