KNOWN-RED.txt names test, command and seed, what was seen and issue, and soaks too

The operators' form of an entry has four fields; the file had three and could name pytest tests alone.

Each check that was there is still there, with one field more; a line without a command, a command that names no program, a soak without a seed and a soak listed twice are refused as well.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,21 +1,24 @@
-"""Tests listed in KNOWN-RED.txt may fail, and no others: whole pytest runs over a small tree of tests."""
+"""Tests and soaks listed in KNOWN-RED.txt may fail, and no others: whole runs over a small tree of tests."""
 
+import shlex
+import sys
 from pathlib import Path
 
 import pytest
-from known_red import read
+from known_red import Entry, read, run_soak
 
 HERE = Path(__file__).parent
 FAILS, PASSES, ABSENT = (f"tests/test_a.py::test_{name}" for name in ("fails", "passes", "away"))
 CONFTEST = "from known_red import pytest_collection_modifyitems, pytest_configure, pytest_terminal_summary\n"
 SETTINGS = f"[pytest]\ntestpaths = tests\npythonpath = {HERE}\naddopts = -q -p no:cacheprovider\n"
 TREE = "def test_passes():\n    pass\n\n\ndef test_fails():\n    assert not 'as known'\n"
+SOAK_LINE = "soak | python -m juniperlanding soak --seed 7 | a message is lost | 40\n"
 with_and_without_xdist = pytest.mark.parametrize("options", [(), ("-n", "2")], ids=["one process", "xdist"])
 pytest_plugins = ["pytester"]
 
 
 def line(nodeid):
-    return f"{nodeid} | a request is not answered | 40\n"
+    return f"{nodeid} | python -m pytest {nodeid} | a request is not answered | 40\n"
 
 
 @pytest.fixture
@@ -83,17 +86,56 @@
     [
         f"{FAILS}\n",
         f"{FAILS} | 40\n",
-        f"{FAILS} | cause | soon\n",
-        "test_fails | cause | 40\n",
+        f"{FAILS} | seen | 40\n",
+        f"{FAILS} | python -m pytest {FAILS} | 40\n",
+        f"{FAILS} | python -m pytest {FAILS} | seen | soon\n",
+        f"test_fails | python -m pytest {FAILS} | seen | 40\n",
+        f"{FAILS} | by hand | seen | 40\n",
+        "soak | python -m juniperlanding soak | seen | 40\n",
         line(FAILS) + "\n",
         line(FAILS) * 2,
+        SOAK_LINE * 2,
+    ],
+    ids=[
+        "id alone",
+        "no command, nothing seen",
+        "no command",
+        "nothing seen",
+        "no issue",
+        "no file in the id",
+        "no command to run",
+        "a soak without a seed",
+        "blank line",
+        "twice",
+        "a soak twice",
     ],
-    ids=["id alone", "no cause", "no issue", "no file in the id", "blank line", "twice"],
 )
 def test_malformed_line_is_reported(text):
-    with pytest.raises(ValueError, match="is not `node id"):
+    with pytest.raises(ValueError, match="is not `test |is there twice"):
         read(text)
 
 
-def test_ids_and_causes_are_read_whole():
-    assert read(f"{FAILS}[a | b] | a or b | 40\n") == {f"{FAILS}[a | b]": "a or b (issue 40)"}
+def test_entries_are_read_whole():
+    command = f"python -m pytest '{FAILS}[a | b]'"
+    (entry,) = read(f"{FAILS}[a | b] | {command} | a or b | 40\n")
+    assert entry == Entry(f"{FAILS}[a | b]", command, "a or b", 40)
+
+
+def test_a_soak_and_a_test_may_be_listed_together(run_tests):
+    code, output, last_line = run_tests(line(FAILS) + SOAK_LINE)
+    assert code == 0 and last_line.startswith("1 passed, 1 xfailed in ")
+    assert "KNOWN RED: python -m juniperlanding soak --seed 7: a message is lost (issue 40)" in output
+
+
+@pytest.mark.parametrize(
+    "listed, soak_code, code",
+    [(False, 0, 0), (False, 1, 1), (False, 3, 3), (True, 1, 0), (True, 0, 1)],
+    ids=["passes", "fails", "another code", "listed, fails", "listed, passes"],
+)
+def test_a_soak_may_fail_only_if_its_command_is_listed(tmp_path, capfd, listed, soak_code, code):
+    command = [sys.executable, "-c", f"raise SystemExit({soak_code})", "--seed", "7"]
+    other = [*command[:-1], "8"]
+    named = shlex.join(command if listed else other)
+    entry = Entry("soak", named, "a message is lost", 40)
+    assert run_soak(command, tmp_path, [entry]) == code
+    assert ("a message is lost" in capfd.readouterr().out) == (listed and soak_code == 1)
