The ledger's writes, attempts and pauses stand in a module of their own

owner.py had grown to 770 lines, and two places in it handled a write that fails: the second, in recheck_lease, left the time since which the disk fails, the counter and the logged error as they were. Both go through LedgerWriter now, so "writes again after" counts from the failure that it ends, and a recheck has the same three attempts as any other write.

--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -10,12 +10,12 @@
 
 from juniperlanding import carry, rules
 from juniperlanding.choice import MS, NOT_EXECUTED, SEC, Dispatcher, repeats_until
-from juniperlanding.ground.errors import as_operator_error
 from juniperlanding.ground.log import error_location, safe_description
 from juniperlanding.net import protocol
 from juniperlanding.net.content_digest import content_digest, is_same_content
 from juniperlanding.net.counters import ABORTED, DECLINED, SUCCEEDED
 from juniperlanding.net.endpoints import PushAttempt
+from juniperlanding.net.ledger_writer import MAX_WRITE_BACKOFF, LedgerWriter
 from juniperlanding.net.trace import Trace
 
 MAX_EVENTS_PER_ITERATION = 256  # events taken in one iteration at most
@@ -23,9 +23,6 @@
 # No iteration for so long: the process may have been suspended. If it was only idle, this costs an extra
 # poll or two of the sockets.
 SUSPENDED_AFTER = SEC // 4
-WRITE_ATTEMPTS = 3  # in one iteration, so that a disk that fails now and then has no client rejected
-WRITE_BACKOFF = 5 * MS  # until a ledger that could not be written is tried again, doubled each time
-MAX_WRITE_BACKOFF = 50 * MS
 MIN_CLOCK_STEP = MS  # a wall clock that is off by less has not been stepped
 MAX_END_DELAY = 300 * MS  # after its TTL, the end of a notification is due
 END_GRACE = SEC // 5  # after its TTL, the loop ends what the module has not, after one more iteration
@@ -76,12 +73,8 @@
         self.endpoints = self.notices = self.discovery = self.clients = None
         self.ready, self.frozen, self.loop_stopped = False, False, trio.Event()
         self.observer = None  # a part that counts submissions and answers
-        self.ledger_failing = False  # whether the ledger cannot be written
-        self.next_write_at = 0  # when a ledger that could not be written is tried again
-        self.write_backoff = WRITE_BACKOFF
+        self.ledger_writer = LedgerWriter(ledger, self.now, counters, log)
         self.iteration_delay = 0  # how late this iteration comes after the timer that it was due for
-        self.ledger_failing_since = 0
-        self.logged_write_error = None
         self.dispatcher = Dispatcher(self, config.settings, config.seed, self.now())
         # None: no lease is needed. Else `holds()` is the policy number under which new notifications may be
         # accepted, or None if there is none at present.
@@ -91,6 +84,11 @@
         self.topic_types_by_policy = {}
         self.topics = self.topic_indexes()
 
+    @property
+    def ledger_failing(self):
+        """Whether the ledger cannot be written at present."""
+        return self.ledger_writer.is_failing
+
     # ---- events of socket tasks: each is a function that the loop calls in its next iteration
 
     async def enqueue(self, function, *fields):
@@ -283,42 +281,13 @@
 
         While the disk fails (`ledger_failing`), outcomes of calls in flight still count, notifications that
         can no longer be delivered are ended, and new ones are rejected at once."""
-        if not self.ledger_failing or self.dispatcher.now >= self.next_write_at:
-            self.flush_ledger()
+        if self.ledger_writer.is_due(self.dispatcher.now):
+            self.ledger_writer.flush()
         if self.ledger_failing:
             self.undo_iteration()
         elif self.lease is not None and self.answers_due:
             self.recheck_lease()
 
-    def flush_ledger(self):
-        now = self.now()
-        try:
-            self.flush_with_retries()
-            self.write_backoff = WRITE_BACKOFF
-            if self.ledger_failing:
-                self.ledger_failing = False
-                self.logged_write_error = None
-                after = (now - self.ledger_failing_since) / SEC
-                self.log_line("ledger", "writes again", after=f"{after:.2f}s")
-        except OSError as error:
-            self.ledger_failing_since = self.ledger_failing_since if self.ledger_failing else now
-            self.ledger_failing = True
-            self.next_write_at = now + self.write_backoff
-            self.write_backoff = min(2 * self.write_backoff, MAX_WRITE_BACKOFF)
-            if self.logged_write_error != (message := safe_description(error)):
-                self.logged_write_error = message
-                self.log_line("ledger", "cannot write", why=message, **as_operator_error(error).log_fields)
-            self.counters["ledger_errors"] += 1
-
-    def flush_with_retries(self):
-        """Write pending records in up to `WRITE_ATTEMPTS` attempts; raises the OSError of the last one."""
-        for _ in range(WRITE_ATTEMPTS - 1):
-            try:
-                return self.ledger.flush()
-            except OSError:
-                self.counters["ledger_errors"] += 1
-        self.ledger.flush()
-
     def may_leave(self, endpoint, pushes):
         """Between iterations: whether the last byte of a call may leave, once the ledger has its record.
 
@@ -362,7 +331,7 @@
             for push in pushes:
                 if push.id in self.ledger.notifications:
                     self.ledger.append_record("p", push.id, push.number, push.zone, now)
-            self.flush_ledger()
+            self.ledger_writer.flush()
         return not self.ledger_failing
 
     def recheck_lease(self):
@@ -388,14 +357,9 @@
         rejected = [answer for answer in self.answers_due if answer.ntf_id in unleased]
         for answer in rejected:
             answer.status, answer.retry_after = 503, self.lease.again_in()
-        try:
-            self.ledger.flush()
-        except OSError as error:
+        if not self.ledger_writer.flush():
             # The ledger on disk still has them as pending: after a kill, the next process would send them. So
             # their clients get a 500, which promises nothing.
-            self.log_line("ledger", "cannot write", why=safe_description(error))
-            self.ledger_failing = True
-            self.next_write_at = self.dispatcher.now + WRITE_BACKOFF
             self.undo_iteration()
             for answer in rejected:
                 answer.status = 500
@@ -418,7 +382,7 @@
         events = []
         time_left = (self.timers[0][0] - self.now()) / SEC if self.timers else float("inf")
         if self.ledger_failing:
-            time_left = min(time_left, max(0, self.next_write_at - self.now()) / SEC)
+            time_left = min(time_left, max(0, self.ledger_writer.next_write_at - self.now()) / SEC)
         with trio.move_on_after(min(max(0, time_left), QUIESCENCE_POLL if self.frozen else float("inf"))):
             events.append(await self.event_receiver.receive())
         # After a suspension, expired timers would be handled before answers that have arrived meanwhile. The
