--- a/tests/test_same_id.py
+++ b/tests/test_same_id.py
@@ -1,9 +1,11 @@
 """One id submitted twice at the same time: each client gets the answer that holds for both."""
 
+import json
 from functools import partial
 
 import pytest
 import trio
+from conftest import WIRE
 
 from juniperlanding.choice import SEC
 from juniperlanding.net.content_digest import content_digest, is_same_content
@@ -229,3 +231,71 @@
     """Guards against two messages with one digest whose fields are the same when joined."""
     assert content_digest("a", 1, "b", "", b"c") != content_digest("a", 1, "", "b", b"c")
     assert content_digest("a", 1, "b", "", b"c") != content_digest("a", 1, "b", "c", b"")
+
+
+def test_a_withdrawn_message_of_a_batch_is_not_sent_and_the_others_are(site):
+    """Guards against a call of several that leaves with a message that no client heard of."""
+    site.wire = WIRE | {"family_info": WIRE["family_info"] | {"batch_by_kind": [5, 5]}}
+
+    async def scene(site):
+        node = await site.start()
+        decision_loop = node.decision_loop
+        await site.until(lambda: decision_loop.ready)
+        ttl_at = decision_loop.now() + 5 * SEC
+        answers = [Answer(f"a{number}") for number in range(3)]
+        for answer in answers:
+            assert decision_loop.try_enqueue(decision_loop.submit, "order", 7, ttl_at, "", b"x", answer)
+        await answers[0].ready.wait()
+        (call,) = decision_loop.endpoints.calls()
+        assert len(call.pushes) == 3 and not call.written
+        await decision_loop.enqueue(decision_loop.undo_unheard, answers[1])
+        await site.until(lambda: not node.ledger.notifications)
+        await trio.sleep(0.1)
+        assert sorted(delivered_ids(site)) == ["a0", "a2"] and not site.platform.notices
+        assert_at_rest(node)
+
+    site.run(scene, accept_all)
+
+
+def accept_all(first, headers, body):
+    """The answer of an endpoint that takes all messages of a call."""
+    if "x-trace-id" in headers:
+        return http(200)
+    return http(
+        200, json.dumps([{"id": one["id"], "state": "accepted"} for one in json.loads(body)]).encode()
+    )
+
+
+def delivered_ids(site):
+    """The ids of all messages that the endpoint was sent, singly or in batches."""
+    ids = []
+    for _, headers, body in site.far.got:
+        ids += [headers["x-trace-id"]] if "x-trace-id" in headers else [one["id"] for one in json.loads(body)]
+    return ids
+
+
+def test_an_id_whose_withdrawn_call_may_have_run_is_not_run_again_after_a_kill(site, monkeypatch):
+    """Guards against a record that takes an id back whose call has left: the next process ran it again."""
+
+    async def scene(site):
+        node = await site.start()
+        decision_loop = node.decision_loop
+        await site.until(lambda: decision_loop.ready)
+        execute_requests = decision_loop.execute_requests
+        decision_loop.execute_requests = partial(start_calls, decision_loop)
+        lose_first_answer(node, monkeypatch)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(submit_and_lose, site)
+            await site.until(lambda: site.far.got)
+            decision_loop.execute_requests = execute_requests
+            await decision_loop.enqueue(len, "")
+            await site.until(lambda: node.counters["unheard"])
+        site.kill()
+        new = await site.start()
+        await site.until(lambda: new.decision_loop.ready)
+        assert await site.submit("a0", topic="order") == 202
+        await site.until(lambda: not new.ledger.notifications)
+        assert len(site.far.got) == 1
+        assert [notice["outcome"] for notice in site.platform.notices] == ["given_up"]
+
+    site.run(scene, lambda *message: "late")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -164,6 +164,23 @@
     site.run(scene)
 
 
+def test_another_message_under_an_id_that_went_over_is_not_accepted(site):
+    """Guards against a new process that knows the ids of the old one without their content."""
+
+    async def scene(site):
+        await first(site)
+        assert await site.submit("a1", "order", dest=8) == 202
+        assert await site.submit("a2", "order") == 202
+        await site.until(lambda: len(site.node.ledger.notifications) == 1)
+        await replace(site)
+        for name, dest in (("a1", 8), ("a2", 7)):
+            assert await site.submit(name, "order", dest=dest, body=b"another") == 409
+            assert await site.submit(name, "order", dest=dest) == 202
+        assert len(site.far.got) == 1
+
+    site.run(scene)
+
+
 # ---- what fails
 
 
