A connection on which a stray response came serves no further call

An endpoint that sends one response too many may send another, and then every later call on that connection is answered by the response to the one before.

Change: HttpConnection.is_doubtful, set while a response may belong to an earlier call; such a connection is never reusable.

Measured: test_a_copy_that_crosses_the_next_request_is_not_taken_for_its_answer now counts connections too; its three cases fail without the change (7 connections for 10). 14 tests of the file pass, and 477 of the files around it.

--- a/juniperlanding/net/endpoints.py
+++ b/juniperlanding/net/endpoints.py
@@ -486,6 +486,7 @@
             call.early_response_at = heard_at
         connection.next()
         connection.expect_response()
+        connection.is_doubtful = True
         time_left = call.written_at + times.latest() - self.now()
         with trio.move_on_after(max(0, time_left) / SEC):
             return await connection.wait_for_message()
--- a/juniperlanding/net/line.py
+++ b/juniperlanding/net/line.py
@@ -30,6 +30,7 @@
         self.http = h11.Connection(role, max_incomplete_event_size=MAX_HEAD)
         self.address = None  # the address that we connected to; unknown after a hand-over
         self.used_at = 0
+        self.is_doubtful = False  # whether it is uncertain to which request its responses belong
         self.unparsed_head = b""  # the bytes of a response until its head is parsed
 
     async def next_event(self):
@@ -140,8 +141,8 @@
         return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
 
     def reusable(self):
-        """Whether the next request may be sent: nothing came behind the response."""
-        return self.may_have_next() and not self.http.trailing_data[0]
+        """Whether the next request may be sent: each response so far belongs to its request."""
+        return self.may_have_next() and not self.is_doubtful and not self.http.trailing_data[0]
 
     def next(self):
         """Reset the state for the next request and response."""
--- a/tests/test_stray_responses.py
+++ b/tests/test_stray_responses.py
@@ -107,6 +107,8 @@
             await outcomes.submit_and_wait(f"b{number}")
         await trio.sleep(3 * LATENCY)
         outcomes.check()
+        strays = site.node.counters["stray_responses"]
+        assert strays and site.far.connections == LEARNING_CALLS + 1 + strays  # each one costs its connection
 
     site.run(scene)
 
