--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -254,6 +254,12 @@
     assert result.breach is None, result.breach
 
 
+def test_a_kill_while_an_early_response_is_held_gives_up_nothing_delivered():
+    """Guards against a notice for a delivery that the killed process had heard and not yet counted."""
+    result = swarm.one(swarm.Job(scenario.without(SHORT, length=Duration(10 * SEC)), 262339774, draw=True))
+    assert result.breach is None, result.breach
+
+
 @pytest.mark.parametrize(
     "name, rule", [("ledger_not_read_at_start", "final answer"), ("slot_leaks_after_a_timeout", "beliefs")]
 )
