--- a/tests/test_same_id.py
+++ b/tests/test_same_id.py
@@ -8,6 +8,7 @@
 from conftest import WIRE
 
 from juniperlanding.choice import SEC
+from juniperlanding.net import line as net_line
 from juniperlanding.net.content_digest import content_digest, is_same_content
 from juniperlanding.net.ledger import Ledger
 from juniperlanding.net.ledger_codec import line
@@ -89,14 +90,16 @@
 def test_an_id_accepted_again_while_its_withdrawn_call_is_in_flight_runs_once(site, monkeypatch):
     """Guards against two calls under one id: the once-only ran twice, and the second outcome was a KeyError
     that ended the process."""
+    monkeypatch.setattr(net_line, "LAST_BYTE_DELAY", 0.2)  # the first call is still in flight at the second
 
     async def scene(site):
         node = await site.start()
         await site.until(lambda: node.decision_loop.ready)
         await submit_unheard(site, node, monkeypatch, number="a0", topic="order")
+        assert node.decision_loop.endpoints.in_flight
         assert await site.submit("a0", topic="order") == 202
         await site.until(lambda: not node.ledger.notifications)
-        await trio.sleep(0.1)
+        await trio.sleep(0.5)
         assert len(site.far.got) == 1
         assert_at_rest(node)
 
