--- a/tests/test_stray_responses.py
+++ b/tests/test_stray_responses.py
@@ -113,6 +113,22 @@
     site.run(scene)
 
 
+def test_a_copy_that_comes_late_in_the_next_call_is_not_taken_for_its_answer(site):
+    """Guards against a copy that comes when an answer of the call could come: the message is lost."""
+
+    async def scene(site):
+        await open_endpoint(site, refuses_every_other(), LATENCY, 0.6 * LATENCY, after_next_request=True)
+        await site.start()
+        outcomes = Outcomes(site)
+        for number in range(6):
+            await outcomes.submit_and_wait(f"b{number}")
+            await trio.sleep(LATENCY)
+        await trio.sleep(3 * LATENCY)
+        outcomes.check()
+
+    site.run(scene)
+
+
 def test_a_copy_that_names_no_message_of_a_batch_is_not_its_answer(site):
     """Guards against giving up what a batch delivers, as an earlier response stands before its own."""
 
