--- a/review/9/hold.py
+++ b/review/9/hold.py
@@ -1,7 +1,7 @@
 """Holds a process up once: `hold.py PID FILE SECONDS`; each line on standard input asks for one hold.
 
-A line is the number of seconds for which to look.  As soon as FILE grows, the process is stopped for SECONDS and
-continued.  The answer is one line: the seconds for which it was held, or 0 if FILE did not grow."""
+A line is the number of seconds for which to look.  As soon as FILE grows, the process is stopped for SECONDS
+and continued.  The answer is one line: the seconds for which it was held, or 0 if FILE did not grow."""
 
 import os
 import signal
