--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,53 +1,86 @@
-"""A clump for one destination: calls with several messages have bodies over 64 KiB."""
+"""A hold-up of 0.14 s between reading the clock and writing: a collapsible message runs twice."""
 
 import asyncio
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins2 import MOST_BODY, CannotRun, Case, settings, topic  # noqa: E402
+from standins2 import CannotRun, Case, settings, topic  # noqa: E402
 
-SIZE = 12_000  # bytes of a message, of the 65,536 that a body may hold
-RATE = 16.0  # calls a second that the destination takes, as listed
-CLUMP = 20  # messages: what it takes in 1.25 s
-APART = 0.25  # seconds between two messages without the clump
-TTL_MS = 16_000
-MOST_IN_A_CALL = 10
+WINDOW = 1.0  # seconds for which the destination remembers a key
+HELD, MOST_HELD = 0.14, 0.15  # seconds of a hold-up, and what STANDING allows
+AIM_S = 0.80  # the latency objective, after which a call without an answer is given up
+TRIES = 20
+TTL_MS = 8_000
+LOOK_FROM, LOOK_FOR = 0.82, 0.2  # seconds after the first call in which the second one's last byte leaves
+
+
+class Courier:
+    """What the destination does with a call: it drops the repeat of a key that it still remembers."""
+
+    def __init__(self, case):
+        self.case, self.first, self.runs, self.lose_answer = case, {}, {}, set()
+
+    def __call__(self, call):
+        (ntf_id, key, _), at = call["messages"][0], call["at"]
+        if key not in self.first or at - self.first[key] > WINDOW:
+            self.first.setdefault(key, at)
+            self.runs.setdefault(key, []).append(at)
+            self.case.record("applied", id=ntf_id, key=key, after=round(at - self.first[key], 4))
+        else:
+            self.case.record("repeat dropped", id=ntf_id, key=key, after=round(at - self.first[key], 4))
+        if key in self.lose_answer:
+            self.lose_answer.discard(key)
+            return None
+        return 200
 
 
 async def play(case):
     platform = await case.platform().open()
-    courier = await case.endpoint("s-1", 3).open()
-    # What it can't take it turns away, and runs none of it.
-    courier.conduct = lambda call: 413 if call["size"] > MOST_BODY else 200
-    platform.put(**courier.member(size=RATE))
-    told = settings(topic("order-handoff", "unsafe", TTL_MS / 1000), batches=(MOST_IN_A_CALL,))
+    courier = Courier(case)
+    shop = await case.endpoint("s-1", 3, courier).open()
+    shop.work = 0.01
+    platform.put(**shop.member())
+    told = settings(topic("settlement", "keyed", TTL_MS / 1000, WINDOW, aim_ns=int(AIM_S * 1e9)))
     dispatcher = case.dispatcher(platform, told)
     await dispatcher.start()
     client = case.client(dispatcher)
-    tasks = []
-    for _ in range(CLUMP):
-        tasks.append(asyncio.create_task(client.hand_in("order-handoff", 3, TTL_MS, b"x" * SIZE)))
-        await asyncio.sleep(0 if case.trouble else APART)
-    await asyncio.gather(*tasks)
-    await asyncio.sleep(TTL_MS / 1000 + 1)
-    taken, ran = client.taken(), {one[1] for one in courier.ran}
-    if len(taken) < CLUMP / 2 or not courier.calls:
-        raise CannotRun("too few messages were taken on, or none was sent")
-    late = [at - client.sent[ntf_id]["at"] for at, ntf_id, _, _ in courier.ran]
-    case.record(
-        "sum",
-        taken=len(taken),
-        run=len(ran),
-        notices=len({one[1] for one in platform.notices}),
-        slowest_s=round(max(late, default=0), 2),
+    for number in range(6):  # the forecast needs a few deliveries
+        await client.hand_in("settlement", 3, TTL_MS, key=f"warm{number}")
+        await asyncio.sleep(0.1)
+    holder = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-B",
+        str(Path(__file__).with_name("hold.py")),
+        str(dispatcher.processes[0].pid),
+        str(dispatcher.folder / "state" / "ledger"),
+        str(HELD),
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
     )
-    over = [
-        f"a call with {len(call['messages'])} messages had a body of {call['size']} bytes"
-        for call in courier.calls
-        if call["size"] > MOST_BODY
-    ]
-    return [*over, f"{len(taken)} were taken on, {len(ran)} were run"] if over else []
+    broken, repeats = [], 0
+    try:
+        for number in range(TRIES):
+            key = f"key{number}"
+            courier.lose_answer.add(key)
+            ntf_id, _ = await client.hand_in("settlement", 3, TTL_MS, key=key)
+            await asyncio.sleep(LOOK_FROM)
+            held = 0.0
+            if case.trouble:
+                holder.stdin.write(f"{LOOK_FOR}\n".encode())
+                held = float(await holder.stdout.readline())
+                case.record("held", seconds=round(held, 4))
+            await asyncio.sleep(1.0)
+            runs = courier.runs.get(key, [])
+            repeats += sum(one["messages"][0][0] == ntf_id for one in shop.calls) > 1
+            if len(runs) > 1 and held <= MOST_HELD:
+                broken.append(f"{ntf_id} was applied twice, {runs[1] - runs[0]:.3f} s apart")
+    finally:
+        holder.kill()
+        await holder.wait()
+    if not repeats:
+        raise CannotRun("no message was sent again")
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,85 +1,73 @@
-"""A hold-up of 0.14 s between reading the clock and writing: a collapsible message runs twice."""
+"""New configurations while the process is replaced: the new process stays with a discovery that has moved."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins2 import CannotRun, Case, settings, topic  # noqa: E402
+from standins2 import HOST, CannotRun, Case, free_port, settings, topic  # noqa: E402
 
-WINDOW = 1.0  # seconds for which the destination remembers a key
-HELD, MOST_HELD = 0.14, 0.15  # seconds of a hold-up, and what STANDING allows
-AIM_S = 0.80  # the latency objective, after which a call without an answer is given up
-TRIES = 20
-TTL_MS = 8_000
-LOOK_FROM, LOOK_FOR = 0.82, 0.2  # seconds after the first call in which the second one's last byte leaves
-
-
-class Courier:
-    """What the destination does with a call: it drops the repeat of a key that it still remembers."""
-
-    def __init__(self, case):
-        self.case, self.first, self.runs, self.lose_answer = case, {}, {}, set()
-
-    def __call__(self, call):
-        (ntf_id, key, _), at = call["messages"][0], call["at"]
-        if key not in self.first or at - self.first[key] > WINDOW:
-            self.first.setdefault(key, at)
-            self.runs.setdefault(key, []).append(at)
-            self.case.record("applied", id=ntf_id, key=key, after=round(at - self.first[key], 4))
-        else:
-            self.case.record("repeat dropped", id=ntf_id, key=key, after=round(at - self.first[key], 4))
-        if key in self.lose_answer:
-            self.lose_answer.discard(key)
-            return None
-        return 200
+TTL_MS = 2_000
+EVERY = 0.05  # seconds from one new configuration to the next, while the new process starts
+OLD_CLOSES = 1.5  # seconds after which the old discovery closes what is open (LATER)
+DUE_AFTER = 0.35  # seconds after its time in which the end of a message is due (PROTOCOL, with its 50 ms)
+YES_WITHIN = 6.0  # seconds that the new process has to say yes (DAYS)
 
 
 async def play(case):
     platform = await case.platform().open()
-    courier = Courier(case)
-    shop = await case.endpoint("s-1", 3, courier).open()
-    shop.work = 0.01
+    shop = await case.endpoint("s-1", 3).open()
     platform.put(**shop.member())
-    told = settings(topic("settlement", "keyed", TTL_MS / 1000, WINDOW, aim_ns=int(AIM_S * 1e9)))
-    dispatcher = case.dispatcher(platform, told)
-    await dispatcher.start()
+    dispatcher = case.dispatcher(platform, settings(topic("order-handoff", "unsafe", TTL_MS / 1000)))
+    await dispatcher.start(management=f"{HOST}:{free_port()}")
+    old, loop, platforms = dispatcher.processes[0], asyncio.get_running_loop(), [platform]
+    await asyncio.sleep(1.5)  # no SIGHUP in its first second
+
+    async def move():
+        """A new configuration with another discovery, told to the process that serves."""
+        before, moved = dispatcher.platform, await case.platform().open()
+        moved.members, moved.changed_in, moved.revision = before.members, before.changed_in, before.revision
+        dispatcher.platform = moved
+        platforms.append(moved)
+        dispatcher.configure()
+        dispatcher.signal(signal.SIGHUP, old)
+        before.server.close()
+        loop.call_later(OLD_CLOSES, before.close)
+
+    if not case.trouble:
+        await move()
+        await asyncio.sleep(2)
+    door, until = f"{HOST}:{free_port()}", loop.time() + YES_WITHIN
+    await dispatcher.start(wait=False, management=door)
+    while not await dispatcher.says_yes(door):
+        if loop.time() > until:
+            raise CannotRun("the new process did not say yes")
+        if case.trouble:
+            await move()
+        await asyncio.sleep(EVERY)
+    case.record("yes")
+    await dispatcher.stop(old)
+    await asyncio.sleep(4)  # what discovery has to tell counts as told by now
     client = case.client(dispatcher)
-    for number in range(6):  # the forecast needs a few deliveries
-        await client.hand_in("settlement", 3, TTL_MS, key=f"warm{number}")
+    await client.hand_in("order-handoff", 3, TTL_MS)
+    await asyncio.sleep(0.5)
+    if len(shop.ran) != 1:
+        raise CannotRun("the new process does not deliver")
+    shop.conduct = lambda call: None  # takes calls and answers none
+    for _ in range(5):
+        await client.hand_in("order-handoff", 3, TTL_MS)
         await asyncio.sleep(0.1)
-    holder = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-B",
-        str(Path(__file__).with_name("hold.py")),
-        str(dispatcher.processes[0].pid),
-        str(dispatcher.folder / "state" / "ledger"),
-        str(HELD),
-        stdin=asyncio.subprocess.PIPE,
-        stdout=asyncio.subprocess.PIPE,
-    )
-    broken, repeats = [], 0
-    try:
-        for number in range(TRIES):
-            key = f"key{number}"
-            courier.lose_answer.add(key)
-            ntf_id, _ = await client.hand_in("settlement", 3, TTL_MS, key=key)
-            await asyncio.sleep(LOOK_FROM)
-            held = 0.0
-            if case.trouble:
-                holder.stdin.write(f"{LOOK_FOR}\n".encode())
-                held = float(await holder.stdout.readline())
-                case.record("held", seconds=round(held, 4))
-            await asyncio.sleep(1.0)
-            runs = courier.runs.get(key, [])
-            repeats += sum(one["messages"][0][0] == ntf_id for one in shop.calls) > 1
-            if len(runs) > 1 and held <= MOST_HELD:
-                broken.append(f"{ntf_id} was applied twice, {runs[1] - runs[0]:.3f} s apart")
-    finally:
-        holder.kill()
-        await holder.wait()
-    if not repeats:
-        raise CannotRun("no message was sent again")
+    await asyncio.sleep(TTL_MS / 1000 + 4)
+    if len(client.taken()) < 2:
+        raise CannotRun("no message was taken on")
+    ends = {ntf_id: at for one in platforms for at, ntf_id, _ in one.notices}
+    delivered = {one[1] for one in shop.ran}
+    broken = []
+    for ntf_id in client.taken():
+        due = client.sent[ntf_id]["at"] + TTL_MS / 1000 + DUE_AFTER
+        if ntf_id not in delivered and ends.get(ntf_id, due + 1) > due:
+            broken.append(f"{ntf_id} was taken on and has no end {DUE_AFTER} s after its time")
     return broken
 
 
