--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -31,6 +31,11 @@
 MAX_RETRY_SPACING = 3 * SEC
 # A collapsible's window is taken as shorter by one part in so many, for the time of travel.
 TRANSIT_MARGIN_DIVISOR = 20
+# By so much it is shorter at least: the process may be held up between its last look at the clock and the
+# write, and what it writes then still has to travel.
+MAX_HOLD_UP = 150 * MS
+MIN_TRANSIT_MARGIN = 20 * MS
+REPEAT_LEAD = 200 * MS  # a time-out comes so long before the end of a window, for the pauses before a repeat
 
 # Overdue and lost pushes
 OVERDUE_FACTOR = 4  # overdue after forecast + OVERDUE_FACTOR * root mean square error
@@ -155,14 +160,31 @@
     """Until when the notification may be sent again, as far as a push that may have run allows.
 
     A repeat that arrives after the destination forgot the key would run twice, so the window is taken as
-    shorter by the time that the repeat travels."""
+    shorter by `window_margin`."""
     kind = ntf.topic.get("kind")
-    window = ntf.topic.get("window", 0)
     if ntf.may_have_run is None or kind == "repeatable":
         return 1 << 62
-    return (
-        ntf.may_have_run.sent_at + window - window // TRANSIT_MARGIN_DIVISOR if kind == "collapsible" else 0
-    )
+    if kind != "collapsible":
+        return 0
+    window = ntf.topic.get("window", 0)
+    return ntf.may_have_run.sent_at + window - window_margin(window)
+
+
+def window_margin(window):
+    """Nanoseconds at the end of a repeat window in which no repeat may leave any more."""
+    return max(window // TRANSIT_MARGIN_DIVISOR, MAX_HOLD_UP + MIN_TRANSIT_MARGIN)
+
+
+def timeout_floor(topic):
+    """The shortest time-out of a topic type, in nanoseconds.
+
+    It is the objective: a cut before it gains nothing and repeats work that was nearly done.  A collapsible
+    whose window is hardly longer is cut earlier, while a repeat may still leave."""
+    objective = topic.get("objective", MIN_TIMEOUT)
+    window = topic.get("window", 0)
+    last_chance = window - window_margin(window) - REPEAT_LEAD
+    is_cut_earlier = topic.get("kind") == "collapsible" and last_chance > 0
+    return min(objective, last_chance) if is_cut_earlier else objective
 
 
 def retry_is_harmless(ntf, now):
@@ -688,10 +710,7 @@
         limit = INITIAL_TIMEOUT
         overdue_after = MIN_OVERDUE
         if dest.samples >= MIN_SAMPLES:
-            # The objective is the floor: a cut before it gains nothing and repeats work that was nearly done.
-            limit = max(
-                dest.forecast + TIMEOUT_ERROR_FACTOR * dest.rmse, ntf.topic.get("objective", MIN_TIMEOUT)
-            )
+            limit = max(dest.forecast + TIMEOUT_ERROR_FACTOR * dest.rmse, timeout_floor(ntf.topic))
             limit <<= max(dest.timeout_doublings, ntf.timeout_doublings)
             overdue_after = dest.forecast + OVERDUE_FACTOR * dest.rmse
         push.overdue_at = now + max(overdue_after, MIN_OVERDUE)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -13,7 +13,7 @@
 from test_upgrade import first as first_process
 from test_upgrade import replace as replaced
 
-from juniperlanding.choice import SEC
+from juniperlanding.choice import MAX_HOLD_UP, SEC
 from juniperlanding.ground.clock import Clock
 from juniperlanding.net import ledger as ledgers
 from juniperlanding.net import protocol
@@ -280,10 +280,10 @@
     return first
 
 
-@pytest.mark.parametrize("after, calls", [(0.5, 2), (0.95, 1), (-1, 1)])
+@pytest.mark.parametrize("after, calls", [(0.5, 2), (0.83, 1), (0.95, 1), (-1, 1)])
 def test_a_window_of_1_s_goes_on_over_a_restart(narrow, after, calls):
-    """Nothing is repeated after the window, less 5% for transmission, nor when the clock was set back and the
-    time since the push is unknown."""
+    """Nothing is repeated after the window, less 0.17 s for a hold-up and travel, nor when the clock was set
+    back and the time since the push is unknown."""
 
     async def scene(site):
         first = await pushed_and_killed(site)
@@ -297,6 +297,29 @@
     narrow.run(scene, silent)
 
 
+@pytest.mark.parametrize("after, is_repeated", [(0.6, True), (0.84, False), (0.93, False)])
+def test_a_process_held_up_before_the_write_repeats_nothing_past_its_window(narrow, after, is_repeated):
+    """Guards against a window that leaves no room for a hold-up: the destination ran the message twice."""
+
+    async def scene(site):
+        first, arrived = await pushed_and_killed(site), []
+        site.far.answer = lambda *message: arrived.append(site.clock.now() - first) or http(200)
+        site.clock.set(first + int(after * WINDOW * SEC))
+        node = await site.start()
+        may_leave = node.decision_loop.may_leave
+
+        def held_up(*fields):
+            verdict = may_leave(*fields)
+            site.clock.set(site.clock.now() + MAX_HOLD_UP)
+            return verdict
+
+        node.decision_loop.endpoints.may_leave = held_up
+        await site.until(lambda: not node.ledger.notifications)
+        assert len(arrived) == is_repeated and all(age < WINDOW * SEC for age in arrived)
+
+    narrow.run(scene, silent)
+
+
 def test_a_late_connect_after_a_restart_takes_no_repeat_past_its_window(narrow):
     class LateConnects:
         """Connections to the endpoint are established once `go` is set; those to the platform at once."""
