--- a/juniperlanding/cli/serve.py
+++ b/juniperlanding/cli/serve.py
@@ -73,8 +73,11 @@
     from juniperlanding.net.node import Node
     from juniperlanding.net.succession import start_node
 
+    def make_node(offer):
+        return Node(config, interfaces, offer=offer, read_config=read)
+
     try:
-        node = await start_node(lambda offer: Node(config, interfaces, offer=offer), config, interfaces)
+        node = await start_node(make_node, config, interfaces)
     except OSError as error:
         raise as_operator_error(error, config.state) from None
     make_stderr_nonblocking()
--- a/juniperlanding/handover/frames.py
+++ b/juniperlanding/handover/frames.py
@@ -20,6 +20,7 @@
 OFFER = "offer"
 READY = "ready"
 YOURS = "yours"
+RELOAD = "reload"  # from a replaced process: the configuration file has changed
 
 
 class Noise(ValueError):
--- a/juniperlanding/net/node.py
+++ b/juniperlanding/net/node.py
@@ -16,7 +16,7 @@
 from juniperlanding.net.ledger import Damaged
 from juniperlanding.net.notices import Notices
 from juniperlanding.net.owner import DecisionLoop
-from juniperlanding.net.succession import Offer, ProcessHandover
+from juniperlanding.net.succession import Offer, ProcessHandover, reload_requests
 
 # Descriptors for everything but the connections limited here: 16 are in use, the others are spare.
 RESERVED_DESCRIPTORS = 20
@@ -54,11 +54,14 @@
     The constructor binds the address, locks the state folder (OSError if either cannot be had) and opens the
     ledger; with an `offer` it takes all three over from the previous process and changes nothing on disk yet.
     The address is bound before the ledger is opened, since opening rewrites it: a process that cannot listen
-    must leave it alone."""
+    must leave it alone.
 
-    def __init__(self, configuration, system, log=None, offer=None):
+    read_config: returns the configuration as it is now, for reloads that no signal asks for; None without."""
+
+    def __init__(self, configuration, system, log=None, offer=None, read_config=None):
         # `previous_process` is the channel to the process that handed over, held open while this one lives.
         self.config, self.system, self.offer, self.previous_process = configuration, system, offer, None
+        self.read_config = read_config
         self.counters = Counters(topic.get("name") for topic in configuration.settings["topic_types"])
         self.log = log or logs.open_log(configuration.name, system.clock, **configuration.log)
         self.reread_scope, self.reload_retry_after, self.replaced = trio.CancelScope(), RELOAD_RETRY_S, False
@@ -132,6 +135,8 @@
             async with trio.open_nursery() as self.nursery:
                 if self.admin_port:
                     self.nursery.start_soon(self.admin_port.listen, self.nursery)
+                if self.previous_process and self.read_config:
+                    self.nursery.start_soon(self.follow_previous_process)
                 while True:
                     self.offer = await self.serve(task_status)
                     task_status = trio.TASK_STATUS_IGNORED
@@ -193,6 +198,15 @@
     async def freeze(self, within):
         await self.decision_loop.enqueue(self.decision_loop.freeze, within)
 
+    async def follow_previous_process(self):
+        """Reload the configuration whenever only the previous process may know that it has changed.
+
+        The file may have been replaced after this process read it, and the signal goes to the process that
+        was in service then, which may by now be replaced."""
+        self.reload(self.read_config)
+        async for _ in reload_requests(self.previous_process):
+            self.reload(self.read_config)
+
     async def stand_by(self):
         """Wait for the process that took over to end, then serve again: if it ends early, what it accepted is
         in the folder and still has to be delivered."""
@@ -215,6 +229,8 @@
         self.log("upgrade", "the process that took over is gone, serving again")
         await self.rebuild(None)
         self.replaced = False
+        if self.read_config:
+            self.reload(self.read_config)  # signals went to the process that is gone
 
     async def rebuild(self, offer):
         """Build the components again.
@@ -277,8 +293,11 @@
 
         `read` returns the new configuration; `logged` is the error logged by the previous attempt.  The file
         may be half written, or the disk may fail for a moment, although the platform has moved for good.  So
-        a failed read is tried again, with one log line for as long as the error stays the same."""
+        a failed read is tried again, with one log line for as long as the error stays the same.  A process
+        that was replaced passes the reload on."""
         self.reread_scope.cancel()
+        if self.replaced:
+            return self.process_handover.forward_reload()
         try:
             discovery = read().discovery
         except Exception as error:  # a half-written or invalid file must not end the process
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -4,6 +4,7 @@
 
 import json
 from base64 import b64decode, b64encode
+from contextlib import suppress
 from dataclasses import astuple
 from zlib import crc32
 
@@ -353,6 +354,16 @@
         self.channel = None
         self.sender.lost()
 
+    def forward_reload(self):
+        """Tell the process that took over to read the configuration again.
+
+        Nothing is said to one that has ended: this process reads it itself once it serves again."""
+        try:
+            if self.channel:
+                self.channel.send_nowait(frames.RELOAD)
+        except OSError as error:
+            self.log("upgrade", "cannot pass a reload on", why=safe_description(error))
+
     def close_listener(self):
         if self.listener:
             self.listen_scope.cancel()
@@ -360,6 +371,17 @@
             self.listener = None
 
 
+async def reload_requests(channel):
+    """Yields once for each time that a replaced process, at the other end, was told of a new configuration.
+
+    Its end counts as one, since it may have been told right before.  Other messages are passed over."""
+    with suppress(frames.Noise, OSError, trio.ClosedResourceError):
+        while received := await channel.receive():
+            if received[0]["say"] == frames.RELOAD:
+                yield
+    yield
+
+
 async def start_node(make, config, system):
     """The node of a process that owns its folder: at once, or taken over from the process that holds it.
 
