--- a/juniperlanding/choice.py
+++ b/juniperlanding/choice.py
@@ -96,6 +96,8 @@
 # limit.
 IDLE_CONNECTION_WORTH = 8
 
+FAR_WAKE = 60 * SEC  # timers for later than this are dropped once nothing needs them
+
 # Share of the capacity for pending notifications from which on the least benefit is rejected.
 SHED_ABOVE_SHARE = 0.9
 
@@ -771,6 +773,21 @@
             self.state.wakes.add(at)
             self.host.timer(at - self.now, at)
 
+    def drop_far_wakes(self):
+        """Forget the timers for the TTL of notifications that have ended: a TTL may be a day.
+
+        What is due soon stays, whatever it was set for."""
+        state = self.state
+        needed = {ntf.ttl_at - 2 * state.settings.get("tick", 0) for ntf in state.notifications.values()}
+        needed |= {ntf.not_before for ntf in state.notifications.values()}
+        needed |= {dest.idle_until for dest in state.destinations.values()}
+        needed |= {endpoint.probe_at for endpoint in state.endpoints.values()}
+        needed |= {endpoint.route.wait_until for endpoint in state.endpoints.values()}
+        needed |= {push.overdue_at for push in state.pushes.values()}
+        needed |= {push.call.presumed_lost_at for push in state.pushes.values()}
+        needed |= {until for until, _, _ in state.key_holds.values()} | {state.subscribe_at}
+        state.wakes = {at for at in state.wakes if at <= self.now + FAR_WAKE or at in needed}
+
     def hold_destination(self, push, until):
         """Send nothing to the push's destination before a time, unless news of it comes first."""
         if until > self.now:
--- a/juniperlanding/emulator/mutants.py
+++ b/juniperlanding/emulator/mutants.py
@@ -182,7 +182,7 @@
 @mutant(owner.DecisionLoop, "submit")
 def same_id_runs_again(self, topic, destination, ttl_at, key, body, answer, *keys):
     """An id that is over and comes again is taken on once more."""
-    self.known_ids.pop(answer.ntf_id, None)
+    self.known_ids.forget(answer.ntf_id)
     return SUBMIT(self, topic, destination, ttl_at, key, body, answer, *keys)
 
 
--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -15,6 +15,7 @@
 from juniperlanding.net.content_digest import content_digest, is_same_content
 from juniperlanding.net.counters import ABORTED, DECLINED, SUCCEEDED
 from juniperlanding.net.endpoints import PushAttempt
+from juniperlanding.net.known_ids import MEMORY_SHARE, KnownIds
 from juniperlanding.net.ledger_writer import MAX_WRITE_BACKOFF, LedgerWriter
 from juniperlanding.net.trace import Trace
 
@@ -28,6 +29,8 @@
 END_GRACE = SEC // 5  # after its TTL, the loop ends what the module has not, after one more iteration
 
 
+MIN_TIMERS = 4096  # timers up to which pointless ones may stay
+
 CAPACITY_REASONS = (rules.Reason.NO_PLACE, rules.Reason.NO_DISK)
 
 
@@ -56,9 +59,9 @@
         self.batch_sizes = config.settings.get("batch_by_kind", [])
         # What the module has not ended: id -> its client's `Answer`; the ledger has the rest.
         self.unfinished = {}
-        # Id -> digest of its content, until its TTL: one that comes again after its end runs only once.
-        self.known_ids = {}
+        self.known_ids = KnownIds(config.memory // MEMORY_SHARE)
         self.timers = []  # a heap of (time, sequence number, function, its arguments)
+        self.max_timers = MIN_TIMERS  # from here on, those that have become pointless are looked for
         self.sequence = 0
         self.entries = {}  # endpoint -> its entry in the list, as the module got it
         self.trace = Trace(log, counters, config.trace)
@@ -152,7 +155,8 @@
             # Its connection was not handed over.
             self.guarded(self.dispatcher.outcome, ntf_id, number, "reset")
         for ntf_id, ended in list(self.ledger.ended.items()):
-            self.known_ids[ntf_id] = ended.content_digest
+            self.known_ids.add(ntf_id, ended.content_digest)
+            self.known_ids.end(ntf_id)
             self.call_at(max(ended.ttl_at, self.dispatcher.now) + END_GRACE, self.check_after_ttl, ntf_id)
         self.ready = True
 
@@ -180,7 +184,7 @@
     def restore(self, notification):
         """Give the module what an earlier process accepted, or post its notice again."""
         self.counters["restored"] += 1
-        self.known_ids[notification.id] = notification.content_digest()
+        self.known_ids.add(notification.id, notification.content_digest())
         self.call_at(
             max(notification.ttl_at, self.dispatcher.now) + END_GRACE, self.check_after_ttl, notification.id
         )
@@ -520,7 +524,7 @@
             self.record_end(ntf_id)
             raise
         self.call_at(ttl_at + END_GRACE, self.check_after_ttl, ntf_id)
-        self.known_ids[ntf_id] = digest
+        self.known_ids.add(ntf_id, digest)
         self.counters["taken_on"] += 1
         answer.status, answer.is_accepted, answer.policy_number = 202, True, self.policy_number
         self.trace.event(ntf_id, "taken", topic=topic, destination=destination)
@@ -532,7 +536,7 @@
         try again either: who counts by the id would take the first message's push for one of the second."""
         ntf_id = answer.ntf_id
         pending = self.ledger.notifications.get(ntf_id)
-        known_digest = pending.content_digest() if pending else self.known_ids[ntf_id]
+        known_digest = pending.content_digest() if pending else self.known_ids.digest(ntf_id)
         verdict = rules.may_accept(rules.AcceptFacts(is_id_free=is_same_content(known_digest, digest)))
         if not verdict.is_allowed:
             answer.status = protocol.ID_IN_USE_STATUS
@@ -555,7 +559,7 @@
             self.expired(ntf_id)
         if self.has_push(ntf_id):  # its outcome is still reported under this id
             return self.call_at(self.dispatcher.now + END_GRACE // 4, self.check_after_ttl, ntf_id, True)
-        self.known_ids.pop(ntf_id, None)
+        self.known_ids.forget(ntf_id)
         self.ledger.forget(ntf_id)
 
     def undo_unheard(self, answer):
@@ -590,7 +594,7 @@
             self.undo_acceptance(ntf_id)
 
     def undo_acceptance(self, ntf_id):
-        self.known_ids.pop(ntf_id, None)
+        self.known_ids.forget(ntf_id)
         self.dispatcher.withdraw(ntf_id)
         self.record_end(ntf_id, "x")
 
@@ -653,8 +657,21 @@
         self.unfinished.pop(ntf_id, None)
         if ntf_id in self.ledger.notifications:
             self.ledger.append_record(letter, ntf_id)
+            self.known_ids.end(ntf_id)
             if ntf_id not in self.known_ids:
                 self.ledger.forget(ntf_id)  # its TTL had passed before it ended
+            self.limit_known_ids()
+
+    def limit_known_ids(self):
+        """Forget ids of ended notifications before their TTL where there are too many.
+
+        One whose push is still in flight is kept: the outcome is reported under its id."""
+        while oldest := self.known_ids.oldest_over_limit():
+            if self.has_push(oldest):
+                return self.known_ids.end(oldest)
+            self.known_ids.forget(oldest)
+            self.ledger.forget(oldest)
+            self.counters["ids_forgotten"] += 1
 
     # ---- what the module asks for (interface.Host)
 
@@ -695,7 +712,7 @@
             for other in [one for one in self.answers_due if one.ntf_id == ntf_id]:
                 other.status = status
                 other.retry_after = again_in
-            self.known_ids.pop(ntf_id, None)
+            self.known_ids.forget(ntf_id)
             return self.ledger.append_record("x", ntf_id)
         self.queue_notice(ntf_id, outcome, again_in)
 
@@ -714,6 +731,25 @@
     def call_at(self, at, function, *fields):
         self.sequence += 1
         heapq.heappush(self.timers, (at, self.sequence, function, *fields))
+        if len(self.timers) > self.max_timers:
+            self.drop_pointless_timers()
+
+    def drop_pointless_timers(self):
+        """Drop the timers for the TTL of notifications that have ended and are no longer remembered."""
+        self.dispatcher.drop_far_wakes()
+        self.timers = [timer for timer in self.timers if not self.is_pointless(*timer[2:])]
+        heapq.heapify(self.timers)
+        self.max_timers = max(2 * len(self.timers), MIN_TIMERS)
+
+    def is_pointless(self, function, *fields):
+        """Whether a timer is for something that is over."""
+        if function == self.dispatcher.wake:
+            return fields[0] not in self.dispatcher.state.wakes
+        return function == self.check_after_ttl and not self.is_remembered(fields[0])
+
+    def is_remembered(self, ntf_id):
+        """Whether anything is kept under this id until its TTL."""
+        return ntf_id in self.known_ids or ntf_id in self.ledger.ended or ntf_id in self.unfinished
 
     def close_idle(self, endpoint_id):
         self.endpoints.close_idle(endpoint_id)
--- a/tests/test_rude_clients.py
+++ b/tests/test_rude_clients.py
@@ -7,12 +7,14 @@
 import trio
 from test_net import program
 
-from juniperlanding.net import protocol
+from juniperlanding.net import owner, protocol
+from juniperlanding.net.known_ids import BYTES_PER_ID, KnownIds
 
 CROWD = 300  # clients at once
 MEMORY_MB = 96
 CLIENT_PATIENCE = 0.4  # seconds that a client waits for its answer
 CHUNKED = b"POST /api HTTP/1.1\r\nHost: api\r\nTransfer-Encoding: chunked\r\n\r\n"
+A_DAY_MS = 24 * 3600 * 1000
 
 
 def head(fields=b"", length=0, name="a1"):
@@ -101,3 +103,38 @@
         await process.wait()
 
     site.run(scene)
+
+
+def test_ids_that_are_always_new_take_limited_memory(site, monkeypatch):
+    """Guards against memory that grows with each id until a TTL that a client sets to a day."""
+    monkeypatch.setattr(owner, "MIN_TIMERS", 50)
+
+    async def scene(site):
+        node = await site.start()
+        decision_loop, stream = node.decision_loop, await site.client()
+        decision_loop.known_ids.max_memory = 20 * (BYTES_PER_ID + 8)
+        for number in range(200):
+            assert await site.submit(f"a{number}", stream=stream, ttl=A_DAY_MS) == 202
+            await site.until(lambda: not node.ledger.notifications)
+        assert len(decision_loop.known_ids) == len(node.ledger.ended) == 20
+        assert len(decision_loop.timers) < 200 and node.counters["ids_forgotten"] == 180
+        assert await site.submit("a199", stream=stream, ttl=A_DAY_MS) == 202
+        assert len(site.far.got) == 200  # the last ids are known, and not run again
+
+    site.run(scene)
+
+
+def test_the_id_that_ended_first_is_the_first_to_go():
+    known = KnownIds(2 * (BYTES_PER_ID + 1))
+    for ntf_id in "abcd":
+        known.add(ntf_id, ntf_id.upper())
+    for ntf_id in "cab":
+        known.end(ntf_id)
+    assert known.oldest_over_limit() == "c" and known.digest("c") == "C"
+    known.end("c")  # kept for longer
+    assert known.oldest_over_limit() == "a"
+    known.forget("a")
+    assert known.oldest_over_limit() is None and len(known) == 3 and "a" not in known
+    for ntf_id in "bcdx":
+        known.forget(ntf_id)
+    assert not known and known.ended_memory == 0
