A process that takes over waits for discovery only where the old one still did

Cause: since calls wait for discovery's first answer, a replacement while discovery is silent stopped them for 2 s, although the list goes over with the rest. Change: the offer says whether discovery has confirmed its list; only a process that begins from the ledger, or takes over from one that still waits, waits itself.

--- a/juniperlanding/net/owner.py
+++ b/juniperlanding/net/owner.py
@@ -143,11 +143,15 @@
         """The first event: give the module the last known list and what is pending in the ledger, or let it
         continue from the state that the old process hands over, so that nothing starts anew."""
         state = self.dispatcher.state
-        self.list_due_at = self.dispatcher.now + rules.MAX_LIST_WAIT
-        self.call_at(self.list_due_at, self.stop_waiting_for_list)
-        if not (offer and self.inherit(offer)):
+        is_list_confirmed = False
+        if offer and self.inherit(offer):
+            is_list_confirmed = offer.state.get("list_confirmed", True)
+        else:
             self.dispatcher.start()
             self.guarded(self.on_list_news, "cached", known)
+        if not is_list_confirmed:
+            self.list_due_at = self.dispatcher.now + rules.MAX_LIST_WAIT
+            self.call_at(self.list_due_at, self.stop_waiting_for_list)
         for notification in list(self.ledger.notifications.values()):
             self.guarded(self.restore, notification)
         for ntf_id in state.notifications.keys() - self.ledger.notifications.keys():
--- a/juniperlanding/net/succession.py
+++ b/juniperlanding/net/succession.py
@@ -108,6 +108,7 @@
             else decision_loop.discovery.revision,
             "discovery": decision_loop.discovery.address,
             "following": decision_loop.discovery.on,
+            "list_confirmed": not decision_loop.list_due_at,
             "clients": [
                 [
                     received_bytes(connection),
--- a/tests/test_reused_address.py
+++ b/tests/test_reused_address.py
@@ -87,6 +87,27 @@
     site.run(scene)
 
 
+@pytest.mark.parametrize("is_confirmed", [True, False])
+def test_a_process_that_takes_over_waits_for_discovery_only_where_the_old_one_did(site, is_confirmed):
+    """Guards against a replacement that stops deliveries for 2 s while discovery is silent."""
+
+    async def scene(site):
+        if not is_confirmed:
+            site.platform.answer = lambda *message: None
+        old = await first(site)
+        if is_confirmed:
+            await site.until(lambda: not old.decision_loop.list_due_at)
+        site.platform.answer = lambda *message: None
+        new = await replace(site)
+        assert bool(new.decision_loop.list_due_at) is not is_confirmed
+        assert await site.submit("a0") == 202
+        began = trio.current_time()
+        await site.until(lambda: sent(site))
+        assert (trio.current_time() - began < 0.5) is is_confirmed
+
+    site.run(scene)
+
+
 def test_an_id_that_is_given_to_another_destination_is_called_for_that_one_alone(site):
     """Guards against an endpoint that stays with its first destination, whatever the list says later."""
 
